--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Targets do their own set-up: `make demo` and `make test` work on a fresh checkout.
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+PACKAGES := model decisions agreement protocol node ctl lab
+export PYTHONPATH := $(subst $(eval ) ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
+
+.PHONY: setup test check format lint types demo generate lock measure report
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --require-hashes -r requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation \
+		$(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+test: setup
+	$(BIN)/python tools/run_tests.py
+
+format: setup
+	-$(BIN)/ruff check --fix --quiet packages tools
+	$(BIN)/black --quiet packages tools
+
+lint: setup
+	$(BIN)/black --check --quiet packages tools
+	$(BIN)/ruff check packages tools
+	$(BIN)/lint-imports --no-cache
+
+types: setup
+	$(BIN)/mypy packages/*/src tools
+
+check: lint types test
+
+demo: setup
+	$(BIN)/python -m persimmonusher_lab demo
+
+generate: setup
+	$(BIN)/python tools/generate_protocol.py
+
+lock:
+	$(PYTHON) -m pip install --quiet uv
+	uv pip compile --quiet --generate-hashes --no-emit-index-url --no-header \
+		--python-version 3.11 requirements.in -o requirements.txt
--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/__init__.py
@@ -0,0 +1,1 @@
+"""State machines of agreement: the change log, membership, the directory and claims."""
--- /dev/null
+++ b/packages/ctl/src/persimmonusher_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, kept apart from input and output."""
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/server.py
@@ -0,0 +1,43 @@
+"""A backend server as it announced itself."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from persimmonusher_model.identifiers import FailureDomain, ServerId, ServiceName
+
+
+class ServerState(Enum):
+    """What a backend server says of itself."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+@dataclass(frozen=True)
+class BackendServer:
+    """One announcement of a backend server.
+
+    Freshness is the pair (boot_id, sequence): a late, older announcement can't undo a newer one.
+    `boot_id` is a number that rises with each start of the server, such as its start time in
+    milliseconds; `sequence` counts the announcements within one boot.
+    """
+
+    server_id: ServerId
+    service: ServiceName
+    address: str
+    """Where it takes requests, as `ip:port`."""
+    failure_domain: FailureDomain
+    slots: int
+    """Requests that it works on at the same time."""
+    connection_limit: int
+    """Connections that it accepts in all, 0 where it states none."""
+    boot_id: int
+    sequence: int
+    state: ServerState
+
+    @property
+    def freshness(self) -> tuple[int, int]:
+        """Return what orders two announcements of the same server."""
+        return (self.boot_id, self.sequence)
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/work.py
@@ -0,0 +1,92 @@
+"""Typed messages of the data plane: a request, where it goes, and how that ended."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TypeAlias
+
+from persimmonusher_decisions.server import BackendServer
+from persimmonusher_model.identifiers import CallerId, RequestId
+
+
+@dataclass(frozen=True)
+class Request:
+    """A caller's request, as far as decisions need it. Times are monotonic seconds."""
+
+    request_id: RequestId
+    caller: CallerId
+    request_class: str
+    idempotent: bool
+    arrived: float
+    deadline: float
+    fingerprint: str
+    """Equal for requests that are the same work: method, path, key and body hash."""
+
+
+class OutcomeKind(Enum):
+    """How one attempt on one backend server ended."""
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    """An answer of class 5xx: the server failed real work."""
+    TIMEOUT = "timeout"
+    REFUSED = "refused"
+    """The server says, or the transport proves, that the request was not run."""
+    DRAINING = "draining"
+    """Refused because the server is leaving."""
+    BROKEN = "broken"
+    """The connection broke after a byte may have left: the outcome is unknown."""
+    CANCELLED = "cancelled"
+    """The caller left, or another copy won; says nothing of the server."""
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """The end of one attempt: its kind, latency in seconds, and the load the server reported."""
+
+    kind: OutcomeKind
+    latency: float
+    reported_load: int | None = None
+    """Requests in progress and queued at the server, all callers; a hint that may mislead."""
+
+
+@dataclass(frozen=True)
+class Dispatch:
+    """Send the request to this server now. The attempt number starts at 1."""
+
+    request: Request
+    server: BackendServer
+    attempt: int
+    started: float
+
+
+@dataclass(frozen=True)
+class Wait:
+    """Hold the request in the queue; `finish` or `advance` releases it later."""
+
+    request: Request
+
+
+class RefusalReason(Enum):
+    """Why a request is given up on. In every case but one it was certainly not run."""
+
+    QUEUE_FULL = "queue-full"
+    QUEUE_TIMEOUT = "queue-timeout"
+    DEADLINE = "deadline"
+    """The time left is too short for the service to answer."""
+    NO_SERVER = "no-server"
+    QUARANTINED = "quarantined"
+    OVERLOAD = "overload"
+    RETRIES_EXHAUSTED = "retries-exhausted"
+    """An idempotent request ran, and failed, on each server tried: not marked as not run."""
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Answer the request at once; the caller may come back after `retry_after` seconds."""
+
+    request: Request
+    reason: RefusalReason
+    retry_after: float
+
+
+Decision: TypeAlias = Dispatch | Wait | Refusal
--- /dev/null
+++ b/packages/lab/src/persimmonusher_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load, traces and measurements; never imported by the product."""
--- /dev/null
+++ b/packages/model/src/persimmonusher_model/__init__.py
@@ -0,0 +1,1 @@
+"""Words that every package shares: profiles, identifiers, the clock and coded errors."""
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: ports, adapters and the entry and keeper roles."""
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/loop.py
@@ -0,0 +1,34 @@
+"""The one loop on one thread: eventlet on its asyncio hub.
+
+`install` must run before any other module of the process uses eventlet, sockets or threads.
+Green threads (WSGI, urllib3) and coroutines (grpclib, UDP) then share the loop: a green thread
+waits for a coroutine with `run_coroutine`; a coroutine must never call code that blocks a green
+thread.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+
+def install() -> None:
+    """Choose the asyncio hub and patch the standard library for green threads."""
+    import eventlet.hubs
+
+    eventlet.hubs.use_hub("eventlet.hubs.asyncio")
+    eventlet.monkey_patch()
+
+
+def run_coroutine(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Wait in a green thread for a coroutine's result; its exception is raised here."""
+    import eventlet.asyncio
+
+    result: T = eventlet.asyncio.spawn_for_awaitable(coroutine).wait()
+    return result
+
+
+def start_coroutine(coroutine: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
+    """Run a coroutine on the loop without waiting; keep the task to cancel it."""
+    return asyncio.ensure_future(coroutine, loop=asyncio.get_event_loop())
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/ports.py
@@ -0,0 +1,134 @@
+"""Ports: what the data plane needs from the rest of the node.
+
+Adapters in this package implement them over the network; tests implement them in memory. A method
+that may wait says so: it blocks its green thread, never the loop.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from persimmonusher_decisions.server import BackendServer
+from persimmonusher_model.identifiers import (
+    CallerId,
+    FailureDomain,
+    InstanceId,
+    Revision,
+    ServiceName,
+)
+from persimmonusher_model.profile import Profile
+
+
+class ConfigurationView(ABC):
+    """The committed configuration as this instance has applied it."""
+
+    @abstractmethod
+    def revision(self) -> Revision:
+        """Return the revision in force here; it only ever rises."""
+
+    @abstractmethod
+    def find_service(self, host: str, path: str) -> ServiceName | None:
+        """Return the service of the longest route that matches, or None."""
+
+    @abstractmethod
+    def find_profile(self, service: ServiceName) -> Profile | None:
+        """Return the profile that the service runs under, or None for an unknown service."""
+
+
+class ServerDirectory(ABC):
+    """The backend servers that announced themselves, as this instance knows them."""
+
+    @abstractmethod
+    def announce(self, server: BackendServer) -> bool:
+        """Take an announcement; False when a newer one is known already."""
+
+    @abstractmethod
+    def list_servers(self, service: ServiceName) -> Sequence[BackendServer]:
+        """List the service's servers that are not stopped and not lost."""
+
+    @abstractmethod
+    def version(self, service: ServiceName) -> int:
+        """Return a number that changes whenever `list_servers` would."""
+
+
+@dataclass(frozen=True)
+class Instance:
+    """Another instance of the system, as membership knows it."""
+
+    instance_id: InstanceId
+    failure_domain: FailureDomain
+    peer_address: str
+    """Where its peer interface listens, as `ip:port`."""
+    roles: tuple[str, ...]
+
+
+class Membership(ABC):
+    """The live instances of the system."""
+
+    @abstractmethod
+    def list_live(self) -> Sequence[Instance]:
+        """List the instances believed alive, this one included."""
+
+
+@dataclass(frozen=True)
+class ClaimKey:
+    """An Idempotency-Key with the caller and service that it belongs to."""
+
+    service: ServiceName
+    caller: CallerId
+    key: str
+
+
+@dataclass(frozen=True)
+class StoredAnswer:
+    """The whole answer of a finished request, kept for a resend."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class ClaimStatus(Enum):
+    """What a claim of an Idempotency-Key came to."""
+
+    GRANTED = "granted"
+    """This instance may dispatch the request, once."""
+    FINISHED = "finished"
+    """The request ran; its answer is in the result."""
+    RUNNING = "running"
+    """Another instance, or an earlier call, holds the claim."""
+    UNKNOWN = "unknown"
+    """The holder gave up without learning the outcome, or was lost."""
+    MISMATCH = "mismatch"
+    """The key was used before with a different request."""
+    NO_QUORUM = "no-quorum"
+    """Too few registers answered, and the request was not run by this call."""
+
+
+@dataclass(frozen=True)
+class ClaimResult:
+    """The status of a claim, with the stored answer when it is FINISHED."""
+
+    status: ClaimStatus
+    answer: StoredAnswer | None = None
+
+
+class KeyClaims(ABC):
+    """Claims on Idempotency-Keys over the entry instances."""
+
+    @abstractmethod
+    def claim(self, key: ClaimKey, fingerprint: str, window_seconds: float) -> ClaimResult:
+        """Claim the key for one dispatch; waits for a majority of the key's registers."""
+
+    @abstractmethod
+    def finish(self, key: ClaimKey, answer: StoredAnswer) -> None:
+        """Keep the answer of a request that ran; waits for a majority."""
+
+    @abstractmethod
+    def release(self, key: ClaimKey) -> None:
+        """Give the key back: the request was certainly not run; waits for a majority."""
+
+    @abstractmethod
+    def give_up(self, key: ClaimKey) -> None:
+        """Record that the outcome is unknown; a resend is told so and is never run."""
--- /dev/null
+++ b/packages/protocol/src/persimmonusher_protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, as protobuf with generated code."""
