--- /dev/null
+++ b/packages/node/src/persimmonusher_node/peers.py
@@ -0,0 +1,71 @@
+"""gRPC channels to other instances, one for each address, opened when first needed.
+
+The peer token goes along as metadata with every call. A channel reconnects by itself; a call to an
+instance that is gone fails within its own timeout and must not be waited for without one.
+"""
+
+from collections.abc import Mapping
+from types import TracebackType
+from typing import Final, Self
+
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.events import RecvRequest, SendRequest, listen
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+
+TOKEN_HEADER: Final = "persimmonusher-token"
+
+
+class ChannelPool:
+    """Opens and keeps one channel for each peer address.
+
+    >>> with ChannelPool("secret") as pool:  # doctest: +SKIP
+    ...     stub = KeeperStub(pool.get("127.0.0.1:7003"))
+    """
+
+    def __init__(self, token: str) -> None:
+        self._token = token
+        self._channels: dict[str, Channel] = {}
+
+    def get(self, address: str) -> Channel:
+        """Return the channel to an `ip:port`; it connects on the first call."""
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host, int(port))
+            listen(channel, SendRequest, self._add_token)
+            self._channels[address] = channel
+        return channel
+
+    def forget(self, address: str) -> None:
+        """Close the channel to an instance that left."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    async def _add_token(self, event: SendRequest) -> None:
+        event.metadata[TOKEN_HEADER] = self._token
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for address in list(self._channels):
+            self.forget(address)
+
+
+def require_token(server: Server, names_by_token: Mapping[str, str]) -> None:
+    """Refuse every call to the server that carries none of the tokens."""
+
+    async def check(event: RecvRequest) -> None:
+        token = event.metadata.get(TOKEN_HEADER)
+        if not isinstance(token, str) or token not in names_by_token:
+            raise GRPCError(Status.UNAUTHENTICATED, "the call carries no known token")
+
+    listen(server, RecvRequest, check)
