Add claims on Idempotency-Keys with rosters, registers and their fault matrix

Cause: a non-idempotent request that is resent through another instance may run twice; keepers may be unreachable for hours, so claims can't wait for them. Change: write-once registers on five instances picked from a committed roster, joint majorities while the roster changes, restarted registers that abstain until they read three of four peers, votes that count only under the boot a register still runs; the gRPC adapter; a fault matrix. The profile refuses a key window shorter than its deadline. Not run yet: real processes. Also: the protocol generator finds its plugin beside the interpreter.

--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/roster.py
@@ -0,0 +1,170 @@
+"""The roster: which entry instances hold the claims of which keys.
+
+Registers must be the same for every instance that claims a key, so they are picked from a roster
+that the keepers commit, never from a membership view, which may differ between two instances. A
+roster works on for hours without keepers.
+
+Changing it must not let two claims of one key meet disjoint majorities. Three rules hold that:
+
+1. A claim made under version v needs a majority of the key's registers of version v *and* of
+   version v-1, so claims under v and v+1 share the majority of version v.
+2. A register refuses claims under a version older than its own.
+3. Version v+2 is proposed only once all but two members have applied v+1, and the longest key
+   window has passed since. Then any majority of version v holds a register that refuses v, and
+   what was claimed under v before has expired.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+import xxhash
+
+from persimmonusher_model.identifiers import FailureDomain, InstanceId
+from persimmonusher_model.rendezvous import choose_spread
+
+REGISTERS_PER_KEY: Final = 5
+"""Two registers of a key may be lost, such as by a restart and a failure at the same moment."""
+MAX_LAGGARDS: Final = (REGISTERS_PER_KEY - 1) // 2
+"""Members that may lag behind a version: any majority of 5 then still meets one that doesn't."""
+SLOTS: Final = 4_096
+"""Keys share the registers of their slot: ranking 2,500 members takes milliseconds, too long for
+each request, and 4,096 remembered choices still spread the keys evenly."""
+
+
+@dataclass(frozen=True)
+class Member:
+    """An instance of the roster and the boot under which it joined.
+
+    A register that runs under another boot has lost its memory and must read it back.
+    """
+
+    instance_id: InstanceId
+    failure_domain: FailureDomain
+    boot: int
+
+
+@dataclass(frozen=True)
+class Roster:
+    """One version of the roster together with the version before it."""
+
+    version: int
+    members: tuple[Member, ...]
+    previous: tuple[Member, ...] = ()
+    _sets: dict[int, tuple[frozenset[InstanceId], ...]] = field(
+        default_factory=dict, compare=False, repr=False
+    )
+
+    def list_sets(self, key: str) -> tuple[frozenset[InstanceId], ...]:
+        """Return the register sets that a claim of the key needs a majority of, each one."""
+        slot = xxhash.xxh3_64_intdigest(key.encode()) % SLOTS
+        sets = self._sets.get(slot)
+        if sets is None:
+            versions = [self.members, self.previous] if self.previous else [self.members]
+            sets = tuple(_choose_registers(members, slot) for members in versions)
+            self._sets[slot] = sets
+        return sets
+
+    def list_instances(self) -> frozenset[InstanceId]:
+        """Return the members of this version and of the one before."""
+        return frozenset(member.instance_id for member in (*self.members, *self.previous))
+
+    def find_boot(self, instance: InstanceId) -> int | None:
+        """Return the boot under which an instance joined, or None for one not listed."""
+        for member in self.members:
+            if member.instance_id == instance:
+                return member.boot
+        return None
+
+
+def _choose_registers(members: Sequence[Member], slot: int) -> frozenset[InstanceId]:
+    domains = {str(member.instance_id): str(member.failure_domain) for member in members}
+    chosen = choose_spread(domains, f"claims-{slot}", REGISTERS_PER_KEY)
+    return frozenset(InstanceId(name) for name in chosen)
+
+
+def count_majority(registers: int) -> int:
+    """Return how many of a set's registers are a majority."""
+    return registers // 2 + 1
+
+
+def has_majority(votes: frozenset[InstanceId], sets: Sequence[frozenset[InstanceId]]) -> bool:
+    """Tell whether the votes hold a majority of each register set."""
+    return bool(sets) and all(len(votes & group) >= count_majority(len(group)) for group in sets)
+
+
+@dataclass(frozen=True)
+class Observation:
+    """A live instance as the keepers' leader sees it."""
+
+    member: Member
+    applied_version: int
+
+
+class RosterPlanner:
+    """Decides, at the keepers' leader, when the next version may be proposed.
+
+    The planner only ever delays: a leader that was just elected starts its waits anew.
+    """
+
+    def __init__(self, founding_size: int, settle_seconds: float) -> None:
+        self._founding_size = founding_size
+        self._settle_seconds = settle_seconds
+        self._candidate: frozenset[InstanceId] = frozenset()
+        self._candidate_since = 0.0
+        self._version = -1
+        self._in_force_since: float | None = None
+
+    def plan(
+        self,
+        roster: Roster | None,
+        live: Sequence[Observation],
+        longest_window: float,
+        now: float,
+    ) -> Roster | None:
+        """Return the version to propose now, or None; call it about once a second."""
+        names = frozenset(seen.member.instance_id for seen in live)
+        if names != self._candidate:
+            self._candidate = names
+            self._candidate_since = now
+        if now - self._candidate_since < self._settle_seconds:
+            return None
+        if roster is None:
+            enough = len(live) >= self._founding_size
+            return Roster(1, _list_members(live, ())) if enough else None
+        if names == {member.instance_id for member in roster.members}:
+            return None
+        if not self._may_advance(roster, live, longest_window, now):
+            return None
+        return Roster(roster.version + 1, _list_members(live, roster.members), roster.members)
+
+    def _may_advance(
+        self, roster: Roster, live: Sequence[Observation], longest_window: float, now: float
+    ) -> bool:
+        if roster.version == 1:
+            # No claim can be older than the first version, so nothing needs to expire.
+            return True
+        if roster.version != self._version:
+            self._version = roster.version
+            self._in_force_since = None
+        applied = {
+            seen.member.instance_id for seen in live if seen.applied_version >= roster.version
+        }
+        lagging = [m for m in roster.members if m.instance_id not in applied]
+        if len(lagging) > MAX_LAGGARDS:
+            self._in_force_since = None
+            return False
+        if self._in_force_since is None:
+            self._in_force_since = now
+        return now - self._in_force_since > longest_window
+
+
+def _list_members(live: Sequence[Observation], known: tuple[Member, ...]) -> tuple[Member, ...]:
+    """List the live members, each under the boot it first joined with.
+
+    A member that restarted keeps its first boot: listing its new one would make a register with
+    lost memory look whole.
+    """
+    first_boots = {member.instance_id: member for member in known}
+    members = [first_boots.get(seen.member.instance_id, seen.member) for seen in live]
+    return tuple(sorted(members, key=lambda member: member.instance_id))
--- a/packages/model/src/persimmonusher_model/profile.py
+++ b/packages/model/src/persimmonusher_model/profile.py
@@ -153,6 +153,11 @@
             problems.append("hedge_after_ms: hedges need a retry_budget_percent above 0")
         if self.queue_limit and not self.queue_wait_ms:
             problems.append("queue_limit: a queue with queue_wait_ms 0 refuses all it holds")
+        if self.key_window_ms < self.deadline_ms:
+            problems.append(
+                f"key_window_ms: {self.key_window_ms} is shorter than deadline_ms "
+                f"{self.deadline_ms}: a key could be free again while its request still runs"
+            )
         if problems:
             raise ValueError("\n".join(problems))
         return self
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/claims.py
@@ -0,0 +1,342 @@
+"""Key claims over gRPC: this instance's register, and claims at the registers of others.
+
+Answers of more than `MAX_KEPT_ANSWER_BYTES` are not kept: a resend is then told that the request
+ran and that its answer is gone, which the caller resolves by a lookup.
+"""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+import structlog
+import xxhash
+from grpclib._typing import IServable
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Stream
+
+from persimmonusher_agreement.claims import (
+    ClaimRecord,
+    ClaimRequest,
+    ClaimRound,
+    RecordState,
+    RoundStatus,
+    Settlement,
+    ShareAnswer,
+    Vote,
+)
+from persimmonusher_agreement.register import Register
+from persimmonusher_agreement.roster import Roster
+from persimmonusher_model.clock import Clock
+from persimmonusher_model.identifiers import InstanceId
+from persimmonusher_node import claims_wire as wire
+from persimmonusher_node.component import Component
+from persimmonusher_node.loop import run_coroutine, start_coroutine
+from persimmonusher_node.peers import ChannelPool
+from persimmonusher_node.ports import (
+    ClaimKey,
+    ClaimResult,
+    ClaimStatus,
+    KeyClaims,
+    Membership,
+    StoredAnswer,
+)
+from persimmonusher_protocol import claims_pb2 as pb
+from persimmonusher_protocol.claims_grpc import ClaimsBase, ClaimsStub
+
+log = structlog.get_logger(__name__)
+
+CALL_TIMEOUT_SECONDS: Final = 0.25
+"""Longest wait for one register: some 50 round trips today. A register that is slower counts as
+missing; the four others decide."""
+ROUNDS: Final = 4
+"""Tries for one claim. Two callers that resend at the same moment can split the votes; each gives
+its grants back and tries again after a random pause, and four tries fail together rarely."""
+ROUND_PAUSE_SECONDS: Final = 0.02
+"""Mean pause before another try, several times a round trip."""
+SETTLE_TRIES: Final = 5
+SETTLE_PAUSE_SECONDS: Final = 0.2
+SHARE_PAUSE_SECONDS: Final = 0.5
+"""Pause between two readings of a restarted register's share."""
+SHARE_TIMEOUT_SECONDS: Final = 5.0
+MAX_KEPT_ANSWER_BYTES: Final = 65_536
+"""Largest answer kept at the registers, five times over."""
+MAX_GRANTS: Final = 100_000
+"""Claims of this instance that wait to be settled; more than it can have in flight."""
+
+_CALL_FAILURES: Final = (GRPCError, StreamTerminatedError, OSError, asyncio.TimeoutError)
+
+
+@dataclass(frozen=True)
+class _Grant:
+    """A key that this instance holds, to settle it later."""
+
+    token: str
+    digest: str
+    registers: frozenset[InstanceId]
+
+
+@dataclass
+class RegisterService(ClaimsBase):
+    """Serves this instance's register to its peers."""
+
+    register: Register
+    clock: Clock
+
+    async def Claim(self, stream: Stream[pb.ClaimRequest, pb.Vote]) -> None:  # noqa: N802
+        """Answer one claim."""
+        message = await stream.recv_message()
+        assert message is not None
+        vote = self.register.claim(wire.read_request(message), self.clock.monotonic())
+        await stream.send_message(wire.write_vote(vote))
+
+    async def Settle(self, stream: Stream[pb.Settlement, pb.SettlementDone]) -> None:  # noqa: N802
+        """Take one settlement."""
+        message = await stream.recv_message()
+        assert message is not None
+        self.register.settle(wire.read_settlement(message), self.clock.monotonic())
+        await stream.send_message(pb.SettlementDone())
+
+    async def ReadShare(  # noqa: N802
+        self, stream: Stream[pb.ShareRequest, pb.ShareAnswer]
+    ) -> None:
+        """Give a restarted register its records."""
+        message = await stream.recv_message()
+        assert message is not None
+        request = wire.read_share_request(message)
+        answer = self.register.export_share(request, self.clock.monotonic())
+        await stream.send_message(wire.write_share_answer(answer))
+
+
+@dataclass
+class PeerClaims(Component, KeyClaims):
+    """Claims keys at the registers that the committed roster names.
+
+    `find_roster` returns the roster in force here, or None before the first; `boot` is a number
+    that rises with each start of this instance.
+    """
+
+    instance: InstanceId
+    boot: int
+    clock: Clock
+    channels: ChannelPool
+    membership: Membership
+    find_roster: Callable[[], Roster | None]
+    longest_window: float
+    random: random.Random = field(default_factory=random.Random)
+
+    def __post_init__(self) -> None:
+        now = self.clock.monotonic()
+        self.register = Register(self.instance, self.boot, self.longest_window, now)
+        self._tokens = itertools.count(1)
+        self._grants: dict[ClaimKey, _Grant] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def list_peer_handlers(self) -> tuple[IServable, ...]:
+        """List the register's service."""
+        return (RegisterService(self.register, self.clock),)
+
+    def start(self) -> None:
+        """Start reading back what a restart lost, where something can be missing."""
+        self._keep(start_coroutine(self._read_share()))
+
+    def stop(self) -> None:
+        """End background work; what is not settled becomes unknown at the registers."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def claim(
+        self,
+        key: ClaimKey,
+        fingerprint: str,
+        window_seconds: float,
+        pending_seconds: float | None = None,
+    ) -> ClaimResult:
+        """Claim the key for one dispatch; `pending_seconds` bounds the request's run."""
+        pending = window_seconds if pending_seconds is None else pending_seconds
+        return run_coroutine(self._claim(key, fingerprint, window_seconds, pending))
+
+    def finish(self, key: ClaimKey, answer: StoredAnswer) -> None:
+        """Keep the answer, in the background: the caller needn't wait for it.
+
+        Should this instance crash before, a resend is told that the outcome is unknown.
+        """
+        encoded = wire.encode_answer(answer)
+        if len(encoded) > MAX_KEPT_ANSWER_BYTES:
+            encoded = b""
+        self._settle(key, RecordState.FINISHED, encoded)
+
+    def release(self, key: ClaimKey) -> None:
+        """Give the key back, in the background."""
+        self._settle(key, None)
+
+    def give_up(self, key: ClaimKey) -> None:
+        """Record an unknown outcome, in the background."""
+        self._settle(key, RecordState.UNKNOWN)
+
+    async def _claim(
+        self, key: ClaimKey, fingerprint: str, window: float, pending: float
+    ) -> ClaimResult:
+        digest = digest_key(key)
+        result = ClaimResult(ClaimStatus.NO_QUORUM)
+        for number in range(ROUNDS):
+            if number:
+                await asyncio.sleep(self.random.uniform(0, 2 * ROUND_PAUSE_SECONDS * number))
+            roster = self._refresh_roster()
+            if roster is None:
+                return result
+            token = f"{self.instance}:{self.boot}:{next(self._tokens)}"
+            request = ClaimRequest(
+                digest, token, fingerprint, roster.version, window + pending, pending
+            )
+            claim_round = ClaimRound(request, roster)
+            status = await self._collect_votes(claim_round)
+            if status is RoundStatus.GRANTED:
+                self._remember(key, _Grant(token, digest, claim_round.registers))
+                return ClaimResult(ClaimStatus.GRANTED)
+            settlement = Settlement(digest, token, None)
+            self._keep(start_coroutine(self._send_settlement(settlement, claim_round.registers)))
+            result = self._judge(claim_round.find_record(), fingerprint)
+            if result.status not in (ClaimStatus.NO_QUORUM, ClaimStatus.RUNNING):
+                return result
+        return result
+
+    def _judge(self, record: ClaimRecord | None, fingerprint: str) -> ClaimResult:
+        if record is None:
+            return ClaimResult(ClaimStatus.NO_QUORUM)
+        if record.fingerprint != fingerprint:
+            return ClaimResult(ClaimStatus.MISMATCH)
+        if record.state is RecordState.PENDING:
+            return ClaimResult(ClaimStatus.RUNNING)
+        if record.state is RecordState.UNKNOWN:
+            return ClaimResult(ClaimStatus.UNKNOWN)
+        answer = wire.decode_answer(record.answer) if record.answer else None
+        return ClaimResult(ClaimStatus.FINISHED, answer)
+
+    async def _collect_votes(self, claim_round: ClaimRound) -> RoundStatus:
+        addresses = self._find_addresses()
+        calls = {
+            asyncio.ensure_future(self._ask(register, addresses, claim_round.request)): register
+            for register in claim_round.registers
+        }
+        status = claim_round.status
+        pending = set(calls)
+        while pending and status is RoundStatus.OPEN:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for call in done:
+                vote = call.result()
+                if vote is None:
+                    status = claim_round.miss(calls[call])
+                else:
+                    status = claim_round.receive(vote)
+        # The calls left over go on: a register that hears of the claim late can still tell a
+        # resend of its outcome.
+        for call in pending:
+            self._keep(call)
+        return status
+
+    async def _ask(
+        self, register: InstanceId, addresses: Mapping[InstanceId, str], request: ClaimRequest
+    ) -> Vote | None:
+        if register == self.instance:
+            return self.register.claim(request, self.clock.monotonic())
+        address = addresses.get(register)
+        if address is None:
+            return None
+        stub = ClaimsStub(self.channels.get(address))
+        try:
+            message = await stub.Claim(wire.write_request(request), timeout=CALL_TIMEOUT_SECONDS)
+        except _CALL_FAILURES:
+            return None
+        return wire.read_vote(message)
+
+    def _settle(self, key: ClaimKey, state: RecordState | None, answer: bytes = b"") -> None:
+        grant = self._grants.pop(key, None)
+        if grant is None:
+            return
+        settlement = Settlement(grant.digest, grant.token, state, answer)
+        self._keep(start_coroutine(self._send_settlement(settlement, grant.registers)))
+
+    async def _send_settlement(
+        self, settlement: Settlement, registers: frozenset[InstanceId]
+    ) -> None:
+        waiting = set(registers)
+        for _ in range(SETTLE_TRIES):
+            addresses = self._find_addresses()
+            told = await asyncio.gather(
+                *(self._tell(register, addresses, settlement) for register in waiting)
+            )
+            waiting -= {register for register in told if register is not None}
+            if not waiting:
+                return
+            await asyncio.sleep(SETTLE_PAUSE_SECONDS)
+        log.info("claims.settlement-incomplete", token=settlement.token, missing=sorted(waiting))
+
+    async def _tell(
+        self, register: InstanceId, addresses: Mapping[InstanceId, str], settlement: Settlement
+    ) -> InstanceId | None:
+        if register == self.instance:
+            self.register.settle(settlement, self.clock.monotonic())
+            return register
+        address = addresses.get(register)
+        if address is None:
+            return None
+        stub = ClaimsStub(self.channels.get(address))
+        try:
+            message = wire.write_settlement(settlement)
+            await stub.Settle(message, timeout=CALL_TIMEOUT_SECONDS)
+        except _CALL_FAILURES:
+            return None
+        return register
+
+    async def _read_share(self) -> None:
+        while True:
+            self._refresh_roster()
+            now = self.clock.monotonic()
+            if self.register.is_whole(now):
+                return
+            addresses = self._find_addresses()
+            unread = [name for name in self.register.list_unread() if name in addresses]
+            answers = await asyncio.gather(*(self._ask_share(addresses[name]) for name in unread))
+            for answer in answers:
+                if answer is not None:
+                    self.register.import_share(answer, self.clock.monotonic())
+            await asyncio.sleep(SHARE_PAUSE_SECONDS)
+
+    async def _ask_share(self, address: str) -> ShareAnswer | None:
+        stub = ClaimsStub(self.channels.get(address))
+        request = wire.write_share_request(self.register.make_share_request())
+        try:
+            message = await stub.ReadShare(request, timeout=SHARE_TIMEOUT_SECONDS)
+        except _CALL_FAILURES:
+            return None
+        return wire.read_share_answer(message)
+
+    def _refresh_roster(self) -> Roster | None:
+        roster = self.find_roster()
+        if roster is not None:
+            self.register.replace_roster(roster)
+        return self.register.roster
+
+    def _find_addresses(self) -> dict[InstanceId, str]:
+        return {live.instance_id: live.peer_address for live in self.membership.list_live()}
+
+    def _remember(self, key: ClaimKey, grant: _Grant) -> None:
+        if len(self._grants) >= MAX_GRANTS:
+            oldest = next(iter(self._grants))
+            del self._grants[oldest]
+        self._grants[key] = grant
+
+    def _keep(self, task: "asyncio.Task[None] | asyncio.Future[Vote | None]") -> None:
+        # The loop holds tasks weakly: one that nobody holds may be collected before it ends.
+        held: set[object] = self._tasks  # type: ignore[assignment]
+        held.add(task)
+        task.add_done_callback(held.discard)
+
+
+def digest_key(key: ClaimKey) -> str:
+    """Return a 128-bit digest of a key, so that its length costs the registers nothing."""
+    text = f"{key.service}\x00{key.caller}\x00{key.key}"
+    return xxhash.xxh3_128_hexdigest(text.encode())
--- a/tools/generate_protocol.py
+++ b/tools/generate_protocol.py
@@ -3,6 +3,7 @@
 The result is committed, so that neither building nor running needs the generator.
 """
 
+import os
 import sys
 from importlib.resources import files
 from pathlib import Path
@@ -14,6 +15,9 @@
 
 def generate() -> int:
     """Run the compiler over each .proto file and return its exit code."""
+    # The compiler looks for its grpclib plugin on the path; it stands beside the interpreter.
+    plugins = str(Path(sys.executable).parent)
+    os.environ["PATH"] = os.pathsep.join([plugins, os.environ.get("PATH", "")])
     protos = sorted(str(path.relative_to(SOURCE)) for path in SOURCE.rglob("*.proto"))
     well_known_types = files("grpc_tools") / "_proto"
     return int(
