--- a/packages/node/src/persimmonusher_node/calls.py
+++ b/packages/node/src/persimmonusher_node/calls.py
@@ -5,6 +5,7 @@
 
 from persimmonusher_model.identifiers import CallerId, RequestId
 from persimmonusher_node.headers import HeaderList
+from persimmonusher_node.sockets import Pending, peek
 
 
 @dataclass(frozen=True)
@@ -29,11 +30,4 @@
 
     def has_caller_left(self) -> bool:
         """Tell, without waiting, whether the caller has closed its connection."""
-        if self.connection is None:
-            return False
-        try:
-            return not self.connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return self.connection is not None and peek(self.connection) is Pending.END
--- a/packages/node/src/persimmonusher_node/daemon.py
+++ b/packages/node/src/persimmonusher_node/daemon.py
@@ -56,7 +56,7 @@
         self.application = CallersApplication(
             entry, InstanceId(settings.instance_id), clock, settings.limits.body_seconds
         )
-        self._watch = Watch(self.services, self.forwarder, self.upstream, clock)
+        self.watch = Watch(self.services, self.forwarder, self.upstream, clock)
         self._clock = clock
 
     def explain(self, request_id: RequestId) -> RequestRecord | None:
@@ -92,7 +92,7 @@
         announcements = HttpListener(listen.announcements, application)
         with ExitStack() as stack:
             self._start_grpc(stack)
-            for component in (*self.parts.components, self._watch):
+            for component in (*self.parts.components, self.watch):
                 stack.enter_context(component)
             announcements.start()
             stack.callback(announcements.abort)
--- a/packages/node/src/persimmonusher_node/main.py
+++ b/packages/node/src/persimmonusher_node/main.py
@@ -1,17 +1,19 @@
 """The command line of the daemon."""
 
+import warnings
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated, Final
 
 import typer
 
 from persimmonusher_model.errors import UsherError
-from persimmonusher_node.settings import Settings
-from persimmonusher_node.settings_file import load_settings
 
-CHECK_FAILED = 2
+if TYPE_CHECKING:
+    from persimmonusher_node.settings import Settings
+
+CHECK_FAILED: Final = 2
 """Exit code for settings that were refused."""
-CUT_OFF = 3
+CUT_OFF: Final = 3
 """Exit code of a stop that had to cut off a connection."""
 
 app = typer.Typer(name="persimmonusher", no_args_is_help=True, pretty_exceptions_show_locals=False)
@@ -22,11 +24,12 @@
 @app.command("run")
 def run(settings_path: SettingsPath) -> None:
     """Run one instance until SIGTERM, then stop it gracefully."""
-    settings = read_settings(settings_path)
-    # The loop must be chosen before any other module uses sockets, so the rest is imported here.
+    # The loop must be chosen before any other module is loaded, so the rest is imported here.
     from persimmonusher_node import loop
 
+    warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
     loop.install()
+    settings = read_settings(settings_path)
     from persimmonusher_node.process import run_instance
 
     try:
@@ -48,8 +51,10 @@
     typer.echo(f"{settings_path}: in order; instance {settings.instance_id!r} is {role}")
 
 
-def read_settings(path: Path) -> Settings:
+def read_settings(path: Path) -> "Settings":
     """Return the settings, or print all findings and exit."""
+    from persimmonusher_node.settings_file import load_settings
+
     try:
         return load_settings(path)
     except UsherError as error:
--- a/packages/node/src/persimmonusher_node/settings_file.py
+++ b/packages/node/src/persimmonusher_node/settings_file.py
@@ -45,6 +45,7 @@
     else:
         findings = check_combinations(settings, text, file)
     if findings:
+        findings.sort(key=lambda finding: (finding.line or 0, finding.path))
         raise UsherError(findings[0].code, f"{file} was refused", findings)
     return settings
 
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -20,6 +20,7 @@
 from persimmonusher_model.clock import Clock
 from persimmonusher_node.answers import AnswerCode
 from persimmonusher_node.headers import REQUEST_ID, HeaderList
+from persimmonusher_node.sockets import Pending, peek
 
 CONNECT_SECONDS: Final = 0.5
 """A connection costs about 1 ms; a longer wait means lost packets or a host that is gone."""
@@ -82,13 +83,7 @@
         doubled answer has arrived: either is readable before a request was written, and the next
         request would be lost on the first and given the wrong answer on the second.
         """
-        try:
-            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return peek(self.sock) is Pending.NOTHING
 
 
 class ServerPool:
--- /dev/null
+++ b/packages/node/tests/test_failure_points.py
@@ -0,0 +1,152 @@
+"""Every point at which the connection to a backend server can break, for both kinds of work."""
+
+import unittest
+from dataclasses import dataclass
+
+from entry_harness import DRAINING, SERVICE, SHED, Behaviour, EntryTestCase, answer, send, stall
+
+CUT: Behaviour = send(b"")
+HEAD_ONLY = send(b"HTTP/1.1 200 OK\r\nContent-Le")
+SHORT = send(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+BROKEN_CHUNK = send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel")
+NO_LAST_CHUNK = send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+UNFRAMED = send(b"HTTP/1.1 200 OK\r\n\r\nwho knows where this ends")
+GARBAGE = send(b"\x00\x01\x02 nonsense\r\n\r\n")
+SILENT = stall(5.0, answer())
+
+
+@dataclass(frozen=True)
+class Point:
+    """A way for one attempt to end, and what it must come to for work that is not idempotent."""
+
+    name: str
+    behaviour: Behaviour
+    status: int
+    outcome: str
+    runs: int
+
+
+AFTER_LAST_BYTE = [
+    Point("closed after the last byte of the request", CUT, 502, "unknown", 1),
+    Point("closed in the answer's head", HEAD_ONLY, 502, "unknown", 1),
+    Point("closed before Content-Length was reached", SHORT, 502, "unknown", 1),
+    Point("closed in a chunk", BROKEN_CHUNK, 502, "unknown", 1),
+    Point("closed before the last chunk", NO_LAST_CHUNK, 502, "unknown", 1),
+    Point("an answer whose end can't be told", UNFRAMED, 502, "unknown", 1),
+    Point("an answer that is not HTTP", GARBAGE, 502, "unknown", 1),
+    Point("no answer in time", SILENT, 504, "unknown", 1),
+    Point("a whole answer that tells of a failure", answer(b"no", "500 No"), 500, "ran", 1),
+    Point("a plain 503, which may come after work", answer(b"", "503 Busy"), 503, "ran", 1),
+]
+
+
+class FailurePointsTest(EntryTestCase):
+    def test_non_idempotent_work_is_never_sent_again_once_it_may_have_run(self) -> None:
+        """A family's entry must not be lodged twice.
+
+        The connection breaks at each point after the first byte; the server ran the request, or
+        may have. The caller must be told so, at once, and no other server may see the request.
+        """
+        for point in AFTER_LAST_BYTE:
+            with self.subTest(point.name):
+                self.reset(point.behaviour)
+                headers = {"Persimmonusher-Deadline-Ms": "300"}
+                told = self.call("POST", "/items", b"entry", headers)
+                self.assertEqual((told.status, told.outcome), (point.status, point.outcome))
+                self.assertEqual(len(self.ran), point.runs)
+
+    def test_idempotent_work_gets_a_whole_answer_from_another_server(self) -> None:
+        """A breeder looks up a schedule while the connection to one server breaks.
+
+        The answer must come whole from the other server, never the first one's half.
+        """
+        for point in AFTER_LAST_BYTE:
+            if point.behaviour in (SILENT,):
+                continue
+            with self.subTest(point.name):
+                self.reset(point.behaviour, both=False)
+                for _ in range(4):
+                    told = self.call()
+                    self.assertEqual((told.status, told.body, told.outcome), (200, b"ok", "ran"))
+
+    def test_idempotent_work_that_fails_everywhere_is_never_called_not_run(self) -> None:
+        for behaviour in (CUT, SHORT, BROKEN_CHUNK, HEAD_ONLY):
+            with self.subTest(behaviour=behaviour):
+                self.script(*[behaviour] * 9)
+                told = self.call()
+                self.assertEqual((told.status, told.outcome), (502, "unknown"))
+
+    def test_before_the_connection_the_request_goes_elsewhere(self) -> None:
+        """One server's host is gone but it is still listed: an entry must be run once, elsewhere."""
+        self.servers[0].stop()
+        for _ in range(6):
+            told = self.call("POST", body=b"entry")
+            self.assertEqual((told.status, told.outcome), (200, "ran"))
+        self.assertEqual(len(self.ran), 6)
+
+    def test_with_no_server_reachable_not_run_is_true(self) -> None:
+        for server in self.servers:
+            server.stop()
+        told = self.call("POST", body=b"entry")
+        self.assertEqual((told.status, told.outcome), (503, "not-run"))
+        self.assertGreaterEqual(int(told.headers["retry-after"]), 1)
+        self.assertEqual(self.ran, [])
+
+    def test_after_the_first_byte_the_outcome_is_unknown(self) -> None:
+        """The server resets the connection when it has one byte of the request.
+
+        The entry can't see how much arrived, so it must say unknown, and must not send again.
+        """
+        for server in self.servers:
+            server.cut_in_request = 1
+        told = self.call("POST", body=b"x" * 100)
+        self.assertEqual((told.status, told.outcome), (502, "unknown"))
+        self.assertEqual(self.ran, [])
+
+    def test_a_connection_closed_on_accept_is_not_called_not_run(self) -> None:
+        for server in self.servers:
+            server.cut_on_accept = 1
+        told = self.call("POST", body=b"x")
+        self.assertEqual((told.status, told.outcome), (502, "unknown"))
+        self.assertEqual(self.ran, [])
+
+    def test_a_shed_or_draining_answer_lets_another_server_run_it_once(self) -> None:
+        for refusal in (SHED, DRAINING):
+            with self.subTest(refusal=refusal):
+                self.reset(refusal, both=False)
+                told = self.call("POST", body=b"entry")
+                self.assertEqual((told.status, told.outcome), (200, "ran"))
+                self.assertEqual(len(self.ran), 1)
+
+    def test_shed_by_all_is_not_run_with_retry_after(self) -> None:
+        self.script(*[SHED] * 9)
+        told = self.call("POST", body=b"entry")
+        self.assertEqual((told.status, told.outcome), (503, "not-run"))
+        self.assertIn("retry-after", told.headers)
+        self.assertEqual(self.ran, [])
+
+    def test_shed_after_a_broken_attempt_is_not_called_not_run(self) -> None:
+        """A lookup breaks on one server and is shed by the other: it may have run on the first."""
+        self.servers[0].script[:] = [CUT] * 5
+        self.servers[1].script[:] = [SHED] * 5
+        for _ in range(3):
+            told = self.call()
+            self.assertEqual(told.outcome, "unknown")
+
+    def test_after_a_drain_answer_the_server_gets_nothing_more(self) -> None:
+        """A worker says in an answer that it is leaving, before its announcement got here."""
+        self.servers[0].script[:] = [DRAINING] * 9
+        for _ in range(8):
+            self.assertEqual(self.call("POST", body=b"x").status, 200)
+        self.assertEqual(len(self.servers[0].script), 8, "one request at most may hear of it")
+        listed = {s.server_id: s.state.value for s in self.directory.list_servers(SERVICE)}
+        self.assertEqual(listed, {"s1": "draining", "s2": "ready"})
+
+    def reset(self, behaviour: Behaviour, both: bool = True) -> None:
+        for server in self.servers:
+            server.ran.clear()
+            server.script[:] = [behaviour] if both or server is self.servers[0] else []
+
+
+if __name__ == "__main__":
+    unittest.main()
