Add membership and the directory of backend servers over UDP

Cause: instances must find each other and share what backend servers announce, without an outside store.

Change: a state machine without I/O in the agreement package (SWIM-like probes, rumours under a byte budget, anti-entropy by digests in bounded pieces, watchers with a majority rule for lost servers), its protobuf messages behind a keyed tag, and the UDP adapter and the ServerDirectory in the node.

--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/gossip.py
@@ -0,0 +1,96 @@
+"""Spreading of changes: a queue of rumours, each sent a bounded number of times, under a budget.
+
+Load: at the target size (2,500 instances, 15,400 restarts of instances and as many of backend
+servers a day) about 15,400 x 3 records of members and 15,400 x 4 of servers change a day, which is
+1.25 changes a second. A change is some 110 bytes and each instance sends it
+ceil(4 log10 2,501) = 14 times: 1.25 x 14 x 110 = 1.9 KB/s, within the 8 KB/s for all control.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import Final
+
+from persimmonusher_agreement.record import Record
+
+TRANSMISSION_FACTOR: Final = 4.0
+"""Times log10 of the fleet's size. After k sends by each informed instance, a fraction of about
+exp(-k) is left out, which anti-entropy repairs; 14 sends leave 1 in 10^6 at 2,500 instances."""
+MIN_TRANSMISSIONS: Final = 10
+"""At 48 instances and 20% loss, exp(-10 x 0.8) x 48 leaves one instance out in 1.6% of changes."""
+
+
+def count_transmissions(fleet_size: int) -> int:
+    """Return how often one instance passes a change on, in a fleet of this size."""
+    return max(MIN_TRANSMISSIONS, math.ceil(TRANSMISSION_FACTOR * math.log10(fleet_size + 1)))
+
+
+@dataclass
+class _Rumour:
+    """A change with the number of times that it has been sent and is still to be sent."""
+
+    record: Record
+    sent: int
+    remaining: int
+
+
+class GossipQueue:
+    """The changes that this instance still passes on; at most one for each key."""
+
+    def __init__(self) -> None:
+        self._rumours: dict[str, _Rumour] = {}
+
+    def __len__(self) -> int:
+        return len(self._rumours)
+
+    def add(self, record: Record, transmissions: int) -> None:
+        """Queue a change; it takes the place of an older one of the same key."""
+        self._rumours[record.key] = _Rumour(record, 0, transmissions)
+
+    def take(self, limit_bytes: int) -> tuple[Record, ...]:
+        """Take what fits, urgent and least sent first, and count one transmission of each."""
+        taken: list[Record] = []
+        room = limit_bytes
+        for rumour in sorted(self._rumours.values(), key=_order):
+            size = rumour.record.size()
+            if size > room:
+                continue
+            room -= size
+            taken.append(rumour.record)
+            self._count(rumour)
+        return tuple(taken)
+
+    def _count(self, rumour: _Rumour) -> None:
+        rumour.sent += 1
+        rumour.remaining -= 1
+        if rumour.remaining <= 0:
+            del self._rumours[rumour.record.key]
+
+
+def _order(rumour: _Rumour) -> tuple[bool, int]:
+    return (not rumour.record.is_urgent, rumour.sent)
+
+
+class ByteBudget:
+    """A token bucket of bytes; probes may overdraw it, rumours and exchanges wait for it.
+
+    Load: a mass restart queues thousands of changes at once. Harm: without a bound the gossip of
+    all instances takes the links that callers' answers need. Limit: the rate is the share of the
+    8 KB/s for control that membership may use; the burst lets a joining instance catch up.
+    """
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._updated = 0.0
+
+    def available(self, active: float) -> float:
+        """Return the bytes that may be sent now; negative when overdrawn."""
+        elapsed = max(0.0, active - self._updated)
+        self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
+        self._updated = active
+        return self._tokens
+
+    def spend(self, size: int) -> None:
+        """Take bytes out, below zero if need be."""
+        self._tokens -= size
--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/member_table.py
@@ -0,0 +1,120 @@
+"""The instances that this one knows, its own incarnation, and the suspicions that run."""
+
+from dataclasses import replace
+
+from persimmonusher_agreement.member_record import MemberRecord, MemberState
+from persimmonusher_agreement.membership_limits import MembershipLimits
+from persimmonusher_agreement.record import hash_key
+from persimmonusher_agreement.record_store import RecordStore
+from persimmonusher_model.identifiers import InstanceId
+
+
+class MemberTable:
+    """Merges records of instances and refutes what is wrongly said of this one."""
+
+    def __init__(self, own: MemberRecord, store: RecordStore, limits: MembershipLimits) -> None:
+        self.own = own
+        self.live: dict[InstanceId, MemberRecord] = {own.instance_id: own}
+        """Alive and suspected instances, this one included."""
+        self.dead: dict[InstanceId, MemberRecord] = {}
+        """Declared dead and not yet forgotten; those that left are not among them."""
+        self.changes = 0
+        """Rises whenever `live` changes, so that lists made from it can be kept."""
+        self._store = store
+        self._limits = limits
+        self._suspicions: dict[InstanceId, float] = {}
+        self._buried_at: dict[InstanceId, float] = {}
+        self._peers: tuple[int, list[MemberRecord]] = (-1, [])
+        store.put(own)
+
+    @property
+    def sees_majority(self) -> bool:
+        """Tell whether more than half of the known fleet, without those that left, is live."""
+        return 2 * len(self.live) > len(self.live) + len(self.dead)
+
+    def list_peers(self) -> list[MemberRecord]:
+        """List the live instances but this one; not to be changed by the caller."""
+        if self._peers[0] != self.changes:
+            own = self.own.instance_id
+            peers = [member for member in self.live.values() if member.instance_id != own]
+            self._peers = (self.changes, peers)
+        return self._peers[1]
+
+    def find(self, instance_id: InstanceId) -> MemberRecord | None:
+        """Return what is known of an instance, dead or alive."""
+        return self.live.get(instance_id) or self.dead.get(instance_id)
+
+    def apply(self, record: MemberRecord, active: float) -> MemberRecord | None:
+        """Merge a record; return the one to pass on, or None where nothing is new."""
+        if record.instance_id == self.own.instance_id:
+            return self._refute(record)
+        if not self._store.put(record):
+            return None
+        self._place(record, active)
+        return record
+
+    def suspect(self, instance_id: InstanceId, active: float) -> MemberRecord | None:
+        """Suspect a live instance that answered no probe; return the record to pass on."""
+        member = self.live.get(instance_id)
+        if member is None or member.state is not MemberState.ALIVE:
+            return None
+        return self.apply(replace(member, state=MemberState.SUSPECT), active)
+
+    def expire(self, active: float) -> list[MemberRecord]:
+        """End suspicions that ran out, forget old dead, and return the newly dead."""
+        late = [name for name, due in self._suspicions.items() if active >= due]
+        died = [replace(self.live[name], state=MemberState.DEAD) for name in late]
+        passed_on = [record for record in died if self.apply(record, active) is not None]
+        kept_since = active - self._limits.dead_retention
+        for name in [name for name, since in self._buried_at.items() if since < kept_since]:
+            self._forget(name)
+        return passed_on
+
+    def leave(self) -> MemberRecord:
+        """Turn this instance's record into one that left; it is refuted no more."""
+        self._replace_own(replace(self.own, state=MemberState.LEFT))
+        return self.own
+
+    def _refute(self, record: MemberRecord) -> MemberRecord | None:
+        """Answer a wrong record of this instance with a higher incarnation.
+
+        Failure: a suspicion, a death declared while this process was paused, or the record of an
+        earlier life whose clock was ahead. It shows as a live instance that the others leave out.
+        Only the subject raises its incarnation, so the refutation supersedes every copy.
+        """
+        if self.own.state is MemberState.LEFT or record.incarnation < self.own.incarnation:
+            return None
+        if record.describe() == self.own.describe() and record.state is MemberState.ALIVE:
+            return None
+        self._replace_own(replace(self.own, incarnation=record.incarnation + 1))
+        return self.own
+
+    def _replace_own(self, record: MemberRecord) -> None:
+        self.own = record
+        self.live[record.instance_id] = record
+        self._store.put(record)
+        self.changes += 1
+
+    def _place(self, record: MemberRecord, active: float) -> None:
+        name = record.instance_id
+        self._suspicions.pop(name, None)
+        self._buried_at.pop(name, None)
+        self.dead.pop(name, None)
+        self.changes += 1
+        if not record.is_tombstone:
+            self.live[name] = record
+            if record.state is MemberState.SUSPECT:
+                timeout = self._limits.suspicion_timeout(len(self.live))
+                self._suspicions[name] = active + timeout
+            return
+        self.live.pop(name, None)
+        self._buried_at[name] = active
+        if record.state is MemberState.DEAD:
+            self.dead[name] = record
+
+    def _forget(self, name: InstanceId) -> None:
+        del self._buried_at[name]
+        self.dead.pop(name, None)
+        buried = self._store.get(hash_key(f"m/{name}"))
+        if buried is not None:
+            self._store.remove(buried)
--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/membership_limits.py
@@ -0,0 +1,49 @@
+"""The times and sizes of membership and the directory, each with its reason."""
+
+import math
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class MembershipLimits:
+    """All durations in seconds, all sizes in bytes."""
+
+    gossip_interval: float = 0.1
+    """Seven hops reach 2,500 instances with a fan-out of 3: 0.7 s."""
+    gossip_fanout: int = 3
+    probe_interval: float = 1.0
+    """One ping and one answer a second: about 0.3 KB/s with headers, whatever the fleet's size."""
+    direct_timeout: float = 0.3
+    """A hundred times the round trip within a region."""
+    probe_helpers: int = 3
+    suspicion_seconds: float = 3.0
+    """Times log10 of the fleet's size, at least once: time for a refutation to travel."""
+    cut_rounds: int = 3
+    """Rounds answered only through others before a path is shown as cut; one is mere loss."""
+    dead_retention: float = 12 * 3600.0
+    """A dead instance is probed now and then for so long, and counted in the fleet's size, so
+    that the smaller side of a cut knows that it is the smaller side."""
+    stopped_retention: float = 24 * 3600.0
+    """Longer than `dead_retention`: see `persimmonusher_agreement.watch`."""
+    reconnect_interval: float = 2.0
+    seed_interval: float = 10.0
+    small_sync_interval: float = 0.25
+    """Between exchanges while all records fit one summary: at most 4 KB/s."""
+    large_sync_interval: float = 5.0
+    """Between exchanges of larger stores, about 2.5 KB each: 0.5 KB/s."""
+    catch_up_interval: float = 0.05
+    """Between exchanges while the last one brought records that we lacked."""
+    budget_rate: float = 6000.0
+    """Of the 8 KB/s for all control, a node leaves 2 KB/s to configuration and evidence."""
+    budget_burst: float = 200_000.0
+    """Lets a restarted instance pull a small directory at once."""
+    watchers: int = 3
+    heartbeat_timeout: float = 5.0
+    silence_interval: float = 0.5
+    """Between looks at which watched servers are silent."""
+    heartbeat_rate: float = 2000.0
+    """Bytes a second that one instance may spend on passing heartbeats on."""
+
+    def suspicion_timeout(self, fleet_size: int) -> float:
+        """Return how long a suspected instance has to refute: 5 s at 48, 10 s at 2,500."""
+        return self.suspicion_seconds * max(1.0, math.log10(max(1, fleet_size)))
--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/outbox.py
@@ -0,0 +1,102 @@
+"""What one step of membership leads to, and the envelopes that carry its messages."""
+
+from random import Random
+from typing import Final
+
+from persimmonusher_agreement.gossip import ByteBudget, GossipQueue
+from persimmonusher_agreement.member_record import MemberState
+from persimmonusher_agreement.member_table import MemberTable
+from persimmonusher_agreement.membership_limits import MembershipLimits
+from persimmonusher_agreement.membership_messages import (
+    Ack,
+    Effect,
+    Envelope,
+    Join,
+    Ping,
+    Rumour,
+    Send,
+)
+from persimmonusher_agreement.probing import Outgoing
+from persimmonusher_agreement.record import Record
+from persimmonusher_agreement.record_store import RecordStore
+from persimmonusher_model.identifiers import Revision
+
+HEADER_BYTES: Final = 110
+"""Headers of IP and UDP (28), tag (16), sender, revision, digest and a small body, as encoded."""
+UPDATES_BYTES: Final = 1100
+"""Room for updates in a datagram of 1,400 bytes."""
+SMALL_BODIES: Final = (Ping, Ack, Rumour)
+"""Bodies that leave room for piggybacked updates."""
+
+
+class Outbox:
+    """Collects effects; wraps each message with what its receiver should learn on the way."""
+
+    def __init__(
+        self,
+        table: MemberTable,
+        store: RecordStore,
+        queue: GossipQueue,
+        limits: MembershipLimits,
+        random: Random,
+    ) -> None:
+        self._table = table
+        self._store = store
+        self._queue = queue
+        self._limits = limits
+        self._random = random
+        self._budget = ByteBudget(limits.budget_rate, limits.budget_burst)
+        self._effects: list[Effect] = []
+        self.revision = Revision(0)
+        """The configuration revision in force here."""
+
+    def add(self, effect: Effect) -> None:
+        """Add an effect that is no message."""
+        self._effects.append(effect)
+
+    def drain(self) -> list[Effect]:
+        """Return the effects collected since the last call."""
+        effects = self._effects
+        self._effects = []
+        return effects
+
+    def has_budget(self, active: float) -> bool:
+        """Tell whether rumours and exchanges may be sent now."""
+        return self._budget.available(active) > 0
+
+    def send(self, outgoing: Outgoing, updates: tuple[Record, ...] = ()) -> None:
+        """Send a message with the given updates and, where there is room, queued ones."""
+        urgent = (*self._tell_subject(outgoing), *updates)
+        if isinstance(outgoing.body, SMALL_BODIES):
+            room = UPDATES_BYTES - sum(record.size() for record in urgent)
+            urgent = (*urgent, *self._queue.take(room))
+        self._budget.spend(HEADER_BYTES + sum(record.size() for record in urgent))
+        envelope = Envelope(
+            self._table.own.instance_id, self.revision, self._store.digest, outgoing.body, urgent
+        )
+        self._effects.append(Send(outgoing.address, envelope))
+
+    def spread(self, active: float) -> None:
+        """Send queued rumours to a few random peers, within the budget."""
+        if not len(self._queue) or not self.has_budget(active):
+            return
+        peers = self._table.list_peers()
+        for peer in self._random.sample(peers, min(self._limits.gossip_fanout, len(peers))):
+            if len(self._queue):
+                self.send(Outgoing(peer.peer_address, peer.instance_id, Rumour()))
+
+    def _tell_subject(self, outgoing: Outgoing) -> tuple[Record, ...]:
+        """Tell an instance first that it is suspected or held for dead, so that it can refute.
+
+        Failure: an instance was declared dead behind a cut, and after the healing it hears of it
+        only by chance. It shows as a live instance that some leave out for long. Each message to
+        it carries the record, so the first one that arrives sets off the refutation.
+        """
+        if isinstance(outgoing.body, Join):
+            return (self._table.own,)
+        if outgoing.instance is None:
+            return ()
+        member = self._table.find(outgoing.instance)
+        if member is None or member.state is MemberState.ALIVE:
+            return ()
+        return (member,)
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/membership.py
@@ -0,0 +1,221 @@
+"""Membership over UDP: the adapter that carries out what the state machine decides."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+import structlog
+
+from persimmonusher_agreement.directory import Announced
+from persimmonusher_agreement.member_record import MemberRecord, MemberState
+from persimmonusher_agreement.membership import FleetMembership
+from persimmonusher_agreement.membership_limits import MembershipLimits
+from persimmonusher_agreement.membership_messages import (
+    Effect,
+    MembersChanged,
+    NewerRevision,
+    PathCut,
+    PathRestored,
+    Send,
+    ServersChanged,
+)
+from persimmonusher_agreement.server_record import ServerRecord
+from persimmonusher_model.clock import Clock
+from persimmonusher_model.errors import UsherError
+from persimmonusher_model.identifiers import FailureDomain, InstanceId, Revision, ServiceName
+from persimmonusher_node.component import Component
+from persimmonusher_node.loop import run_coroutine
+from persimmonusher_node.membership_wire import MAX_DATAGRAM_BYTES, MembershipCodec
+from persimmonusher_node.ports import Instance, Membership
+from persimmonusher_node.settings import Settings
+
+TICK_SECONDS: Final = 0.1
+
+log = structlog.get_logger()
+
+
+class UdpMembership(Component, Membership):
+    """The live instances, by gossip over UDP on the peer port.
+
+    >>> membership = UdpMembership(
+    ...     settings,
+    ...     clock,
+    ...     Random(),
+    ...     read_revision=client.revision,
+    ...     hear_revision=client.hear_revision,
+    ... )  # doctest: +SKIP
+    >>> with membership: ...  # doctest: +SKIP
+
+    `read_revision` returns the configuration revision in force here, and is called at each tick.
+    `hear_revision(peer_address, revision)` is called on the loop when another instance has a newer
+    one; it must not block. Callbacks added with `on_change` and `on_servers_change` are called on
+    the loop as well. Construction opens nothing; `start` binds the socket and needs the loop.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        random: Random,
+        read_revision: Callable[[], Revision],
+        hear_revision: Callable[[str, Revision], None],
+        limits: MembershipLimits | None = None,
+    ) -> None:
+        self._clock = clock
+        self._address = settings.listen.peers
+        self._codec = MembershipCodec(settings.peer_token)
+        self._read_revision = read_revision
+        self._hear_revision = hear_revision
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._on_change: list[Callable[[], None]] = []
+        self._on_servers_change: list[Callable[[ServiceName], None]] = []
+        self._live: tuple[int, tuple[Instance, ...]] = (-1, ())
+        self.dropped_datagrams = 0
+        """Received with a wrong tag or in an unknown version."""
+        self.sent_bytes = 0
+        chosen = limits or MembershipLimits(heartbeat_timeout=settings.heartbeat_timeout_seconds)
+        own = make_own_record(settings, clock)
+        self.fleet = FleetMembership(own, settings.seeds, random, chosen)
+
+    def list_live(self) -> tuple[Instance, ...]:
+        """List the instances believed alive, this one included."""
+        members = self.fleet.members
+        if self._live[0] != members.changes:
+            listed = tuple(_make_instance(record) for record in members.live.values())
+            self._live = (members.changes, listed)
+        return self._live[1]
+
+    def list_cut_paths(self) -> frozenset[InstanceId]:
+        """List the live instances that answer through others only, for operators."""
+        return self.fleet.prober.cut_paths
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back whenever `list_live` changes."""
+        self._on_change.append(callback)
+
+    def on_servers_change(self, callback: Callable[[ServiceName], None]) -> None:
+        """Call back with the service whose backend servers changed."""
+        self._on_servers_change.append(callback)
+
+    def announce(self, record: ServerRecord) -> Announced:
+        """Take a backend server's announcement and pass on what others need of it."""
+        announced, effects = self.fleet.announce(record, self._clock.monotonic())
+        self._carry_out(effects)
+        return announced
+
+    def start(self) -> None:
+        """Bind the socket and start to tick; called in a green thread."""
+        run_coroutine(self._open())
+
+    def stop(self) -> None:
+        """Say goodbye to the others and close the socket."""
+        if self._transport is None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._carry_out(self.fleet.leave(self._clock.monotonic()))
+        self._transport.close()
+        self._transport = None
+
+    def receive(self, datagram: bytes, source: str) -> None:
+        """Take a datagram from an `ip:port`; a stranger's is counted and dropped."""
+        try:
+            envelope = self._codec.open(datagram)
+        except UsherError as error:
+            self.dropped_datagrams += 1
+            log.debug("datagram dropped", source=source, code=error.code.value)
+            return
+        self._carry_out(self.fleet.receive(envelope, source, self._clock.monotonic()))
+
+    async def _open(self) -> None:
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self), local_addr=(host, int(port))
+        )
+        self._transport = transport
+        self._timer = loop.call_soon(self._tick, loop)  # type: ignore[assignment]
+
+    def _tick(self, loop: asyncio.AbstractEventLoop) -> None:
+        if self._transport is None:
+            return
+        self._timer = loop.call_later(TICK_SECONDS, self._tick, loop)
+        self.fleet.set_revision(self._read_revision())
+        self._carry_out(self.fleet.tick(self._clock.monotonic()))
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        services: dict[ServiceName, None] = {}
+        members_changed = False
+        for effect in effects:
+            match effect:
+                case Send():
+                    self._send(effect)
+                case MembersChanged():
+                    members_changed = True
+                case ServersChanged():
+                    services[effect.service] = None
+                case _:
+                    self._report(effect)
+        if members_changed:
+            for callback in self._on_change:
+                callback()
+        for service in services:
+            for listener in self._on_servers_change:
+                listener(service)
+
+    def _send(self, effect: Send) -> None:
+        if self._transport is None:
+            return
+        datagram = self._codec.seal(effect.envelope)
+        if len(datagram) > MAX_DATAGRAM_BYTES:
+            log.warning("datagram over the limit", bytes=len(datagram), to=effect.address)
+        host, _, port = effect.address.rpartition(":")
+        self._transport.sendto(datagram, (host, int(port)))
+        self.sent_bytes += len(datagram)
+
+    def _report(self, effect: Effect) -> None:
+        match effect:
+            case NewerRevision():
+                member = self.fleet.members.find(effect.instance)
+                if member is not None:
+                    self._hear_revision(member.peer_address, effect.revision)
+            case PathCut():
+                log.warning("instance answers through others only", instance=effect.instance)
+            case PathRestored():
+                log.info("instance answers directly again", instance=effect.instance)
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    """Hands datagrams to the adapter."""
+
+    def __init__(self, membership: UdpMembership) -> None:
+        self._membership = membership
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take one datagram."""
+        self._membership.receive(data, f"{addr[0]}:{addr[1]}")
+
+
+def make_own_record(settings: Settings, clock: Clock) -> MemberRecord:
+    """Describe this instance; its incarnation starts from the wall clock.
+
+    Failure: a restart within one fleet must supersede the earlier life. If the wall clock went
+    back meanwhile, the others answer with the earlier life's record, and the refutation goes above
+    it, so the clock only spares that round and decides nothing.
+    """
+    roles = ("entry", "keeper") if settings.is_keeper else ("entry",)
+    return MemberRecord(
+        InstanceId(settings.instance_id),
+        FailureDomain(settings.failure_domain),
+        settings.listen.peers,
+        roles,
+        int(clock.wall().timestamp() * 1000),
+        MemberState.ALIVE,
+    )
+
+
+def _make_instance(record: MemberRecord) -> Instance:
+    return Instance(record.instance_id, record.failure_domain, record.peer_address, record.roles)
