--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -7,7 +7,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
+from typing import Final
 
+from persimmonusher_decisions.evidence_messages import EjectionSet, EvidenceDigest
 from persimmonusher_decisions.server import BackendServer, ServerState
 from persimmonusher_decisions.work import (
     Decision,
@@ -18,7 +20,7 @@
     RefusalReason,
     Request,
 )
-from persimmonusher_model.identifiers import FailureDomain, ServerId
+from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServerId, ServiceName
 from persimmonusher_model.profile import Profile
 
 
@@ -32,10 +34,22 @@
     outstanding: int
 
 
+NO_SERVICE: Final = ServiceName("")
+NO_INSTANCE: Final = InstanceId("")
+
+
 class ServiceTraffic:
     """Admission, placement and retries for one service at one entry instance."""
 
-    def __init__(self, profile: Profile, failure_domain: FailureDomain, random: Random) -> None:
+    def __init__(
+        self,
+        profile: Profile,
+        failure_domain: FailureDomain,
+        random: Random,
+        service: ServiceName = NO_SERVICE,
+        instance_id: InstanceId = NO_INSTANCE,
+        incarnation: int = 0,
+    ) -> None:
         self._profile = profile
         self._failure_domain = failure_domain
         self._random = random
@@ -79,6 +93,27 @@
         """Let time pass: refuse waiting requests that are late, release those that may go."""
         return ()
 
+    def hedge_delay(self) -> float | None:
+        """Return the seconds after which `hedge` may be asked, None where hedging is off."""
+        return None
+
+    def hedge(self, dispatch: Dispatch, now: float) -> Dispatch | None:
+        """Decide on a second copy of an idempotent request in flight; None is no.
+
+        Both copies are finished exactly once each; the one that lost as CANCELLED.
+        """
+        return None
+
+    def digest(self, now: float) -> EvidenceDigest | None:
+        """Return evidence for the assessor since the last call, None where there is none.
+
+        Call it about every 0.2 s, and send each digest once only: one that is lost may stay lost.
+        """
+        return None
+
+    def apply_ejections(self, ejections: EjectionSet, asked: float) -> None:
+        """Take an assessor's set; `asked` is when this instance sent what the set answers."""
+
     def describe(self, now: float) -> tuple[ServerStatus, ...]:
         """List every known server with its status, for operators."""
         return tuple(
