--- a/packages/decisions/src/persimmonusher_decisions/assessor.py
+++ b/packages/decisions/src/persimmonusher_decisions/assessor.py
@@ -1,51 +1,244 @@
 """One service's assessor: pools the evidence of all entry instances and decides who is ejected."""
 
 from collections.abc import Iterable
-from typing import Final
+from typing import Final, TypeAlias
 
-from persimmonusher_decisions.evidence_messages import EjectionSet, EvidenceDigest
-from persimmonusher_decisions.server import BackendServer
-from persimmonusher_model.identifiers import InstanceId, ServiceName
+from persimmonusher_decisions.detection import SLICE_SECONDS, Sensitivity
+from persimmonusher_decisions.evidence_messages import (
+    Ejection,
+    EjectionSet,
+    EjectionState,
+    EvidenceDigest,
+)
+from persimmonusher_decisions.floor import Candidate, keep_floor
+from persimmonusher_decisions.peers import COMMON_CAUSE_SHARE, ServerView, View
+from persimmonusher_decisions.readmission import Absence, WaitHistory
+from persimmonusher_decisions.server import BackendServer, ServerState
+from persimmonusher_decisions.strikes import StrikeBoard
+from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServerId, ServiceName
 from persimmonusher_model.profile import Profile
 
 LEASE_SECONDS: Final = 3.0
 """Long enough for several renewals to be lost, short enough that a cut-off assessor's word ends
 soon."""
+AGREEMENT_SHARE: Final = 0.1
+"""Score from which on a failure domain is taken to see what all see together."""
+AGREEING_DOMAINS: Final = 0.6
+"""Part of the domains with work on a server that must agree for an ejection from all: a one-way
+cut from one domain of three or four stays that domain's own."""
+EVERYWHERE: Final = FailureDomain("")
+Place: TypeAlias = tuple[FailureDomain, ServerId]
 
 
 class Assessor:
-    """Decides for one service; any instance can hold one, the first in rendezvous order acts."""
+    """Decides for one service; any instance can hold one, the first in rendezvous order acts.
+
+    The load it is for: 36 to 48 entry instances, each of which sees one server's answers twice a
+    second, or more seldom. The harm: alone, an instance needs seconds of failures for a verdict
+    that all together can reach in a fraction of one. Evidence is kept for each failure domain
+    that looks, and for all together; an ejection holds for the domains that see its cause.
+    `assess` is called about every 0.1 s.
+    """
 
     def __init__(
         self, service: ServiceName, profile: Profile, instance_id: InstanceId, epoch: int
     ) -> None:
         self._service = service
-        self._profile = profile
         self._instance_id = instance_id
         self._epoch = epoch
         self._sequence = 0
+        self._slots: dict[ServerId, int] = {}
+        self._boots: dict[ServerId, int] = {}
+        self._views: dict[FailureDomain, View] = {EVERYWHERE: View()}
+        self._absences: dict[Place, Absence] = {}
+        self._waits: dict[Place, WaitHistory] = {}
+        self._digests: dict[InstanceId, tuple[int, int]] = {}
+        self._slice_from: float | None = None
+        self._held_back = 0
+        self._strikes = StrikeBoard(profile.crash_strikes, profile.quarantine_ms / 1000.0)
+        self.replace_profile(profile)
 
     def replace_profile(self, profile: Profile) -> None:
         """Take a new profile; evidence is kept."""
-        self._profile = profile
+        self._floor_percent = profile.health_floor_percent
+        self._sensitivity = Sensitivity.derive(profile.detection_sensitivity)
+        self._strikes.replace_limits(profile.crash_strikes, profile.quarantine_ms / 1000.0)
 
     def replace_servers(self, servers: Iterable[BackendServer], now: float) -> None:
-        """Take the announced servers: the base of the floor, and whom to forget."""
+        """Take the announced servers: the base of the floor, and whom to forget.
+
+        A server that started again goes on probation at once: what spoke against it may be gone,
+        and if a request had crashed it, it wasn't to blame.
+        """
+        known = list(servers)
+        ready = [server for server in known if server.state is ServerState.READY]
+        self._slots = {server.server_id: max(1, server.slots) for server in ready}
+        for server in known:
+            before = self._boots.get(server.server_id)
+            if before is not None and before != server.boot_id:
+                self._forgive(server.server_id, now)
+        self._boots = {server.server_id: server.boot_id for server in known}
+        for view in self._views.values():
+            view.keep_servers(self._slots)
+        for place in [place for place in self._absences if place[1] not in self._boots]:
+            del self._absences[place]
+        for place in [place for place in self._waits if place[1] not in self._boots]:
+            del self._waits[place]
 
     def receive(self, digest: EvidenceDigest, now: float) -> None:
         """Add one instance's evidence; a digest seen before is ignored."""
+        freshness = (digest.incarnation, digest.sequence)
+        if freshness <= self._digests.get(digest.instance_id, (-1, -1)):
+            return
+        self._digests[digest.instance_id] = freshness
+        domain = digest.failure_domain
+        view = self._views.get(domain)
+        if view is None:
+            view = self._views[domain] = View()
+        everywhere = self._views[EVERYWHERE]
+        for line in digest.servers:
+            if line.server_id not in self._slots:
+                continue
+            absence = self._find_absence(domain, line.server_id)
+            if absence is not None:
+                absence.count_probes(line)
+                continue
+            view.add(line)
+            everywhere.add(line)
+        self._strikes.receive(digest.strikes, now)
 
     def assess(self, now: float) -> EjectionSet:
         """Return the whole verdict as of now, as a lease."""
+        if self._slice_from is None:
+            self._slice_from = now
+        if now - self._slice_from >= SLICE_SECONDS - 1e-9:
+            self._slice_from = now
+            for view in self._views.values():
+                view.close_slice(self._sensitivity)
+            self._review_absences(now)
+            self._find_ill(now)
         self._sequence += 1
+        ejections = self._list_ejections()
         return EjectionSet(
             service=self._service,
             assessor_id=self._instance_id,
             epoch=self._epoch,
             sequence=self._sequence,
             lease_seconds=LEASE_SECONDS,
-            ejections=(),
-            quarantines=(),
-            watched=(),
-            note="",
+            ejections=ejections,
+            quarantines=self._strikes.list_quarantines(now),
+            watched=self._strikes.list_watched(),
+            note=self._describe_restraint(),
         )
+
+    def _find_absence(self, domain: FailureDomain, server_id: ServerId) -> Absence | None:
+        absence = self._absences.get((EVERYWHERE, server_id))
+        return absence or self._absences.get((domain, server_id))
+
+    def _forgive(self, server_id: ServerId, now: float) -> None:
+        for view in self._views.values():
+            if server_id in view.servers:
+                view.servers[server_id].reset()
+        for place, absence in self._absences.items():
+            if place[1] == server_id:
+                absence.begin_probation(now)
+                absence.reason = f"started again; was out as {absence.reason}"
+
+    def _review_absences(self, now: float) -> None:
+        for place, absence in list(self._absences.items()):
+            if absence.state is EjectionState.EJECTED:
+                if now >= absence.until:
+                    absence.begin_probation(now)
+            elif absence.has_failed:
+                self._eject(place, absence.strength, _describe_probes(absence), now)
+            elif absence.has_passed:
+                del self._absences[place]
+                self._reset(place)
+
+    def _find_ill(self, now: float) -> None:
+        for domain, view in self._views.items():
+            for server_id, server in view.servers.items():
+                if server.score < 1.0 or self._find_absence(domain, server_id):
+                    continue
+                if domain != EVERYWHERE or self._do_domains_agree(server_id):
+                    reason = describe_evidence(server, view, domain)
+                    self._eject((domain, server_id), server.score, reason, now)
+
+    def _do_domains_agree(self, server_id: ServerId) -> bool:
+        views = [view for domain, view in self._views.items() if domain != EVERYWHERE]
+        scores = [view.servers[server_id].score for view in views if server_id in view.servers]
+        agreeing = sum(score >= AGREEMENT_SHARE for score in scores)
+        return agreeing >= AGREEING_DOMAINS * len(scores)
+
+    def _eject(self, place: Place, strength: float, reason: str, now: float) -> None:
+        wait = self._waits.setdefault(place, WaitHistory()).begin(now)
+        self._absences[place] = Absence(EjectionState.EJECTED, now, now + wait, reason, strength)
+
+    def _reset(self, place: Place) -> None:
+        domain, server_id = place
+        for name, view in self._views.items():
+            if domain in (EVERYWHERE, name) and server_id in view.servers:
+                view.servers[server_id].reset()
+
+    def _list_ejections(self) -> tuple[Ejection, ...]:
+        """Apply the floor to what each failure domain sees; ejections from all count for each."""
+        ejections: list[Ejection] = []
+        held_back: set[ServerId] = set()
+        for domain in self._views:
+            if domain == EVERYWHERE:
+                continue
+            seen = self._list_absences(domain)
+            candidates = [Candidate(name, absence.strength) for name, absence in seen.items()]
+            verdict = keep_floor(candidates, self._slots, self._floor_percent)
+            held_back.update(verdict.held_back)
+            ejections.extend(
+                Ejection(name, domain, seen[name].state, seen[name].reason, seen[name].strength)
+                for name in verdict.out
+            )
+        self._held_back = len(held_back)
+        return tuple(ejections)
+
+    def _list_absences(self, domain: FailureDomain) -> dict[ServerId, Absence]:
+        return {
+            server_id: absence
+            for (place, server_id), absence in self._absences.items()
+            if place in (EVERYWHERE, domain)
+        }
+
+    def _describe_restraint(self) -> str:
+        """Say why fewer servers are out than look ill, empty where that isn't so."""
+        notes: list[str] = []
+        if self._held_back:
+            notes.append(
+                f"{self._held_back} more of {len(self._slots)} servers look ill and stay in place "
+                f"for the floor of {self._floor_percent}%: so many at once point to a common cause"
+            )
+        middle = self._views[EVERYWHERE].middle_failing
+        if middle >= COMMON_CAUSE_SHARE:
+            notes.append(
+                f"the middle server fails {middle:.0%} of its work, a common cause such as a "
+                "deployment or a shared dependency: nobody is ejected for failing as often"
+            )
+        return "; ".join(notes)
+
+
+def describe_evidence(server: ServerView, view: View, domain: FailureDomain) -> str:
+    """Say in figures why a server is ejected."""
+    seen_from = f"from {domain}" if domain else "from all failure domains"
+    failing, slow = server.failing, server.slow
+    if failing.test.score >= slow.test.score:
+        return (
+            f"fails {failing.recent.value:.0%} of {failing.recent.total:.0f} recent answers seen "
+            f"{seen_from}, where up to {view.usual_failing:.1%} is usual"
+        )
+    return (
+        f"{slow.recent.value:.0%} of {slow.recent.total:.0f} recent answers seen {seen_from} are "
+        f"slow, where up to {view.usual_slow:.0%} is usual"
+    )
+
+
+def _describe_probes(absence: Absence) -> str:
+    return (
+        f"still ill on probation: of {absence.good + absence.bad} probes {absence.bad} failed, "
+        f"{absence.slow} were slow"
+    )
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/ejection.py
@@ -0,0 +1,76 @@
+"""The assessor's verdict as one entry instance applies it: a lease, under the floor."""
+
+from collections.abc import Iterable
+from math import inf
+from typing import Final
+
+from persimmonusher_decisions.evidence_messages import Ejection, EjectionSet
+from persimmonusher_decisions.floor import Candidate, keep_floor
+from persimmonusher_decisions.track import ServerTrack
+from persimmonusher_model.identifiers import FailureDomain, ServerId
+
+LONGEST_LEASE_SECONDS: Final = 10.0
+"""Longest lease taken, whatever a set says: the verdict of an assessor that is gone must lapse."""
+HELD_BACK: Final = "looks ill, kept in place by the floor: "
+
+
+class EjectionLease:
+    """Holds at most one assessor's set, for as long as its lease runs.
+
+    The failure it is for: while instances disagree on membership, two assessors act for one
+    service, each within the floor. Were both sets applied, together they could break it. So a set
+    of another assessor is taken only once the lease in force has lapsed, and whatever is taken is
+    checked again against the servers that this instance knows.
+    """
+
+    def __init__(self, failure_domain: FailureDomain) -> None:
+        self._failure_domain = failure_domain
+        self._set: EjectionSet | None = None
+        self._until = -inf
+
+    def apply(self, ejections: EjectionSet, asked: float) -> bool:
+        """Take a set that was asked for at `asked`; False where the one in force stays."""
+        current = self._set
+        if current is not None and asked < self._until:
+            if ejections.assessor_id != current.assessor_id:
+                return False
+            if ejections.freshness <= current.freshness:
+                return False
+        self._set = ejections
+        self._until = asked + min(LONGEST_LEASE_SECONDS, ejections.lease_seconds)
+        return True
+
+    def expire(self, now: float) -> bool:
+        """Let a lease lapse; True where one just did."""
+        if self._set is None or now < self._until:
+            return False
+        self._set = None
+        return True
+
+    @property
+    def assessor(self) -> str:
+        """Return whose set is in force, empty for none."""
+        return self._set.assessor_id if self._set else ""
+
+    def mark(self, tracks: Iterable[ServerTrack], floor_percent: int, now: float) -> None:
+        """Put the servers out that the set names, as far as the floor lets them go."""
+        known = list(tracks)
+        named = self._list_named()
+        ready = {track.server_id: track.slots for track in known if track.is_ready}
+        candidates = [Candidate(name, item.strength) for name, item in named.items()]
+        out = set(keep_floor(candidates, ready, floor_percent).out)
+        for track in known:
+            ejection = named.get(track.server_id)
+            state = ejection.state if ejection and track.server_id in out else None
+            if state is None and track.out is not None:
+                track.ramp_from = now
+            track.out = state
+            track.reason = ""
+            if ejection:
+                track.reason = ejection.reason if state else HELD_BACK + ejection.reason
+
+    def _list_named(self) -> dict[ServerId, Ejection]:
+        if self._set is None:
+            return {}
+        mine = self._failure_domain
+        return {item.server_id: item for item in self._set.ejections if item.seen_from == mine}
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/evidence.py
@@ -0,0 +1,127 @@
+"""What one entry instance learns of servers from the real work that it sends them."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from persimmonusher_decisions.evidence_messages import MAX_SERVERS_IN_DIGEST, ServerEvidence
+from persimmonusher_decisions.latency import LatencyBaseline
+from persimmonusher_decisions.track import ServerTrack
+from persimmonusher_decisions.work import Dispatch, Outcome, OutcomeKind
+from persimmonusher_model.identifiers import RequestId
+
+OVERDUE_CHECK_SECONDS: Final = 0.05
+MAX_CLASSES: Final = 64
+"""Classes with a latency baseline of their own; further ones share one."""
+SHARED_CLASS: Final = ""
+ROUTINE_ANSWERS: Final = 16
+"""Good answers that are told of at once, without anything abnormal."""
+ROUTINE_SECONDS: Final = 1.0
+"""Fewer good answers than that are told of after this time. An abnormal answer takes the good
+ones before it along, so the share of bad ones isn't distorted by holding good ones back."""
+FAILED_KINDS: Final = frozenset(
+    {OutcomeKind.FAILURE, OutcomeKind.TIMEOUT, OutcomeKind.BROKEN, OutcomeKind.REFUSED}
+)
+SILENT_KINDS: Final = frozenset({OutcomeKind.CANCELLED, OutcomeKind.DRAINING})
+
+
+class Attempt:
+    """One attempt in flight."""
+
+    __slots__ = ("dispatch", "overdue", "track")
+
+    def __init__(self, dispatch: Dispatch, track: ServerTrack) -> None:
+        self.dispatch = dispatch
+        self.track = track
+        self.overdue = False
+
+
+class EvidenceLog:
+    """Attempts in flight, latency baselines, and counts for the next digest.
+
+    An attempt that has been in flight for longer than answers of its class usually take counts as
+    slow at once, before it ends. That is for a server, or a one-way cut, that swallows requests:
+    they would say nothing until their deadlines, 10 s later, and keep a share of work until then.
+    """
+
+    def __init__(self) -> None:
+        self._attempts: dict[tuple[RequestId, int], Attempt] = {}
+        self._baselines: dict[str, LatencyBaseline] = {}
+        self._overdue_at = 0.0
+
+    def __len__(self) -> int:
+        return len(self._attempts)
+
+    def start(self, dispatch: Dispatch, track: ServerTrack) -> None:
+        """Take an attempt that is sent now."""
+        self._attempts[dispatch.request.request_id, dispatch.attempt] = Attempt(dispatch, track)
+        track.outstanding += 1
+
+    def end(self, dispatch: Dispatch) -> Attempt | None:
+        """Remove an attempt; None where it has ended before, which then counts for nothing."""
+        attempt = self._attempts.pop((dispatch.request.request_id, dispatch.attempt), None)
+        if attempt is not None:
+            attempt.track.outstanding -= 1
+        return attempt
+
+    def learn(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Count an outcome for or against the server."""
+        track = attempt.track
+        if outcome.kind is OutcomeKind.SUCCESS:
+            track.answered += 1
+            self._time(attempt, outcome.latency)
+        elif outcome.kind in FAILED_KINDS:
+            track.answered += 1
+            track.failed += 1
+
+    def find_usual_latency(self, request_class: str) -> float:
+        """Return the median latency of a class, 0 where it isn't known yet."""
+        return self._find_baseline(request_class).median or 0.0
+
+    def mark_overdue(self, now: float) -> None:
+        """Count attempts as slow that are in flight for longer than is usual."""
+        if now < self._overdue_at:
+            return
+        self._overdue_at = now + OVERDUE_CHECK_SECONDS
+        for attempt in self._attempts.values():
+            if attempt.overdue:
+                continue
+            limit = self._find_baseline(attempt.dispatch.request.request_class).slow_limit
+            if limit is not None and now - attempt.dispatch.started > limit:
+                attempt.overdue = True
+                attempt.track.timed += 1
+                attempt.track.slow += 1
+
+    def list_in_flight(self, track: ServerTrack) -> list[Dispatch]:
+        """List the attempts in flight on one server."""
+        return [item.dispatch for item in self._attempts.values() if item.track is track]
+
+    def _time(self, attempt: Attempt, latency: float) -> None:
+        baseline = self._find_baseline(attempt.dispatch.request.request_class)
+        track = attempt.track
+        limit = baseline.slow_limit
+        if limit is not None and not attempt.overdue:
+            track.timed += 1
+            track.slow += latency > limit
+        if track.out is None:
+            baseline.record(latency)
+
+    def _find_baseline(self, request_class: str) -> LatencyBaseline:
+        baseline = self._baselines.get(request_class)
+        if baseline is None:
+            full = len(self._baselines) >= MAX_CLASSES
+            name = SHARED_CLASS if full else request_class
+            baseline = self._baselines.setdefault(name, LatencyBaseline())
+        return baseline
+
+
+def take_evidence(tracks: Iterable[ServerTrack], now: float) -> tuple[ServerEvidence, ...]:
+    """Return the lines of the next digest, abnormal servers first, and count them as told."""
+    due = [track for track in tracks if _is_due(track, now)]
+    due.sort(key=lambda track: (not track.is_abnormal, track.told_at))
+    return tuple(track.take_evidence(now) for track in due[:MAX_SERVERS_IN_DIGEST])
+
+
+def _is_due(track: ServerTrack, now: float) -> bool:
+    if track.is_abnormal or track.answered >= ROUTINE_ANSWERS:
+        return True
+    return track.answered > 0 and now - track.told_at >= ROUTINE_SECONDS
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/latency.py
@@ -0,0 +1,59 @@
+"""The usual latency of one class of requests, over all servers of a service."""
+
+from math import log2
+from typing import Final
+
+BUCKETS_PER_OCTAVE: Final = 4
+BUCKETS: Final = 96
+SMALLEST_SECONDS: Final = 0.0001
+SLOW_FACTOR: Final = 3.0
+"""An answer is slow beyond so many times the median. The median, not a high quantile: where a
+class mixes short and long work a high quantile is the long work's, and short work on a server
+8 times slower would pass for usual."""
+FEWEST_SAMPLES: Final = 32
+REFRESH_SAMPLES: Final = 64
+MEMORY_SAMPLES: Final = 1024
+
+
+class LatencyBaseline:
+    """A fading log-linear histogram of latencies in seconds, with the limit of what is slow.
+
+    It holds MEMORY_SAMPLES at most and then halves its counts, so that it follows a change of
+    load within some hundred answers. Quarter octaves are within 19%, enough for a factor of 3.
+    """
+
+    def __init__(self) -> None:
+        self._counts = [0] * BUCKETS
+        self._samples = 0
+        self._until_refresh = FEWEST_SAMPLES
+        self.median: float | None = None
+        self.slow_limit: float | None = None
+        """Latency beyond which an answer counts as slow; None until there is a baseline."""
+
+    def record(self, latency: float) -> None:
+        """Add a successful answer's latency."""
+        bucket = 0
+        if latency > SMALLEST_SECONDS:
+            bucket = min(BUCKETS - 1, int(BUCKETS_PER_OCTAVE * log2(latency / SMALLEST_SECONDS)))
+        self._counts[bucket] += 1
+        self._samples += 1
+        self._until_refresh -= 1
+        if self._until_refresh <= 0:
+            self._refresh()
+
+    def _refresh(self) -> None:
+        self._until_refresh = REFRESH_SAMPLES
+        self.median = self._find_quantile(0.5)
+        self.slow_limit = SLOW_FACTOR * self.median
+        if self._samples >= MEMORY_SAMPLES:
+            self._counts = [count // 2 for count in self._counts]
+            self._samples = sum(self._counts)
+
+    def _find_quantile(self, share: float) -> float:
+        wanted = self._samples * share
+        seen = 0
+        for bucket, count in enumerate(self._counts):
+            seen += count
+            if seen >= wanted:
+                return float(SMALLEST_SECONDS * 2.0 ** ((bucket + 1) / BUCKETS_PER_OCTAVE))
+        return float(SMALLEST_SECONDS * 2.0 ** (BUCKETS / BUCKETS_PER_OCTAVE))
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/peers.py
@@ -0,0 +1,168 @@
+"""The evidence on a service's servers as seen from one place, each weighed against the others."""
+
+from collections.abc import Iterable
+from statistics import median
+from typing import Final
+
+from persimmonusher_decisions.detection import (
+    LENIENCY,
+    SLICE_SECONDS,
+    USUAL_FAILING,
+    USUAL_SLOW,
+    Sensitivity,
+    SequentialTest,
+    choose_ill_failing,
+    choose_ill_slow,
+)
+from persimmonusher_decisions.evidence_messages import ServerEvidence
+from persimmonusher_model.identifiers import ServerId
+
+RECENT_SECONDS: Final = 0.7
+"""Memory of the recent shares: short, since a common cause must raise the usual share before the
+test on any single server can cross its threshold."""
+LASTING_SECONDS: Final = 15.0
+"""Memory of the lasting shares, which smooth over the few answers of a quiet service."""
+FEWEST_ANSWERS: Final = 2.0
+"""Answers in memory below which a server says nothing on what is usual."""
+COMMON_CAUSE_SHARE: Final = 0.08
+"""Failing share of the middle server from which on a common cause is reported."""
+
+
+class Share:
+    """A share of bad answers with exponentially fading memory."""
+
+    __slots__ = ("bad", "keep", "total")
+
+    def __init__(self, memory_seconds: float) -> None:
+        self.keep = 1.0 - SLICE_SECONDS / memory_seconds
+        self.bad = 0.0
+        self.total = 0.0
+
+    def add(self, bad: int, total: int) -> None:
+        """Let one slice pass with these answers."""
+        self.bad = self.bad * self.keep + bad
+        self.total = self.total * self.keep + total
+
+    @property
+    def value(self) -> float:
+        """Return the share, 0 where there were no answers."""
+        return self.bad / self.total if self.total > 0.0 else 0.0
+
+
+class Symptom:
+    """One thing that can be wrong with a server, failing or being slow, as seen from one place."""
+
+    __slots__ = ("bad", "lasting", "recent", "test", "total")
+
+    def __init__(self) -> None:
+        self.bad = 0
+        self.total = 0
+        self.recent = Share(RECENT_SECONDS)
+        self.lasting = Share(LASTING_SECONDS)
+        self.test = SequentialTest()
+
+    def add(self, bad: int, total: int) -> None:
+        """Take answers into the slice that is open."""
+        self.bad += bad
+        self.total += total
+
+    def remember(self) -> None:
+        """Take the open slice into both memories."""
+        self.recent.add(self.bad, self.total)
+        self.lasting.add(self.bad, self.total)
+
+    def open_slice(self) -> None:
+        """Start a new slice."""
+        self.bad = 0
+        self.total = 0
+
+    def reset(self) -> None:
+        """Forget what speaks against the server, such as after its restart."""
+        self.open_slice()
+        self.recent = Share(RECENT_SECONDS)
+        self.lasting = Share(LASTING_SECONDS)
+        self.test.reset()
+
+
+class ServerView:
+    """One server as seen from one place."""
+
+    __slots__ = ("failing", "slow")
+
+    def __init__(self) -> None:
+        self.failing = Symptom()
+        self.slow = Symptom()
+
+    @property
+    def score(self) -> float:
+        """Return the stronger symptom's score; 1 is the threshold."""
+        return max(self.failing.test.score, self.slow.test.score)
+
+    def reset(self) -> None:
+        """Forget what speaks against the server."""
+        self.failing.reset()
+        self.slow.reset()
+
+
+class View:
+    """All servers of a service as seen from one failure domain, or from all together."""
+
+    def __init__(self) -> None:
+        self.servers: dict[ServerId, ServerView] = {}
+        self.usual_failing = USUAL_FAILING
+        self.usual_slow = USUAL_SLOW
+        self.middle_failing = 0.0
+
+    def keep_servers(self, server_ids: Iterable[ServerId]) -> None:
+        """Forget servers that are gone."""
+        known = set(server_ids)
+        for server_id in [name for name in self.servers if name not in known]:
+            del self.servers[server_id]
+
+    def add(self, evidence: ServerEvidence) -> None:
+        """Take one digest's line on one server."""
+        server = self.servers.get(evidence.server_id)
+        if server is None:
+            server = self.servers[evidence.server_id] = ServerView()
+        server.failing.add(evidence.failed, evidence.answered)
+        server.slow.add(evidence.slow, evidence.timed)
+
+    def close_slice(self, sensitivity: Sensitivity) -> None:
+        """Weigh each server's open slice against what is usual among its peers.
+
+        The load it is for: a deployment, a shared dependency or this place's own network makes
+        many servers look ill at the same moment. The harm: ejecting well servers for a cause that
+        follows the work to the next server. So what is usual is the middle server's share, of the
+        last seconds or of the last slices, whichever is higher: it can't be moved by fewer than
+        half of the servers, and moves at once when more are hit.
+        """
+        for server in self.servers.values():
+            server.failing.remember()
+            server.slow.remember()
+        self._learn_usual()
+        ill_failing = choose_ill_failing(self.usual_failing, sensitivity.least_failing)
+        ill_slow = choose_ill_slow(self.usual_slow)
+        failing_cap = 1.0 / sensitivity.failing_slices
+        slow_cap = 1.0 / sensitivity.slow_slices
+        scale = sensitivity.threshold
+        for server in self.servers.values():
+            failing, slow = server.failing, server.slow
+            failing.test.add(
+                failing.bad, failing.total, self.usual_failing, ill_failing, failing_cap, scale
+            )
+            slow.test.add(slow.bad, slow.total, self.usual_slow, ill_slow, slow_cap, scale)
+            failing.open_slice()
+            slow.open_slice()
+
+    def _learn_usual(self) -> None:
+        failing = [server.failing for server in self.servers.values()]
+        slow = [server.slow for server in self.servers.values()]
+        self.middle_failing = _find_middle(failing)
+        self.usual_failing = min(0.9, max(USUAL_FAILING, LENIENCY * self.middle_failing))
+        self.usual_slow = min(0.9, max(USUAL_SLOW, LENIENCY * _find_middle(slow)))
+
+
+def _find_middle(symptoms: list[Symptom]) -> float:
+    recent = [item.recent.value for item in symptoms if item.recent.total >= FEWEST_ANSWERS]
+    lasting = [item.lasting.value for item in symptoms if item.lasting.total >= FEWEST_ANSWERS]
+    return max(median(recent) if recent else 0.0, median(lasting) if lasting else 0.0)
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -0,0 +1,162 @@
+"""Where one request goes: the least loaded server, as far as this instance can know."""
+
+from collections.abc import Iterable, Sequence
+from math import exp, inf
+from random import Random
+from typing import Final
+
+from persimmonusher_decisions.evidence_messages import EjectionState
+from persimmonusher_decisions.ramp import find_share
+from persimmonusher_decisions.track import ServerTrack
+from persimmonusher_model.identifiers import FailureDomain, ServerId
+
+REFRESH_SECONDS: Final = 0.1
+"""Reports and penalties fade in steps of this length, so that the hot path only adds."""
+REPORT_MEMORY_SECONDS: Final = 1.0
+"""After this a report counts for little, and the service's mean stands in for it."""
+PENALTY_MEMORY_SECONDS: Final = 3.0
+LARGEST_PENALTY_SLOTS: Final = 2.0
+"""A server is taken for at most this many times its slots busier than it is, so that it still
+gets work when all others are that loaded: the share falls, capacity isn't removed."""
+REPORT_REACH: Final = 2.0
+"""A report counts at most this many times the mean of all servers' reports, and at least the
+mean divided by it."""
+DOMAIN_BIAS: Final = 0.1
+"""Load for each slot that a server in another failure domain is taken to carry in addition."""
+SCAN_LIMIT: Final = 16
+"""Servers compared for one request. With more, a random run of this length is compared."""
+
+
+class Placement:
+    """Chooses among the servers that take work.
+
+    The load it is for: 36 to 48 instances, or 2,500, that place on the same servers with no hop
+    in between. The harm: an instance that sees its own requests only piles work on a server that
+    others have filled. So the score adds what the server said of its load on its last answer.
+    A report may lag or mislead, so it is one input, fades to the mean within a second, and is
+    kept within REPORT_REACH of the mean: a server that always reports 0 gets work as if it had
+    half the mean load, and what this instance has outstanding there counts in full.
+
+    A server that fails at once looks idle and would attract all work. So each failure adds a
+    penalty as if the server's slots were filled for some seconds. It acts on the next request and
+    fades by itself: the instance's own evidence lowers a share at once, only the assessor ejects.
+    """
+
+    def __init__(self, failure_domain: FailureDomain, random: Random) -> None:
+        self._failure_domain = failure_domain
+        self._random = random
+        self._tracks: list[ServerTrack] = []
+        self._open: list[ServerTrack] = []
+        self._probed: list[ServerTrack] = []
+        self._refresh_at = -inf
+        self._mean_others = 0.0
+        self.ramp_seconds = 0.0
+        self.probe_seconds = 1.0
+        """Seconds between probes of one server by this instance."""
+
+    @property
+    def open_slots(self) -> int:
+        """Return the slots of all servers that take work."""
+        return sum(track.slots for track in self._open)
+
+    def replace(self, tracks: Iterable[ServerTrack], now: float) -> None:
+        """Take the servers that are known, after any change of them or of who is out."""
+        self._tracks = list(tracks)
+        ready = [track for track in self._tracks if track.is_ready and track.connection_limit]
+        self._open = [track for track in ready if track.out is None]
+        self._probed = [track for track in ready if track.out is EjectionState.PROBATION]
+        for track in self._tracks:
+            local = track.server.failure_domain == self._failure_domain
+            track.bias = 0.0 if local else DOMAIN_BIAS
+        self._refresh(now, 0.0)
+
+    def choose(self, idempotent: bool, tried: ServerId | None, now: float) -> ServerTrack | None:
+        """Return the server for a request, not the one it was tried on unless it is the last."""
+        if now >= self._refresh_at:
+            self._refresh(now, REFRESH_SECONDS)
+        if self._probed and idempotent and tried is None:
+            probe = self._choose_probe(now)
+            if probe is not None:
+                return probe
+        best = self._find_least(self._pick_candidates(), tried)
+        if best is None and tried is not None:
+            best = self._find_least(self._open, None)
+        return best
+
+    def learn_load(self, track: ServerTrack, reported_load: int) -> None:
+        """Take the load that a server reported on an answer, all callers together."""
+        others = max(0.0, float(reported_load - track.outstanding))
+        mean = self._mean_others
+        highest = max(REPORT_REACH * mean, mean + track.slots)
+        track.others = min(highest, max(mean / REPORT_REACH, others))
+        track.base = track.others + track.penalty
+
+    def penalize(self, track: ServerTrack, share: float) -> None:
+        """Lower a server's share for some seconds, by this share of its slots."""
+        largest = LARGEST_PENALTY_SLOTS * track.slots
+        track.penalty = min(largest, track.penalty + share * track.slots)
+        track.base = (self._mean_others if track.others is None else track.others) + track.penalty
+
+    def _pick_candidates(self) -> Sequence[ServerTrack]:
+        servers = self._open
+        count = len(servers)
+        if count < 2:
+            return servers
+        start = int(self._random.random() * count)
+        if count <= SCAN_LIMIT:
+            return servers[start:] + servers[:start]
+        end = start + SCAN_LIMIT
+        return servers[start:end] if end <= count else servers[start:] + servers[: end - count]
+
+    @staticmethod
+    def _find_least(servers: Sequence[ServerTrack], tried: ServerId | None) -> ServerTrack | None:
+        best = None
+        best_score = inf
+        for track in servers:
+            outstanding = track.outstanding
+            score = (outstanding + 1 + track.base) * track.inverse + track.bias
+            if (
+                score < best_score
+                and outstanding < track.connection_limit
+                and track.server_id != tried
+            ):
+                best = track
+                best_score = score
+        return best
+
+    def _choose_probe(self, now: float) -> ServerTrack | None:
+        """Return a server on probation whose next probe is due.
+
+        The load it is for: readmission. The harm: a server that is still ill, given a full share
+        again, spoils a full share of requests. One request at a time from each instance, at
+        intervals, and only idempotent ones, which can be retried elsewhere when the probe fails.
+        """
+        for track in self._probed:
+            if now >= track.probe_at and not track.outstanding:
+                track.probe_at = now + self.probe_seconds * (0.5 + self._random.random())
+                return track
+        return None
+
+    def _refresh(self, now: float, elapsed: float) -> None:
+        self._refresh_at = now + REFRESH_SECONDS
+        known = [track.others for track in self._open if track.others is not None]
+        mean = sum(known) / len(known) if known else 0.0
+        self._mean_others = mean
+        report_keep = exp(-elapsed / REPORT_MEMORY_SECONDS)
+        penalty_keep = exp(-elapsed / PENALTY_MEMORY_SECONDS)
+        for track in self._tracks:
+            if track.others is not None:
+                track.others = mean + (track.others - mean) * report_keep
+            track.penalty *= penalty_keep
+            track.base = (mean if track.others is None else track.others) + track.penalty
+            self._ramp(track, now)
+        if elapsed:
+            self._random.shuffle(self._open)
+
+    def _ramp(self, track: ServerTrack, now: float) -> None:
+        share = 1.0
+        if track.ramp_from is not None:
+            share = find_share(now - track.ramp_from, self.ramp_seconds)
+            if share >= 1.0:
+                track.ramp_from = None
+        track.inverse = 1.0 / (track.slots * share)
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/quarantine.py
@@ -0,0 +1,166 @@
+"""Requests that crash the servers which run them: strikes and refusal at one entry instance."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Final, TypeAlias
+
+from persimmonusher_decisions.evidence_messages import (
+    MAX_STRIKES_IN_DIGEST,
+    QuarantinedRequest,
+    Strike,
+    StrikeKind,
+)
+from persimmonusher_model.identifiers import ServerId
+
+SETTLE_SECONDS: Final = 0.1
+"""A server that still answers, so long after a connection to it broke, hasn't crashed."""
+NETWORK_SECONDS: Final = 1.0
+NETWORK_SERVERS: Final = 4
+"""Breaks on so many servers within a second are the network's: no request runs on as many, since
+crash_strikes ends it sooner and max_retries is 5 at most."""
+MAX_REMEMBERED: Final = 4_096
+"""Fingerprints remembered for recent success, in two generations of this size."""
+MAX_STRUCK: Final = 1_024
+
+
+class Break:
+    """A connection that broke while a request was in flight on it."""
+
+    __slots__ = ("at", "fingerprint", "server_id")
+
+    def __init__(self, fingerprint: str, server_id: ServerId, at: float) -> None:
+        self.fingerprint = fingerprint
+        self.server_id = server_id
+        self.at = at
+
+
+Matcher: TypeAlias = Callable[[Break], bool]
+
+
+class Quarantine:
+    """Gives strikes to fingerprints and refuses those with enough of them.
+
+    The failure it is for: one request crashes each server that runs it, and its caller, or the
+    instance's own retry, sends it again until no server is left. It shows as connections to one
+    server that all break at once with the request in flight. Innocent requests in flight there
+    get a strike as well, but don't break a second server; a fingerprint that is answered well
+    anywhere loses its strikes; and one that was answered well lately gets none, which protects a
+    popular lookup that is in flight on every server at all times.
+    """
+
+    def __init__(self, strikes: int, seconds: float) -> None:
+        self._strikes = strikes
+        self._seconds = seconds
+        self._struck: dict[str, dict[ServerId, float]] = {}
+        self._unsettled: deque[Break] = deque()
+        self._outbox: deque[Strike] = deque(maxlen=MAX_STRUCK)
+        self._until: dict[str, float] = {}
+        self._watched: frozenset[str] = frozenset()
+        self._succeeded: set[str] = set()
+        self._succeeded_before: set[str] = set()
+
+    def replace_limits(self, strikes: int, seconds: float) -> None:
+        """Take a new profile's limits."""
+        self._strikes = strikes
+        self._seconds = seconds
+
+    def find_seconds_left(self, fingerprint: str, now: float) -> float:
+        """Return for how long the fingerprint is still refused, 0 where it isn't."""
+        if not self._until:
+            return 0.0
+        until = self._until.get(fingerprint)
+        if until is None:
+            return 0.0
+        if until <= now:
+            del self._until[fingerprint]
+            return 0.0
+        return until - now
+
+    def is_suspected(self, fingerprint: str, server_id: ServerId) -> bool:
+        """Tell whether the fingerprint has broken another server already."""
+        struck = self._struck.get(fingerprint)
+        if struck and (len(struck) > 1 or server_id not in struck):
+            return True
+        return fingerprint in self._watched or fingerprint in self._until
+
+    def record_success(self, fingerprint: str, server_id: ServerId, started: float) -> None:
+        """Take a good answer: it clears its fingerprint, and shows that the server lives."""
+        if len(self._succeeded) >= MAX_REMEMBERED:
+            self._succeeded_before = self._succeeded
+            self._succeeded = set()
+        self._succeeded.add(fingerprint)
+        if self._watched and fingerprint in self._watched:
+            self._watched -= {fingerprint}
+            self._outbox.append(Strike(fingerprint, server_id, StrikeKind.SUCCESS))
+        if self._struck:
+            self._struck.pop(fingerprint, None)
+        if self._unsettled:
+            self._drop(lambda item: item.server_id == server_id and started < item.at)
+
+    def record_break(self, fingerprint: str, server_id: ServerId, now: float) -> None:
+        """Take a connection that broke while this fingerprint was in flight on the server."""
+        if fingerprint in self._succeeded or fingerprint in self._succeeded_before:
+            return
+        if len(self._struck) >= MAX_STRUCK and fingerprint not in self._struck:
+            return
+        self._unsettled.append(Break(fingerprint, server_id, now))
+        struck = self._struck.setdefault(fingerprint, {})
+        struck[server_id] = now
+        recent = {item.server_id for item in self._unsettled if now - item.at < NETWORK_SECONDS}
+        if len(recent) >= NETWORK_SERVERS:
+            self._drop(lambda item: True)
+        elif len(struck) >= self._strikes:
+            self._until[fingerprint] = now + self._seconds
+
+    def take_strikes(self, now: float) -> tuple[Strike, ...]:
+        """Return what is to be told to the assessor."""
+        while self._unsettled and now - self._unsettled[0].at >= SETTLE_SECONDS:
+            item = self._unsettled.popleft()
+            if item.fingerprint in self._struck:
+                self._outbox.append(Strike(item.fingerprint, item.server_id, StrikeKind.CRASH))
+        self._forget_old(now)
+        count = min(MAX_STRIKES_IN_DIGEST, len(self._outbox))
+        return tuple(self._outbox.popleft() for _ in range(count))
+
+    def apply(
+        self, quarantines: Iterable[QuarantinedRequest], watched: Iterable[str], now: float
+    ) -> None:
+        """Take the fleet's quarantines; those known here stay until their own end.
+
+        They aren't bound to the assessor's lease: a cut-off assessor must not set free a request
+        that crashes servers.
+        """
+        for item in quarantines:
+            seconds = min(item.seconds_left, self._seconds)
+            self._until[item.fingerprint] = max(
+                self._until.get(item.fingerprint, 0.0), now + seconds
+            )
+        self._watched = frozenset(watched)
+
+    def _forget_old(self, now: float) -> None:
+        old = [
+            fingerprint
+            for fingerprint, servers in self._struck.items()
+            if now - max(servers.values()) > self._seconds
+        ]
+        for fingerprint in old:
+            del self._struck[fingerprint]
+
+    def _drop(self, matches: Matcher) -> None:
+        kept: deque[Break] = deque()
+        for item in self._unsettled:
+            if matches(item):
+                self._forgive(item)
+            else:
+                kept.append(item)
+        self._unsettled = kept
+
+    def _forgive(self, item: Break) -> None:
+        servers = self._struck.get(item.fingerprint)
+        if servers is None:
+            return
+        servers.pop(item.server_id, None)
+        if len(servers) < self._strikes:
+            self._until.pop(item.fingerprint, None)
+        if not servers:
+            del self._struck[item.fingerprint]
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/retries.py
@@ -0,0 +1,39 @@
+"""The budget from which retries, hedges and second placements are paid."""
+
+from typing import Final
+
+LARGEST_BALANCE: Final = 10.0
+"""Tokens that can be saved up: enough for the requests in flight on one server that breaks."""
+FIRST_BALANCE: Final = 3.0
+"""Tokens at the start, so that the first failure after a restart can be retried."""
+
+
+class RetryBudget:
+    """A token bucket filled by first attempts, not by time.
+
+    The load it is for: a fault or overload in which most attempts fail. The harm: each failure
+    brings further attempts, which keep the servers overloaded after the cause is gone. Filled by
+    first attempts at the profile's percentage, the sum of all attempts stays below
+    (1 + percentage) of the first ones, plus LARGEST_BALANCE, however long the fault lasts.
+    """
+
+    def __init__(self, percent: int) -> None:
+        self._share = percent / 100.0
+        self._balance = FIRST_BALANCE if percent else 0.0
+
+    def replace_percent(self, percent: int) -> None:
+        """Take a new percentage; what is saved up stays, unless retries are turned off."""
+        self._share = percent / 100.0
+        if not percent:
+            self._balance = 0.0
+
+    def earn(self) -> None:
+        """Count a first attempt."""
+        self._balance = min(LARGEST_BALANCE, self._balance + self._share)
+
+    def spend(self) -> bool:
+        """Take a token for one further attempt; False where there is none."""
+        if self._balance < 1.0:
+            return False
+        self._balance -= 1.0
+        return True
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/strikes.py
@@ -0,0 +1,74 @@
+"""The fleet's strikes against requests that crash servers, kept by a service's assessor."""
+
+from collections.abc import Iterable
+
+from persimmonusher_decisions.evidence_messages import (
+    MAX_QUARANTINES_IN_SET,
+    QuarantinedRequest,
+    Strike,
+    StrikeKind,
+)
+from persimmonusher_model.identifiers import ServerId
+
+
+class StrikeBoard:
+    """Counts the servers that broke under each fingerprint, over all entry instances.
+
+    The failure it is for: a caller resends a request that crashes servers, and each resend
+    reaches another entry instance, which sees its first break only. Fewer servers than the
+    profile's crash_strikes are lost after the last of these breaks is known here.
+    """
+
+    def __init__(self, strikes: int, seconds: float) -> None:
+        self._strikes = strikes
+        self._seconds = seconds
+        self._struck: dict[str, dict[ServerId, float]] = {}
+        self._until: dict[str, float] = {}
+
+    def replace_limits(self, strikes: int, seconds: float) -> None:
+        """Take a new profile's limits."""
+        self._strikes = strikes
+        self._seconds = seconds
+
+    def receive(self, strikes: Iterable[Strike], now: float) -> None:
+        """Add what an instance tells."""
+        for strike in strikes:
+            if strike.kind is StrikeKind.SUCCESS:
+                self._struck.pop(strike.fingerprint, None)
+                self._until.pop(strike.fingerprint, None)
+                continue
+            servers = self._struck.setdefault(strike.fingerprint, {})
+            servers[strike.server_id] = now
+            if len(servers) >= self._strikes:
+                self._until[strike.fingerprint] = now + self._seconds
+
+    def list_quarantines(self, now: float) -> tuple[QuarantinedRequest, ...]:
+        """List the quarantined fingerprints, the newest first, within the set's bound."""
+        self._forget_old(now)
+        newest = sorted(self._until.items(), key=lambda item: -item[1])[:MAX_QUARANTINES_IN_SET]
+        return tuple(
+            QuarantinedRequest(
+                fingerprint, until - now, tuple(sorted(self._struck.get(fingerprint, {})))
+            )
+            for fingerprint, until in newest
+        )
+
+    def list_watched(self) -> tuple[str, ...]:
+        """List fingerprints with strikes that aren't quarantined, the newest first."""
+        watched = [name for name in self._struck if name not in self._until]
+        return tuple(watched[-MAX_QUARANTINES_IN_SET:])
+
+    def has_struck(self, server_id: ServerId) -> bool:
+        """Tell whether a quarantined request has broken the server."""
+        return any(server_id in self._struck.get(name, {}) for name in self._until)
+
+    def _forget_old(self, now: float) -> None:
+        for fingerprint in [name for name, until in self._until.items() if until <= now]:
+            del self._until[fingerprint]
+            self._struck.pop(fingerprint, None)
+        for fingerprint in [
+            name
+            for name, servers in self._struck.items()
+            if now - max(servers.values()) > self._seconds
+        ]:
+            del self._struck[fingerprint]
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -0,0 +1,72 @@
+"""What one entry instance keeps about one server while it places work on it."""
+
+from persimmonusher_decisions.evidence_messages import EjectionState, ServerEvidence
+from persimmonusher_decisions.server import BackendServer, ServerState
+
+
+class ServerTrack:
+    """Mutable state of one server at one instance, read on the hot path without calls."""
+
+    __slots__ = (
+        "answered",
+        "base",
+        "bias",
+        "connection_limit",
+        "draining",
+        "failed",
+        "inverse",
+        "others",
+        "out",
+        "outstanding",
+        "penalty",
+        "probe_at",
+        "ramp_from",
+        "reason",
+        "server",
+        "server_id",
+        "slow",
+        "slots",
+        "told_at",
+        "timed",
+    )
+
+    def __init__(self, server: BackendServer, now: float) -> None:
+        self.server = server
+        self.server_id = server.server_id
+        self.slots = max(1, server.slots)
+        self.outstanding = 0
+        self.others: float | None = None
+        """Load of all other instances on it as last known, None before the first report."""
+        self.penalty = 0.0
+        self.base = 0.0
+        self.inverse = 1.0 / self.slots
+        self.bias = 0.0
+        self.connection_limit = 1
+        self.draining = False
+        """Whether an answer of this boot said that the server is leaving."""
+        self.ramp_from: float | None = None
+        self.out: EjectionState | None = None
+        self.reason = ""
+        self.probe_at = now
+        self.answered = 0
+        self.failed = 0
+        self.timed = 0
+        self.slow = 0
+        self.told_at = now
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the server itself says that it takes work, in its latest word."""
+        return self.server.state is ServerState.READY and not self.draining
+
+    @property
+    def is_abnormal(self) -> bool:
+        """Tell whether evidence that wasn't sent yet speaks against the server."""
+        return self.failed > 0 or self.slow > 0
+
+    def take_evidence(self, now: float) -> ServerEvidence:
+        """Return the evidence that wasn't sent yet and start anew."""
+        line = ServerEvidence(self.server_id, self.answered, self.failed, self.timed, self.slow)
+        self.answered = self.failed = self.timed = self.slow = 0
+        self.told_at = now
+        return line
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -1,7 +1,8 @@
 """All decisions of one entry instance for one service, behind one interface.
 
 The data plane calls in with events and the time and carries out the decisions it gets back; there
-is no I/O here and no clock. A dispatched attempt must be finished exactly once.
+is no I/O here and no clock. A dispatched attempt must be finished exactly once; finishing it a
+second time counts for nothing. `advance` is called about every 50 ms, `digest` every 0.2 s.
 """
 
 from collections.abc import Iterable
@@ -9,8 +10,18 @@
 from random import Random
 from typing import Final
 
+from persimmonusher_decisions.admission import Admission
+from persimmonusher_decisions.connections import ConnectionBudget
+from persimmonusher_decisions.ejection import EjectionLease
+from persimmonusher_decisions.evidence import SILENT_KINDS, EvidenceLog, take_evidence
 from persimmonusher_decisions.evidence_messages import EjectionSet, EvidenceDigest
-from persimmonusher_decisions.server import BackendServer, ServerState
+from persimmonusher_decisions.hedging import may_hedge
+from persimmonusher_decisions.placement import Placement
+from persimmonusher_decisions.quarantine import Quarantine
+from persimmonusher_decisions.retries import RetryBudget
+from persimmonusher_decisions.server import BackendServer
+from persimmonusher_decisions.track import ServerTrack
+from persimmonusher_decisions.window import ConcurrencyWindow
 from persimmonusher_decisions.work import (
     Decision,
     Dispatch,
@@ -19,10 +30,25 @@
     Refusal,
     RefusalReason,
     Request,
+    Wait,
 )
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServerId, ServiceName
 from persimmonusher_model.profile import Profile
 
+NO_SERVICE: Final = ServiceName("")
+NO_INSTANCE: Final = InstanceId("")
+NO_SERVER_RETRY_AFTER: Final = 1.0
+PROBES_A_SECOND: Final = 16.0
+"""Probes of one server on probation, all instances together."""
+PENALTIES: Final = {
+    OutcomeKind.FAILURE: 1.0,
+    OutcomeKind.TIMEOUT: 1.0,
+    OutcomeKind.BROKEN: 1.0,
+    OutcomeKind.REFUSED: 0.25,
+}
+"""Share of its slots by which a server is taken to be busier after an outcome. A refusal for being
+full is no fault, but the next request had better go elsewhere."""
+
 
 @dataclass(frozen=True)
 class ServerStatus:
@@ -34,10 +60,6 @@
     outstanding: int
 
 
-NO_SERVICE: Final = ServiceName("")
-NO_INSTANCE: Final = InstanceId("")
-
-
 class ServiceTraffic:
     """Admission, placement and retries for one service at one entry instance."""
 
@@ -52,88 +74,280 @@
     ) -> None:
         self._profile = profile
         self._failure_domain = failure_domain
-        self._random = random
-        self._servers: dict[ServerId, BackendServer] = {}
-        self._outstanding: dict[ServerId, int] = {}
+        self._service = service
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._sequence = 0
+        self._live = 1
+        self._tracks: dict[ServerId, ServerTrack] = {}
+        self._started: bool = False
+        self._evidence = EvidenceLog()
+        self._placement = Placement(failure_domain, random)
+        self._placement.ramp_seconds = profile.ramp_ms / 1000.0
+        self._window = ConcurrencyWindow()
+        self._admission = Admission(profile, random)
+        self._retries = RetryBudget(profile.retry_budget_percent)
+        self._quarantine = Quarantine(profile.crash_strikes, profile.quarantine_ms / 1000.0)
+        self._connections = ConnectionBudget(instance_id)
+        self._lease = EjectionLease(failure_domain)
 
     def replace_profile(self, profile: Profile) -> None:
         """Take a new profile; requests in flight keep the deadline they have."""
         self._profile = profile
+        self._placement.ramp_seconds = profile.ramp_ms / 1000.0
+        self._admission.replace_profile(profile)
+        self._retries.replace_percent(profile.retry_budget_percent)
+        self._quarantine.replace_limits(profile.crash_strikes, profile.quarantine_ms / 1000.0)
 
     def replace_servers(self, servers: Iterable[BackendServer], now: float) -> None:
-        """Take the announced servers; evidence on those that stay is kept."""
-        self._servers = {server.server_id: server for server in servers}
+        """Take the announced servers; evidence on those that stay is kept.
+
+        A server that is new, or has started again, begins its ramp, but for the first call: then
+        all are new to this instance and none is known to be cold.
+        """
+        tracks: dict[ServerId, ServerTrack] = {}
+        for server in servers:
+            track = self._tracks.get(server.server_id)
+            if track is None or track.server.boot_id != server.boot_id:
+                track = self._begin_track(server, track, now)
+            elif server.freshness >= track.server.freshness:
+                track.server = server
+                track.slots = max(1, server.slots)
+            tracks[server.server_id] = track
+        self._tracks = tracks
+        self._started = self._started or bool(tracks)
+        self._rebuild(now)
 
     def replace_entry_count(self, live: int) -> None:
-        """Take the number of live entry instances, which share each server's connections."""
+        """Take the number of live entry instances, which share each server's connections.
+
+        It takes effect with the next `replace_servers` or `advance`.
+        """
+        if live != self._live:
+            self._live = max(1, live)
+            self._connections.replace_entry_count(self._live)
+            self._share_connections()
+
+    def find_connection_limit(self, server_id: ServerId) -> int:
+        """Return the connections that this instance may hold to a server, 0 for an unknown one."""
+        track = self._tracks.get(server_id)
+        return track.connection_limit if track else 0
 
     def offer(self, request: Request, now: float) -> Decision:
         """Decide on a new request."""
-        return self._place(request, 1, frozenset(), now)
+        seconds_left = self._quarantine.find_seconds_left(request.fingerprint, now)
+        if seconds_left:
+            return Refusal(request, RefusalReason.QUARANTINED, seconds_left)
+        if not self._tracks:
+            return Refusal(request, RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER)
+        usual = self._evidence.find_usual_latency(request.request_class)
+        if now + usual > request.deadline:
+            return self._admission.refuse(request, RefusalReason.DEADLINE, now)
+        if not len(self._admission.queue) and len(self._evidence) < self._window.limit:
+            dispatch = self._place(request, 1, None, now)
+            if dispatch is not None:
+                return dispatch
+            if not self._placement.open_slots:
+                return Refusal(request, RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER)
+        return self._admission.wait(request, usual, now) or Wait(request)
 
     def retry(self, dispatch: Dispatch, outcome: Outcome, now: float) -> Decision:
         """Decide on another attempt after `finish`; the caller has checked that it is safe."""
-        if dispatch.attempt > self._profile.max_retries:
-            return Refusal(dispatch.request, RefusalReason.RETRIES_EXHAUSTED, 1.0)
-        tried = frozenset([dispatch.server.server_id])
-        return self._place(dispatch.request, dispatch.attempt + 1, tried, now)
+        request = dispatch.request
+        spent = dispatch.attempt > self._profile.max_retries
+        late = now + self._evidence.find_usual_latency(request.request_class) > request.deadline
+        crashing = self._quarantine.find_seconds_left(request.fingerprint, now) > 0.0
+        if not (spent or late or crashing) and self._retries.spend():
+            tried = dispatch.server.server_id
+            again = self._place(request, dispatch.attempt + 1, tried, now)
+            if again is not None:
+                return again
+        reason = RefusalReason.RETRIES_EXHAUSTED
+        if dispatch.attempt == 1 and outcome.kind in (OutcomeKind.REFUSED, OutcomeKind.DRAINING):
+            reason = RefusalReason.OVERLOAD
+        return self._admission.refuse(request, reason, now)
 
     def finish(self, dispatch: Dispatch, outcome: Outcome, now: float) -> tuple[Decision, ...]:
         """Record the end of an attempt and return the waiting requests it releases."""
-        server_id = dispatch.server.server_id
-        self._outstanding[server_id] = max(0, self._outstanding.get(server_id, 0) - 1)
-        if outcome.kind is OutcomeKind.DRAINING:
-            self._servers.pop(server_id, None)
-        return ()
+        attempt = self._evidence.end(dispatch)
+        if attempt is None:
+            return ()
+        track = attempt.track
+        kind = outcome.kind
+        if kind is OutcomeKind.SUCCESS:
+            self._quarantine.record_success(
+                dispatch.request.fingerprint, track.server_id, dispatch.started
+            )
+            self._evidence.learn(attempt, outcome)
+        elif kind not in SILENT_KINDS:
+            self._learn_failure(dispatch, track, outcome, now)
+            if not self._is_excused(dispatch, kind):
+                self._evidence.learn(attempt, outcome)
+        elif kind is OutcomeKind.DRAINING:
+            self._drop_draining(dispatch, now)
+        self._learn_load(track, outcome, now)
+        return self._release(now) if len(self._admission.queue) else ()
 
     def withdraw(self, request: Request) -> None:
         """Forget a waiting request whose caller left."""
+        self._admission.queue.remove(request)
 
     def advance(self, now: float) -> tuple[Decision, ...]:
         """Let time pass: refuse waiting requests that are late, release those that may go."""
-        return ()
+        self._evidence.mark_overdue(now)
+        if self._lease.expire(now):
+            self._rebuild(now)
+        if not len(self._admission.queue):
+            return ()
+        refusals: list[Decision] = []
+        for request in self._admission.queue.list_requests():
+            refusal = self._refuse_late(request, now)
+            if refusal is not None:
+                self._admission.queue.remove(request)
+                refusals.append(refusal)
+        return (*refusals, *self._release(now))
 
     def hedge_delay(self) -> float | None:
         """Return the seconds after which `hedge` may be asked, None where hedging is off."""
-        return None
+        milliseconds = self._profile.hedge_after_ms
+        return milliseconds / 1000.0 if milliseconds else None
 
     def hedge(self, dispatch: Dispatch, now: float) -> Dispatch | None:
         """Decide on a second copy of an idempotent request in flight; None is no.
 
         Both copies are finished exactly once each; the one that lost as CANCELLED.
         """
-        return None
+        if not may_hedge(self._profile, dispatch, self._retries, len(self._admission.queue)):
+            return None
+        return self._place(dispatch.request, dispatch.attempt + 1, dispatch.server.server_id, now)
 
     def digest(self, now: float) -> EvidenceDigest | None:
         """Return evidence for the assessor since the last call, None where there is none.
 
         Call it about every 0.2 s, and send each digest once only: one that is lost may stay lost.
         """
-        return None
+        strikes = self._quarantine.take_strikes(now)
+        lines = take_evidence(self._tracks.values(), now)
+        if not lines and not strikes:
+            return None
+        self._sequence += 1
+        return EvidenceDigest(
+            service=self._service,
+            instance_id=self._instance_id,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            failure_domain=self._failure_domain,
+            servers=lines,
+            strikes=strikes,
+        )
 
     def apply_ejections(self, ejections: EjectionSet, asked: float) -> None:
         """Take an assessor's set; `asked` is when this instance sent what the set answers."""
+        if self._lease.apply(ejections, asked):
+            self._quarantine.apply(ejections.quarantines, ejections.watched, asked)
+            self._rebuild(asked)
 
     def describe(self, now: float) -> tuple[ServerStatus, ...]:
         """List every known server with its status, for operators."""
         return tuple(
             ServerStatus(
-                server,
-                server.state is ServerState.READY,
-                server.state.value,
-                self._outstanding.get(server.server_id, 0),
+                track.server,
+                track.is_ready and track.out is None,
+                track.reason or track.server.state.value,
+                track.outstanding,
             )
-            for server in self._servers.values()
+            for track in self._tracks.values()
         )
 
     def _place(
-        self, request: Request, attempt: int, tried: frozenset[ServerId], now: float
-    ) -> Decision:
-        ready = [server for server in self._servers.values() if server.state is ServerState.READY]
-        fresh = [server for server in ready if server.server_id not in tried] or ready
-        if not fresh:
-            return Refusal(request, RefusalReason.NO_SERVER, 1.0)
-        self._random.shuffle(fresh)
-        chosen = min(fresh, key=lambda server: self._outstanding.get(server.server_id, 0))
-        self._outstanding[chosen.server_id] = self._outstanding.get(chosen.server_id, 0) + 1
-        return Dispatch(request, chosen, attempt, now)
+        self, request: Request, attempt: int, tried: ServerId | None, now: float
+    ) -> Dispatch | None:
+        track = self._placement.choose(request.idempotent, tried, now)
+        if track is None:
+            return None
+        if attempt == 1:
+            self._retries.earn()
+        dispatch = Dispatch(request, track.server, attempt, now)
+        self._evidence.start(dispatch, track)
+        return dispatch
+
+    def _release(self, now: float) -> tuple[Decision, ...]:
+        released: list[Decision] = []
+        queue = self._admission.queue
+        while len(queue) and len(self._evidence) < self._window.limit:
+            request = queue.pop()
+            decision: Decision | None = self._refuse_late(request, now)
+            if decision is None:
+                decision = self._place(request, 1, None, now)
+            if decision is None:
+                reason = RefusalReason.NO_SERVER
+                decision = Refusal(request, reason, NO_SERVER_RETRY_AFTER)
+            released.append(decision)
+        return tuple(released)
+
+    def _refuse_late(self, request: Request, now: float) -> Refusal | None:
+        usual = self._evidence.find_usual_latency(request.request_class)
+        reason = self._admission.find_lateness(request, usual, now)
+        return self._admission.refuse(request, reason, now) if reason else None
+
+    def _learn_failure(
+        self, dispatch: Dispatch, track: ServerTrack, outcome: Outcome, now: float
+    ) -> None:
+        if outcome.kind is OutcomeKind.BROKEN:
+            self._quarantine.record_break(dispatch.request.fingerprint, track.server_id, now)
+        elif outcome.kind is OutcomeKind.REFUSED:
+            self._window.record_refusal(now)
+        self._placement.penalize(track, PENALTIES[outcome.kind])
+
+    def _is_excused(self, dispatch: Dispatch, kind: OutcomeKind) -> bool:
+        """Tell whether a request, and not the server that it broke, is to blame."""
+        server_id = dispatch.server.server_id
+        fingerprint = dispatch.request.fingerprint
+        return kind is OutcomeKind.BROKEN and self._quarantine.is_suspected(fingerprint, server_id)
+
+    def _learn_load(self, track: ServerTrack, outcome: Outcome, now: float) -> None:
+        load = outcome.reported_load
+        if load is not None:
+            self._placement.learn_load(track, load)
+        if outcome.kind is OutcomeKind.SUCCESS:
+            self._admission.drain_rate.record(now)
+            ratio = None if load is None else load / track.slots
+            self._window.record_answer(ratio, len(self._evidence), now)
+
+    def _drop_draining(self, dispatch: Dispatch, now: float) -> None:
+        """Stop work for a server whose answer says that it is leaving.
+
+        The directory may learn of it seconds later, and may still list it meanwhile: an older
+        announcement of the same boot doesn't bring it back.
+        """
+        track = self._tracks.get(dispatch.server.server_id)
+        if track is not None and track.server.boot_id == dispatch.server.boot_id:
+            track.draining = True
+            self._rebuild(now)
+
+    def _begin_track(
+        self, server: BackendServer, before: ServerTrack | None, now: float
+    ) -> ServerTrack:
+        track = ServerTrack(server, now)
+        if self._started:
+            track.ramp_from = now
+        if before is not None:
+            track.out = before.out
+        return track
+
+    def _rebuild(self, now: float) -> None:
+        tracks = self._tracks.values()
+        self._lease.mark(tracks, self._profile.health_floor_percent, now)
+        self._share_connections()
+        self._placement.probe_seconds = self._live / PROBES_A_SECOND
+        self._placement.replace(tracks, now)
+        self._window.resize(self._placement.open_slots, self._live)
+
+    def _share_connections(self) -> None:
+        limit = self._profile.connections_per_server
+        for track in self._tracks.values():
+            track.connection_limit = self._connections.find_limit(track.server, limit)
+        tracks = self._tracks.values()
+        if tracks and not any(track.connection_limit for track in tracks):
+            nearest = min(tracks, key=lambda track: self._connections.rank(track.server))
+            nearest.connection_limit = 1
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/window.py
@@ -0,0 +1,74 @@
+"""How many requests one entry instance keeps in progress at a service's servers."""
+
+from typing import Final
+
+LOW_PRESSURE: Final = 1.0
+"""Reported load for each slot up to which servers have slots left."""
+HIGH_PRESSURE: Final = 1.75
+"""Reported load for each slot from which on work only waits at the servers."""
+LARGEST_REPORT: Final = 4.0
+PRESSURE_MEMORY: Final = 0.1
+"""Weight of the newest report: some ten servers' answers make up the pressure, so that one that
+lies can't move it far."""
+SHRINK_SECONDS: Final = 0.05
+"""At most one reduction in this time, about one round of answers under overload."""
+SHRINK_ON_PRESSURE: Final = 0.9
+SHRINK_ON_REFUSAL: Final = 0.8
+LARGEST_SHARE: Final = 2.0
+"""Upper limit in times the service's slots: what a single instance could ever need."""
+
+
+class ConcurrencyWindow:
+    """An additive-increase, multiplicative-decrease limit on requests in progress.
+
+    The load it is for: demand above capacity. The harm: work that waits at a server can't be
+    ordered, refused or given its deadline's due any more, and answers that come too late are work
+    lost. So the limit is kept where servers report their slots filled with a short queue, and the
+    rest waits, or is refused, at the entry instance. It adapts instead of being an equal part of
+    the slots, since skewed demand gives one instance many times the work of another. The lower
+    limit is that equal part: a server that wrongly reports a full queue can't starve an instance.
+    """
+
+    def __init__(self) -> None:
+        self._smallest = 1.0
+        self._largest = 2.0
+        self._limit = 2.0
+        self._pressure: float | None = None
+        self._shrink_at = 0.0
+
+    @property
+    def limit(self) -> float:
+        """Return the number of requests that may be in progress."""
+        return self._limit
+
+    def resize(self, slots: int, live: int) -> None:
+        """Take the service's open slots and the number of live instances."""
+        first = self._largest == 2.0
+        self._smallest = max(1.0, slots / max(1, live))
+        self._largest = max(2.0, LARGEST_SHARE * slots)
+        if first:
+            self._limit = 2.0 * self._smallest
+        self._limit = min(self._largest, max(self._smallest, self._limit))
+
+    def record_answer(self, load_for_each_slot: float | None, in_progress: int, now: float) -> None:
+        """Take an answer with the load its server reported, if it did."""
+        if load_for_each_slot is not None:
+            report = min(LARGEST_REPORT, load_for_each_slot)
+            last = report if self._pressure is None else self._pressure
+            self._pressure = last + PRESSURE_MEMORY * (report - last)
+        pressure = self._pressure
+        if pressure is not None and pressure > HIGH_PRESSURE:
+            self._shrink(SHRINK_ON_PRESSURE, now)
+        elif in_progress + 1 >= self._limit:
+            step = 1.0 if pressure is not None and pressure < LOW_PRESSURE else 1.0 / self._limit
+            self._limit = min(self._largest, self._limit + step)
+
+    def record_refusal(self, now: float) -> None:
+        """Take a server's own refusal for being full."""
+        self._shrink(SHRINK_ON_REFUSAL, now)
+
+    def _shrink(self, factor: float, now: float) -> None:
+        if now < self._shrink_at:
+            return
+        self._shrink_at = now + SHRINK_SECONDS
+        self._limit = max(self._smallest, self._limit * factor)
