--- a/packages/node/src/persimmonusher_node/main.py
+++ b/packages/node/src/persimmonusher_node/main.py
@@ -7,6 +7,7 @@
 import typer
 
 from persimmonusher_model.errors import UsherError
+from persimmonusher_node import loop
 
 if TYPE_CHECKING:
     from persimmonusher_node.settings import Settings
@@ -24,11 +25,6 @@
 @app.command("run")
 def run(settings_path: SettingsPath) -> None:
     """Run one instance until SIGTERM, then stop it gracefully."""
-    # The loop must be chosen before any other module is loaded, so the rest is imported here.
-    from persimmonusher_node import loop
-
-    warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
-    loop.install()
     settings = read_settings(settings_path)
     from persimmonusher_node.process import run_instance
 
@@ -63,5 +59,12 @@
 
 
 def main() -> None:
-    """Run the command line."""
+    """Run the command line.
+
+    The loop is chosen before typer runs: eventlet patches what is loaded, and fails on pydantic,
+    which typer loads with the first command. docs/design/data-plane.md says why a library that
+    calls itself deprecated is used.
+    """
+    warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+    loop.install()
     app()
