Hedge idempotent work; prove whole answers to the right caller

Cause: the first run of these tests showed that a cut-off stream ended in good order towards an HTTP/1.0 caller: eventlet shuts the socket down before it closes it, and the last of three holders of the socket decides when it closes. Change: a cut-off answer ends by a reset; attempts.py carries out one attempt or a hedged pair; a failed copy never makes a request 'not run' that the other copy may have run.

--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -1,8 +1,6 @@
 """The callers' WSGI application: reads a request within its bounds and writes its answer."""
 
 import re
-import socket
-import struct
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from itertools import count
@@ -40,7 +38,6 @@
 _NAME: Final = re.compile(rf"[A-Za-z0-9._:-]{{1,{LONGEST_NAME}}}")
 _PHRASES: Final = {status.value: f"{status.value} {status.phrase}" for status in HTTPStatus}
 _BODYLESS: Final = frozenset({204, 304})
-_RESET: Final = struct.pack("ii", 1, 0)
 
 _log = get_logger(__name__)
 
@@ -221,25 +218,23 @@
     start_response(_PHRASES.get(answer.status, f"{answer.status} Unknown"), headers)
     if answer.stream is None:
         return [answer.body]
-    return StreamedBody(answer.body, answer.stream, protocol.connection)
+    return StreamedBody(answer.body, answer.stream, protocol)
 
 
 class StreamedBody:
     """A long answer on its way; cut off with a reset where the backend server cuts it off."""
 
-    def __init__(self, first: bytes, rest: Iterator[bytes], connection: socket.socket) -> None:
+    def __init__(self, first: bytes, rest: Iterator[bytes], protocol: HttpProtocol) -> None:
         self._first = first
         self._rest = rest
-        self._connection = connection
+        self._protocol = protocol
 
     def __iter__(self) -> Iterator[bytes]:
         yield self._first
         try:
             yield from self._rest
         except Exception:
-            # Without Content-Length an old caller takes the end of the connection for the end of
-            # the answer; a reset shows every caller that it is not whole.
-            self._connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            self._protocol.cut_off()
             raise
 
     def close(self) -> None:
--- a/packages/node/src/persimmonusher_node/daemon.py
+++ b/packages/node/src/persimmonusher_node/daemon.py
@@ -44,8 +44,9 @@
         self.parts = parts
         self.records = RecordRing()
         domain = FailureDomain(settings.failure_domain)
+        instance_id = InstanceId(settings.instance_id)
         self.services = ServiceBook(
-            parts.view, parts.directory, parts.membership, domain, clock, random
+            parts.view, parts.directory, parts.membership, instance_id, domain, clock, random
         )
         self.upstream = Upstream(clock, settings.limits.buffered_answer_bytes)
         self.forwarder = Forwarder(
@@ -54,7 +55,7 @@
         keyed = KeyedForwarder(self.forwarder, parts.claims)
         entry = Entry(self.services, self.forwarder, keyed)
         self.application = CallersApplication(
-            entry, InstanceId(settings.instance_id), clock, settings.limits.body_seconds
+            entry, instance_id, clock, settings.limits.body_seconds
         )
         self.watch = Watch(self.services, self.forwarder, self.upstream, clock)
         self._clock = clock
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -25,13 +25,9 @@
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import RequestId
 from persimmonusher_node.answers import CODES_BY_REASON, Answer, AnswerCode, make_error
+from persimmonusher_node.attempts import NOT_RUN_KINDS, AttemptResult, Attempts, Ended
 from persimmonusher_node.calls import Call
-from persimmonusher_node.exchange import (
-    classify_answer,
-    make_upstream_request,
-    read_load,
-    translate_answer,
-)
+from persimmonusher_node.exchange import classify_answer, translate_answer
 from persimmonusher_node.fingerprints import compute_fingerprint
 from persimmonusher_node.headers import CallerOutcome
 from persimmonusher_node.observer import FinishedRequest, RequestObserver
@@ -39,9 +35,7 @@
 from persimmonusher_node.runs import Run
 from persimmonusher_node.services import LiveService, ServiceBook
 from persimmonusher_node.streams import AnswerStream
-from persimmonusher_node.upstream import Attempt, AttemptError, Upstream, UpstreamAnswer
-
-NOT_RUN_KINDS: Final = frozenset({OutcomeKind.REFUSED, OutcomeKind.DRAINING})
+from persimmonusher_node.upstream import AttemptError, Upstream
 
 
 class Forwarder:
@@ -57,11 +51,10 @@
         note_draining: Callable[[BackendServer], None],
     ) -> None:
         self._services = services
-        self._upstream = upstream
         self._records = records
         self._observer = observer
         self._clock = clock
-        self._note_draining = note_draining
+        self._attempts = Attempts(upstream, clock, self.deliver, note_draining)
         self._runs: dict[RequestId, Run] = {}
 
     @property
@@ -91,7 +84,7 @@
             return
         if isinstance(decision, Dispatch):
             # Its caller left, or its deadline passed, at the same moment: give the place back.
-            self._finish(live, decision, Outcome(OutcomeKind.CANCELLED, 0.0))
+            self._attempts.settle(live, decision, Outcome(OutcomeKind.CANCELLED, 0.0))
 
     def _start(self, call: Call, live: LiveService) -> Run:
         request_id = call.request_id
@@ -158,62 +151,27 @@
 
     def _attempt(self, run: Run, dispatch: Dispatch) -> tuple[Answer, Decision | None]:
         """Make one attempt; return its answer, and the decision to go on with, if any."""
-        started = self._clock.monotonic()
-        request = make_upstream_request(run.call, run.request, started)
-        attempt = self._upstream.start_attempt(dispatch.server, request, run.request.deadline)
-        run.attempt = attempt
-        if run.stopped is not None:
-            attempt.cancel(run.stopped)
-        result: UpstreamAnswer | AttemptError | None = None
-        outcome = Outcome(OutcomeKind.CANCELLED, 0.0)
-        try:
-            result = self._run_attempt(attempt)
-            outcome = self._judge(result, self._clock.monotonic() - started)
-        finally:
-            run.server_seconds += self._clock.monotonic() - started
-            if not isinstance(result, UpstreamAnswer) or result.stream is None:
-                self._close_attempt(run, dispatch, outcome)
-        if outcome.kind not in NOT_RUN_KINDS:
-            run.may_have_run = True
-        answer = self._make_answer(run, result)
-        if answer.stream is not None:
-            return self._stream(run, dispatch, outcome, answer), None
-        return answer, self._decide_again(run, dispatch, outcome)
+        ended = self._attempts.carry_out(run, dispatch)
+        answer = self._make_answer(run, ended.result)
+        if ended.is_streaming:
+            return self._stream(run, ended, answer), None
+        return answer, self._decide_again(run, ended.dispatch, ended.outcome)
 
-    def _stream(self, run: Run, dispatch: Dispatch, outcome: Outcome, answer: Answer) -> Answer:
+    def _stream(self, run: Run, ended: Ended, answer: Answer) -> Answer:
         """Leave the request in flight until the rest of its long answer has passed."""
         assert answer.stream is not None
 
         def end(broken: OutcomeKind | None) -> None:
-            final = outcome if broken is None else Outcome(broken, outcome.latency)
-            self._close_attempt(run, dispatch, final)
+            outcome = ended.outcome
+            if broken is not None:
+                outcome = Outcome(broken, outcome.latency)
+            run.remove_attempt(ended.dispatch)
+            self._attempts.finish(run, ended.dispatch, outcome)
             self._end(run, answer)
 
         return replace(answer, stream=AnswerStream(answer.stream, end))
 
-    def _run_attempt(self, attempt: Attempt) -> UpstreamAnswer | AttemptError:
-        try:
-            return attempt.run()
-        except AttemptError as error:
-            return error
-
-    def _judge(self, result: UpstreamAnswer | AttemptError, latency: float) -> Outcome:
-        if isinstance(result, AttemptError):
-            return Outcome(result.kind, latency)
-        return Outcome(classify_answer(result), latency, read_load(result))
-
-    def _close_attempt(self, run: Run, dispatch: Dispatch, outcome: Outcome) -> None:
-        run.attempt = None
-        run.record.add_outcome(dispatch, outcome, self._clock.monotonic())
-        if outcome.kind is OutcomeKind.DRAINING:
-            self._note_draining(dispatch.server)
-        self._finish(run.live, dispatch, outcome)
-
-    def _finish(self, live: LiveService, dispatch: Dispatch, outcome: Outcome) -> None:
-        for released in live.traffic.finish(dispatch, outcome, self._clock.monotonic()):
-            self.deliver(live, released)
-
-    def _make_answer(self, run: Run, result: UpstreamAnswer | AttemptError) -> Answer:
+    def _make_answer(self, run: Run, result: AttemptResult) -> Answer:
         if isinstance(result, AttemptError):
             known = None if run.may_have_run else CallerOutcome.NOT_RUN
             if result.kind in NOT_RUN_KINDS and run.may_have_run:
--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -150,8 +150,6 @@
             return
         finally:
             del self._connections[key]
-            if not resets_on_close(state[1]):
-                shut(state[1], socket.SHUT_RDWR)
             state[1].close()
 
 
@@ -181,14 +179,6 @@
         connection.close()
 
 
-def resets_on_close(connection: socket.socket) -> bool:
-    """Tell whether an answer was cut off on purpose: a shutdown would end it in good order."""
-    try:
-        return connection.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)[:1] == b"\x01"
-    except OSError:
-        return False
-
-
 def shut(connection: socket.socket, how: int) -> None:
     """Shut a socket down; one that is already closed stays so."""
     try:
--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -1,6 +1,9 @@
 """HTTP/1.1 from a caller: eventlet's protocol with bounds in time and strict framing."""
 
 import json
+import socket
+import struct
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -11,6 +14,7 @@
 """Where the WSGI application finds the protocol of its connection."""
 LINGER_BYTES: Final = 262_144
 LINGER_SECONDS: Final = 1.0
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
 class SlowHead(Exception):  # noqa: N818
@@ -21,6 +25,7 @@
     """One connection of a caller."""
 
     _head_timer: eventlet.Timeout | None = None
+    resetting = False
     unread = False
     """Whether a part of the request was left unread; the connection can't be used again."""
 
@@ -81,11 +86,27 @@
         self.close_connection = 1
         self.unread = True
 
+    def cut_off(self) -> None:
+        """End the connection by a reset, as a part of the answer can't be had.
+
+        Without Content-Length an old caller takes the end of the connection for the end of the
+        answer; a reset shows every caller that it is not whole.
+        """
+        self.close_connection = 1
+        self.resetting = True
+
     def finish(self) -> None:
         """End the connection; read a bounded rest so that the last answer isn't lost to a reset.
 
         A close with unread bytes makes the kernel send a reset, which may overtake the answer.
         """
+        if self.resetting:
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            # The kernel's socket is closed with the last of the three that hold it.
+            for holder in (self.wfile, self.rfile, self.connection):
+                with suppress(OSError):
+                    holder.close()
+            return
         if self.unread:
             self._linger()
         super().finish()
@@ -93,7 +114,7 @@
     def _linger(self) -> None:
         try:
             self.wfile.flush()
-            self.connection.shutdown(eventlet.green.socket.SHUT_WR)
+            self.connection.shutdown(socket.SHUT_WR)
             with eventlet.Timeout(LINGER_SECONDS, False):
                 left = LINGER_BYTES
                 while left > 0 and (data := self.connection.recv(65_536)):
--- a/packages/node/src/persimmonusher_node/runs.py
+++ b/packages/node/src/persimmonusher_node/runs.py
@@ -2,7 +2,7 @@
 
 from eventlet.event import Event
 
-from persimmonusher_decisions.work import Decision, OutcomeKind, Request
+from persimmonusher_decisions.work import Decision, Dispatch, OutcomeKind, Request
 from persimmonusher_node.calls import Call
 from persimmonusher_node.records import RequestRecord
 from persimmonusher_node.services import LiveService
@@ -19,14 +19,32 @@
         self.live = live
         self.request = request
         self.record = record
-        self.attempt: Attempt | None = None
+        self._attempts: dict[int, Attempt] = {}
         self.may_have_run = False
         """Whether an attempt ended without proof that the request did not run."""
         self.server_seconds = 0.0
         self.stopped: OutcomeKind | None = None
         """TIMEOUT once the deadline passed, CANCELLED once the caller of idempotent work left."""
+        self.settled = False
+        """Whether one copy of a hedged request has won."""
         self._release: Event | None = None
 
+    def add_attempt(self, dispatch: Dispatch, attempt: Attempt) -> None:
+        """Take an attempt that `stop` must reach."""
+        self._attempts[dispatch.attempt] = attempt
+        if self.stopped is not None:
+            attempt.cancel(self.stopped)
+
+    def remove_attempt(self, dispatch: Dispatch) -> None:
+        """Forget an attempt that ended."""
+        self._attempts.pop(dispatch.attempt, None)
+
+    def cancel_attempts(self, kind: OutcomeKind, but: Dispatch | None = None) -> None:
+        """End the attempts in flight, but for one."""
+        for number, attempt in list(self._attempts.items()):
+            if but is None or number != but.attempt:
+                attempt.cancel(kind)
+
     def wait(self) -> Decision | None:
         """Wait for the release of a queued request; None when it was stopped meanwhile."""
         if self.stopped is not None:
@@ -56,8 +74,7 @@
         if self._release is not None:
             self.live.traffic.withdraw(self.request)
             self.release(None)
-        if self.attempt is not None:
-            self.attempt.cancel(kind)
+        self.cancel_attempts(kind)
 
     def leave(self) -> None:
         """Take note that the caller left.
--- a/packages/node/src/persimmonusher_node/services.py
+++ b/packages/node/src/persimmonusher_node/services.py
@@ -7,7 +7,7 @@
 from persimmonusher_decisions.traffic import ServiceTraffic
 from persimmonusher_decisions.work import Decision
 from persimmonusher_model.clock import Clock
-from persimmonusher_model.identifiers import FailureDomain, Revision, ServiceName
+from persimmonusher_model.identifiers import FailureDomain, InstanceId, Revision, ServiceName
 from persimmonusher_model.profile import Profile
 from persimmonusher_node.ports import ConfigurationView, Membership, ServerDirectory
 
@@ -37,6 +37,7 @@
         view: ConfigurationView,
         directory: ServerDirectory,
         membership: Membership,
+        instance_id: InstanceId,
         domain: FailureDomain,
         clock: Clock,
         random: Random,
@@ -44,6 +45,8 @@
         self._view = view
         self._directory = directory
         self._membership = membership
+        self._instance_id = instance_id
+        self._incarnation = int(clock.wall().timestamp() * 1000)
         self._domain = domain
         self._clock = clock
         self._random = random
@@ -106,7 +109,9 @@
             live.traffic.replace_entry_count(self._entries)
 
     def _make(self, name: ServiceName, profile: Profile, now: float) -> LiveService:
-        traffic = ServiceTraffic(profile, self._domain, self._random)
+        traffic = ServiceTraffic(
+            profile, self._domain, self._random, name, self._instance_id, self._incarnation
+        )
         traffic.replace_entry_count(self._entries)
         live = LiveService(name, traffic, profile, now)
         self._services[name] = live
--- a/packages/node/src/persimmonusher_node/settings.py
+++ b/packages/node/src/persimmonusher_node/settings.py
@@ -32,8 +32,9 @@
     head_seconds: float = Field(default=10.0, gt=0, le=600)
     body_seconds: float = Field(default=30.0, gt=0, le=600)
     write_seconds: float = Field(default=30.0, gt=0, le=600)
-    buffered_answer_bytes: int = Field(default=1_048_576, ge=1_024, le=67_108_864)
-    """Answers up to this size are held until whole; longer ones stream with a checked end."""
+    buffered_answer_bytes: int = Field(default=1_048_576, ge=16_384, le=67_108_864)
+    """Answers up to this size are held until whole; longer ones stream with a checked end.
+    Below eventlet's write size of 4 KB, a cut-off stream would end before its head was sent."""
 
 
 class Keeper(BaseModel):
--- a/packages/node/tests/entry_harness.py
+++ b/packages/node/tests/entry_harness.py
@@ -93,12 +93,13 @@
 
 @dataclass
 class ScriptedServer:
-    """A backend server that acts by a script, one behaviour a request, then answers `ok`."""
+    """A backend server that acts by a script, one behaviour a request, then by `default`."""
 
     name: str
     script: list[Behaviour] = field(default_factory=list)
     ran: list[Heard] = field(default_factory=list)
     """Requests that it really ran: all it read whole, but those it refused as not run."""
+    default: Behaviour = field(default_factory=answer)
     connections: int = 0
     cut_on_accept: int = 0
     """How many connections it closes before it reads anything."""
@@ -156,7 +157,7 @@
             heard = read_request(reader)
             if heard is None:
                 return
-            act = self.script.pop(0) if self.script else answer()
+            act = self.script.pop(0) if self.script else self.default
             if act not in (SHED, DRAINING):
                 self.ran.append(heard)
             if not act(connection, heard):
--- /dev/null
+++ b/packages/node/tests/test_whole_answers.py
@@ -0,0 +1,213 @@
+"""Whole answers to the right caller, over connections that are used again and again."""
+
+import contextlib
+import socket
+import unittest
+
+import eventlet
+from entry_harness import HOST, PROFILE, EntryTestCase, Told, answer, send, stall
+
+from persimmonusher_node.settings import Limits
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+def echo(connection, heard) -> bool:  # type: ignore[no-untyped-def]
+    """Answer with the request's own target and id."""
+    request_id = heard.headers["x-request-id"]
+    return answer(heard.target.encode(), "200 OK", f"X-Request-Id: {request_id}")(connection, heard)
+
+
+def echo_twice(connection, heard) -> bool:  # type: ignore[no-untyped-def]
+    """Answer, and send the same answer once more a little later."""
+
+    def again() -> None:
+        with contextlib.suppress(OSError):
+            echo(connection, heard)
+
+    eventlet.spawn_after(0.02, again)
+    return echo(connection, heard)
+
+
+class RightCallerTest(EntryTestCase):
+    server_names = ("s1",)
+
+    def test_doubled_answers_never_reach_the_next_request(self) -> None:
+        """A family would see another family's ranking.
+
+        The server answers a request twice. The second copy arrives on the kept connection, before
+        or after the next request was written there, and would be taken for its answer.
+        """
+        for pause in (0.0, 0.01, 0.02, 0.05):
+            with self.subTest(pause=pause):
+                self.servers[0].default = echo_twice
+                for number in range(8):
+                    told = self.call(target=f"/rank/{pause}/{number}")
+                    eventlet.sleep(pause)
+                    if told.status == 200:
+                        self.assertEqual(told.body.decode(), f"/rank/{pause}/{number}")
+
+    def test_an_answer_that_came_after_its_deadline_is_not_given_to_the_next(self) -> None:
+        """A slow answer arrives after its caller was told of a timeout."""
+        self.servers[0].default = echo
+        self.script(stall(0.2, echo))
+        late = self.call(target="/late", headers={"Persimmonusher-Deadline-Ms": "100"})
+        self.assertEqual((late.status, late.outcome), (504, "unknown"))
+        eventlet.sleep(0.05)
+        self.assertEqual(self.call(target="/next").body, b"/next")
+        eventlet.sleep(0.15)
+        self.assertEqual(self.call(target="/third").body, b"/third")
+
+    def test_many_callers_at_once_each_get_their_own_answer(self) -> None:
+        """Answers come out of order: each server answers later requests sooner."""
+        self.servers[0].script[:] = [stall(0.002 * (40 - n), echo) for n in range(40)]
+        threads = [eventlet.spawn(self.call, "GET", f"/many/{n}") for n in range(40)]
+        for number, thread in enumerate(threads):
+            told: Told = thread.wait()
+            if told.status == 200:
+                self.assertEqual(told.body.decode(), f"/many/{number}")
+            else:
+                self.assertEqual(told.outcome, "not-run")
+
+    def test_a_kept_connection_that_the_server_closed_costs_no_request(self) -> None:
+        """The server closes idle connections just after its answer, without saying so.
+
+        A request written to such a connection would be lost: for an entry that is a wrong
+        `unknown`, and so no entry may be written to it.
+        """
+        for _ in range(5):
+            self.script(answer(b"bye", close=True))
+            self.assertEqual(self.call("POST", body=b"a").status, 200)
+            eventlet.sleep(0.01)
+        self.assertEqual(len(self.ran), 5)
+
+    def test_connections_to_callers_and_servers_are_reused(self) -> None:
+        connection = self.connect()
+        for number in range(10):
+            self.assertEqual(
+                self.call("POST", body=b"%d" % number, connection=connection).status, 200
+            )
+        self.assertEqual(self.servers[0].connections, 1)
+
+    def test_pipelined_requests_are_answered_in_their_order(self) -> None:
+        self.script(stall(0.05, echo), echo)
+        request = f"GET /%d HTTP/1.1\r\nHost: {HOST}\r\n%s\r\n"
+        received = self.send_raw(
+            (request % (1, "") + request % (2, "Connection: close\r\n")).encode()
+        )
+        self.assertLess(received.index(b"\r\n\r\n/1"), received.index(b"\r\n\r\n/2"))
+
+    def test_a_caller_that_left_gets_its_entry_stored_and_its_lookup_cancelled(self) -> None:
+        """A breeder's phone loses its connection while the entry is being lodged.
+
+        The entry must run to its end and its outcome must wait for the resend. A lookup that
+        nobody waits for is cancelled, so that the server can stop it.
+        """
+        self.script(stall(0.3, answer(b"lodged")))
+        self.leave("POST", "Idempotency-Key: k1\r\n")
+        eventlet.sleep(0.4)
+        told = self.call("POST", "/x", headers={"Idempotency-Key": "k1"})
+        self.assertEqual((told.status, told.body), (200, b"lodged"))
+        self.assertEqual(told.headers["persimmonusher-replayed"], "true")
+        self.assertEqual(len(self.ran), 1)
+
+        self.script(stall(1.0, answer()))
+        self.leave("GET")
+        eventlet.sleep(0.3)
+        self.assertEqual(self.daemon.forwarder.in_flight, 0)
+        self.assertIn("caller-left", self.observer.finished[-1].record.result)
+
+    def leave(self, method: str, header: str = "") -> None:
+        raw = f"{method} /x HTTP/1.1\r\nHost: {HOST}\r\n{header}Content-Length: 0\r\n\r\n"
+        with socket.create_connection(("127.0.0.1", self.listener.port)) as connection:
+            connection.sendall(raw.encode())
+            eventlet.sleep(0.1)
+
+
+class LongAnswersTest(EntryTestCase):
+    server_names = ("s1",)
+    limits = Limits(buffered_answer_bytes=16_384)
+
+    def test_a_long_answer_streams_whole(self) -> None:
+        body = bytes(range(256)) * 1_000
+        chunks = b"".join(
+            b"%x\r\n%s\r\n" % (256, body[i : i + 256]) for i in range(0, len(body), 256)
+        )
+        framings = {
+            "length": answer(body),
+            "chunks": send(OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"),
+        }
+        for name, behaviour in framings.items():
+            with self.subTest(name):
+                self.script(behaviour)
+                told = self.call()
+                self.assertEqual((told.status, told.body == body), (200, True))
+        eventlet.sleep(0.05)
+        self.assertEqual(self.daemon.forwarder.in_flight, 0)
+
+    def test_a_long_answer_that_is_cut_off_is_cut_off_towards_the_caller(self) -> None:
+        """The head and a part are already with the caller when the server breaks off.
+
+        No error can be told any more, so the caller must see that the answer is not whole.
+        """
+        half = b"x" * 20_000
+        framings = {
+            "length": OK_HEAD + b"Content-Length: 100000\r\n\r\n" + half,
+            "chunks": OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n4e20\r\n" + half + b"\r\n",
+        }
+        for name, raw in framings.items():
+            for version in ("1.1", "1.0"):
+                with self.subTest(name, version=version):
+                    self.script(send(raw))
+                    request = f"GET / HTTP/{version}\r\nHost: {HOST}\r\n\r\n".encode()
+                    try:
+                        received = self.send_raw(request)
+                    except ConnectionResetError:
+                        continue
+                    self.assertNotIn(b"0\r\n\r\n", received[-7:])
+                    self.assertTrue(version == "1.1" or b"Content-Length: 100000" in received)
+        eventlet.sleep(0.05)
+        self.assertEqual(self.daemon.forwarder.in_flight, 0)
+
+    def test_a_caller_that_leaves_a_long_answer_frees_its_place(self) -> None:
+        body = b"y" * 20_000_000
+        self.script(answer(body))
+        with socket.create_connection(("127.0.0.1", self.listener.port)) as connection:
+            connection.sendall(f"GET / HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+            connection.recv(10)
+        eventlet.sleep(0.3)
+        self.assertEqual(self.daemon.forwarder.in_flight, 0)
+
+
+class HedgingTest(EntryTestCase):
+    profile = PROFILE.model_copy(update={"hedge_after_ms": 30, "retry_budget_percent": 50})
+
+    def test_a_slow_lookup_is_answered_by_a_second_copy(self) -> None:
+        """One server hangs on a lookup; the caller gets the other server's answer, once."""
+        for server in self.servers:
+            server.script[:] = [stall(1.0, answer(b"slow"))]
+            told = self.call(target=f"/h/{server.name}")
+            self.assertEqual((told.status, told.body), (200, b"ok"))
+            server.script.clear()
+        eventlet.sleep(0.05)
+        self.assertEqual(self.daemon.forwarder.in_flight, 0)
+        statuses = self.daemon.services.find(HOST, "/").traffic.describe(0.0)
+        self.assertEqual([status.outstanding for status in statuses], [0, 0])
+
+    def test_work_that_is_not_idempotent_is_never_copied(self) -> None:
+        for server in self.servers:
+            server.script[:] = [stall(0.15, answer(b"slow"))]
+        self.assertEqual(self.call("POST", body=b"entry").body, b"slow")
+        self.assertEqual(len(self.ran), 1)
+
+    def test_where_one_copy_breaks_and_the_other_is_shed_not_run_is_not_claimed(self) -> None:
+        """Both copies of a lookup fail; one of them may have run."""
+        shed = answer(b"", "503 Busy", "Persimmonusher-Not-Run: shed")
+        for server in self.servers:
+            server.script[:] = [stall(0.1, send(b"")), shed, shed, shed]
+        told = self.call()
+        self.assertEqual(told.outcome, "unknown")
+
+
+if __name__ == "__main__":
+    unittest.main()
