--- a/packages/node/tests/entry_harness.py
+++ b/packages/node/tests/entry_harness.py
@@ -271,14 +271,27 @@
         return read_answer(connection.getresponse())
 
     def send_raw(self, raw: bytes) -> bytes:
-        """Send bytes as they are and return all that comes until the connection ends."""
+        """Send bytes as they are and return all that comes until the connection ends.
+
+        A reset raises ConnectionResetError: eventlet's own `recv` would hide it as an end in good
+        order, so the socket below is read.
+        """
         with socket.create_connection(("127.0.0.1", self.listener.port), timeout=10) as connection:
             connection.sendall(raw)
             received = b""
-            while data := connection.recv(65_536):
+            while (data := self._read_below(connection)) is not None:
                 received += data
             return received
 
+    def _read_below(self, connection: socket.socket) -> bytes | None:
+        below: socket.socket = connection.fd  # type: ignore[attr-defined]
+        for _ in range(2_000):
+            try:
+                return below.recv(65_536) or None
+            except BlockingIOError:
+                eventlet.sleep(0.005)
+        raise TimeoutError("the connection did not end within 10 s")
+
 
 def read_answer(response: HTTPResponse) -> Told:
     headers = {name.lower(): value for name, value in response.getheaders()}
--- a/packages/node/tests/test_whole_answers.py
+++ b/packages/node/tests/test_whole_answers.py
@@ -160,12 +160,8 @@
                 with self.subTest(name, version=version):
                     self.script(send(raw))
                     request = f"GET / HTTP/{version}\r\nHost: {HOST}\r\n\r\n".encode()
-                    try:
-                        received = self.send_raw(request)
-                    except ConnectionResetError:
-                        continue
-                    self.assertNotIn(b"0\r\n\r\n", received[-7:])
-                    self.assertTrue(version == "1.1" or b"Content-Length: 100000" in received)
+                    with self.assertRaises(ConnectionResetError):
+                        self.send_raw(request)
         eventlet.sleep(0.05)
         self.assertEqual(self.daemon.forwarder.in_flight, 0)
 
