Make a restarted register wait also for a token that it has read back

Cause: storm 25718 of the claims matrix granted a key twice. A register that restarted read back a rival's record from one peer; as it then held that token, claim() skipped the check that enough peers were read. Ruled out: the harness (the trace shows the register granting after one reading). Change: only a grant made under this boot is repeated without that check.

--- a/packages/agreement/src/persimmonusher_agreement/register.py
+++ b/packages/agreement/src/persimmonusher_agreement/register.py
@@ -35,10 +35,11 @@
 class _Entry:
     """A record with its times in this register's monotonic seconds."""
 
-    __slots__ = ("expires", "pending_until", "record")
+    __slots__ = ("expires", "granted_here", "pending_until", "record")
 
-    def __init__(self, record: ClaimRecord, now: float) -> None:
+    def __init__(self, record: ClaimRecord, now: float, granted_here: bool) -> None:
         self.record = record
+        self.granted_here = granted_here
         self.expires = now + record.expires_in
         self.pending_until = now + record.pending_for
 
@@ -103,10 +104,14 @@
         for token, entry in held.items():
             if token != request.token:
                 return self._vote(VoteKind.TAKEN, request.key, entry.export(now))
-        if not held and not self._may_grant(request, now):
+        own = held.get(request.token)
+        if own is not None and own.granted_here:
+            return self._vote(VoteKind.GRANTED, request.key)
+        if not self._may_grant(request, now):
+            # Also when a peer has reported this very token: the peers that are still to be read
+            # may report another one, which this register granted before it restarted.
             return self._vote(VoteKind.ABSTAINED, request.key)
-        if not held:
-            self._keep(_make_record(request), now)
+        self._keep(_make_record(request), now, granted_here=True)
         return self._vote(VoteKind.GRANTED, request.key)
 
     def settle(self, settlement: Settlement, now: float) -> None:
@@ -203,8 +208,8 @@
         }
         return Vote(self._instance, self._boot, kind, record, boots)
 
-    def _keep(self, record: ClaimRecord, now: float) -> None:
-        entry = _Entry(record, now)
+    def _keep(self, record: ClaimRecord, now: float, granted_here: bool = False) -> None:
+        entry = _Entry(record, now, granted_here)
         self._entries.setdefault(record.key, {})[record.token] = entry
         heapq.heappush(self._expiries, (entry.expires, record.key, record.token))
 
--- a/packages/lab/tests/test_claims_matrix.py
+++ b/packages/lab/tests/test_claims_matrix.py
@@ -49,6 +49,12 @@
     def test_no_storm_of_faults_grants_a_key_twice(self) -> None:
         self.assertIsNone(find_storm(STORMS))
 
+    def test_a_restarted_register_waits_also_for_a_token_it_has_read(self) -> None:
+        # A breeder's entry ran twice. A register granted one claim and restarted; it read back a
+        # rival's record from one peer and, as it now held that token, granted the rival before
+        # the other peers had told it of the claim it had granted.
+        self.assertIsNone(find_storm([25_718]))
+
     def test_the_matrix_finds_a_register_that_forgets(self) -> None:
         self.assertIsNotNone(find_storm(STORMS, register_type=ForgetfulRegister))
 
