--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/configuration.py
@@ -0,0 +1,260 @@
+"""The configuration as a deterministic state machine over committed changes.
+
+Every keeper applies the same changes in the same order and so reaches the same verdicts. Checks
+that may differ between versions of the program, such as a profile's fields, are made by the
+leader before it appends a change (`check_change`); `apply` relies only on the state itself, so
+that keepers of two versions can't part during an upgrade.
+"""
+
+import json
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from typing import Final
+
+from persimmonusher_agreement.configuration_objects import (
+    Accepted,
+    Batch,
+    Change,
+    ConfigurationState,
+    Conflict,
+    Invalid,
+    ObjectKey,
+    ObjectKind,
+    Record,
+    StoredVerdict,
+    Verdict,
+)
+from persimmonusher_agreement.record_store import TOMBSTONES_KEPT, RecordStore
+from persimmonusher_model.errors import ErrorCode, Finding, UsherError
+from persimmonusher_model.identifiers import Revision
+from persimmonusher_model.profile import parse_profile
+
+VERDICTS_KEPT: Final = 65_536
+"""More than a day of the target's 47,000 changes: an operator resends within minutes. After that a
+resent change still ends in a conflict, because the object's revision has moved on from what it was
+based on; only a create whose object was retired meanwhile could be accepted a second time."""
+
+HISTORY_KEPT: Final = 20
+"""Earlier records per object, for operators who ask what changed."""
+
+REFERENCES: Final = {ObjectKind.SERVICE: "profile", ObjectKind.ROUTE: "service"}
+"""The key of the body that names another object."""
+
+REFERRED_KINDS: Final = {
+    ObjectKind.SERVICE: ObjectKind.PROFILE,
+    ObjectKind.ROUTE: ObjectKind.SERVICE,
+}
+
+
+def find_reference(key: ObjectKey, body: str | None) -> ObjectKey | None:
+    """Return the object that a service or route names, or None."""
+    if body is None or key.kind not in REFERENCES:
+        return None
+    return ObjectKey(REFERRED_KINDS[key.kind], json.loads(body)[REFERENCES[key.kind]])
+
+
+def check_change(change: Change) -> tuple[Finding, ...]:
+    """Check a change on its own, before it is appended, and return all findings."""
+    findings = _check_names(change)
+    if change.body is None:
+        return tuple(findings)
+    try:
+        document = json.loads(change.body)
+    except ValueError as error:
+        return (*findings, Finding(ErrorCode.BAD_JSON, "body", str(error)))
+    if not isinstance(document, dict):
+        return (*findings, Finding(ErrorCode.BAD_VALUE, "body", "must be a JSON object"))
+    if change.key.kind is not ObjectKind.PROFILE:
+        return (*findings, *_check_reference(change.key.kind, document))
+    try:
+        parse_profile(document)
+    except UsherError as error:
+        findings.extend(error.findings)
+    return tuple(findings)
+
+
+def _check_names(change: Change) -> list[Finding]:
+    findings = []
+    if not change.change_id:
+        findings.append(Finding(ErrorCode.MISSING_KEY, "change_id", "is required"))
+    if not change.key.name or change.key.name.strip() != change.key.name:
+        message = f"{change.key.name!r} is empty or begins or ends with a space"
+        findings.append(Finding(ErrorCode.BAD_VALUE, "name", message))
+    if change.key.kind is ObjectKind.ROUTE and not _is_route_name(change.key.name):
+        message = f"{change.key.name!r} is not HOST/PREFIX or */PREFIX"
+        findings.append(Finding(ErrorCode.BAD_VALUE, "name", message))
+    return findings
+
+
+def _is_route_name(name: str) -> bool:
+    host, separator, _ = name.partition("/")
+    return bool(host) and bool(separator) and host == host.lower()
+
+
+def _check_reference(kind: ObjectKind, document: dict[str, object]) -> list[Finding]:
+    wanted = REFERENCES[kind]
+    findings = [
+        Finding(ErrorCode.UNKNOWN_KEY, key, f"unknown key; a {kind.value} has only {wanted!r}")
+        for key in document
+        if key != wanted
+    ]
+    value = document.get(wanted)
+    if not isinstance(value, str) or not value:
+        findings.append(Finding(ErrorCode.MISSING_KEY, wanted, "must name an object"))
+    return findings
+
+
+class Configuration:
+    """Objects, their histories, and the verdicts on recent change ids."""
+
+    def __init__(
+        self,
+        lineage: str = "",
+        verdicts_kept: int = VERDICTS_KEPT,
+        history_kept: int = HISTORY_KEPT,
+        tombstones_kept: int = TOMBSTONES_KEPT,
+    ) -> None:
+        self._verdicts_kept = verdicts_kept
+        self._history_kept = history_kept
+        self._tombstones_kept = tombstones_kept
+        self._clear(lineage)
+
+    def _clear(self, lineage: str) -> None:
+        self._store = RecordStore(lineage, self._tombstones_kept)
+        self._histories: dict[ObjectKey, deque[Record]] = {}
+        self._verdicts: OrderedDict[str, StoredVerdict] = OrderedDict()
+        self._users: dict[ObjectKey, set[ObjectKey]] = {}
+
+    @property
+    def revision(self) -> Revision:
+        """Return the number of accepted changes."""
+        return self._store.revision
+
+    @property
+    def store(self) -> RecordStore:
+        """Return the latest records, to be read only."""
+        return self._store
+
+    def collect_since(self, since: Revision) -> Batch:
+        """Collect what a replica at `since` lacks."""
+        return self._store.collect_since(since)
+
+    def list_history(self, key: ObjectKey) -> tuple[Record, ...]:
+        """List the object's records that are still kept, oldest first."""
+        latest = self._store.find(key)
+        earlier = tuple(self._histories.get(key, ()))
+        return earlier if latest is None else (*earlier, latest)
+
+    def find_verdict(self, change: Change) -> Verdict | None:
+        """Return the verdict given before on this change id, or None for a new one."""
+        stored = self._verdicts.get(change.change_id)
+        if stored is None:
+            return None
+        if stored.digest == change.digest():
+            return stored.verdict
+        message = f"{change.change_id!r} was used before for a different change"
+        return Invalid((Finding(ErrorCode.BAD_REQUEST, "change_id", message),))
+
+    def apply(self, change: Change) -> Verdict:
+        """Apply a committed change and return its verdict; a resend gets the first one.
+
+        The same change can stand in the log twice: its client lost the answer and asked a new
+        leader while the first copy was on its way. The verdict is kept by change id, inside the
+        replicated state, so that every keeper answers alike, also after a snapshot.
+        """
+        given = self.find_verdict(change)
+        if given is not None:
+            return given
+        verdict = self._decide(change)
+        self._verdicts[change.change_id] = StoredVerdict(change.change_id, change.digest(), verdict)
+        if len(self._verdicts) > self._verdicts_kept:
+            self._verdicts.popitem(last=False)
+        return verdict
+
+    def _decide(self, change: Change) -> Verdict:
+        latest = self._store.find(change.key)
+        live = self._store.find_live(change.key)
+        if change.based_on != (live.revision if live else 0):
+            return self._refuse_base(change, latest)
+        findings = self._check_references(change, live)
+        if findings:
+            return Invalid(findings)
+        revision = Revision(self._store.revision + 1)
+        self._keep_history(latest)
+        self._replace_users(change, live)
+        record = Record(change.key, revision, change.body, change.change_id, change.operator)
+        for forgotten in self._store.put(record):
+            self._histories.pop(forgotten, None)
+        return Accepted(revision)
+
+    def _refuse_base(self, change: Change, latest: Record | None) -> Verdict:
+        if latest is not None:
+            return Conflict(latest)
+        message = f"there is no {change.key.kind.value} named {change.key.name!r}"
+        return Invalid((Finding(ErrorCode.NOT_FOUND, "name", message),))
+
+    def _check_references(self, change: Change, live: Record | None) -> tuple[Finding, ...]:
+        kind, name = change.key.kind.value, change.key.name
+        if change.body is None and live is None:
+            return (Finding(ErrorCode.NOT_FOUND, "name", f"there is no {kind} named {name!r}"),)
+        users = self._users.get(change.key)
+        if change.body is None and users:
+            first = min(users, key=lambda user: user.name)
+            message = f"{kind} {name!r} is used by {len(users)}, first {first.name!r}"
+            return (Finding(ErrorCode.IN_USE, "name", message),)
+        target = find_reference(change.key, change.body)
+        if target is not None and self._store.find_live(target) is None:
+            message = f"there is no {target.kind.value} named {target.name!r}"
+            return (Finding(ErrorCode.NOT_FOUND, REFERENCES[change.key.kind], message),)
+        return ()
+
+    def _keep_history(self, latest: Record | None) -> None:
+        if latest is None:
+            return
+        history = self._histories.setdefault(latest.key, deque(maxlen=self._history_kept))
+        history.append(latest)
+
+    def _replace_users(self, change: Change, live: Record | None) -> None:
+        if live is not None:
+            self._remove_user(live)
+        target = find_reference(change.key, change.body)
+        if target is not None:
+            self._users.setdefault(target, set()).add(change.key)
+
+    def _remove_user(self, live: Record) -> None:
+        target = find_reference(live.key, live.body)
+        if target is None:
+            return
+        self._users[target].discard(live.key)
+        if not self._users[target]:
+            del self._users[target]
+
+    def capture(self) -> ConfigurationState:
+        """Capture all state for a snapshot."""
+        earlier = [record for history in self._histories.values() for record in history]
+        return ConfigurationState(
+            self._store.lineage,
+            self._store.revision,
+            self._store.tombstone_floor,
+            self._store.list_all(),
+            tuple(sorted(earlier, key=lambda record: record.revision)),
+            tuple(self._verdicts.values()),
+        )
+
+    def restore(self, state: ConfigurationState) -> None:
+        """Replace all state by a snapshot's."""
+        self._clear(state.lineage)
+        for record in state.records:
+            self._store.put(record)
+            target = find_reference(record.key, record.body)
+            if target is not None:
+                self._users.setdefault(target, set()).add(record.key)
+        self._store.revision = state.revision
+        self._store.tombstone_floor = state.tombstone_floor
+        self._restore_histories(state.histories)
+        for stored in state.verdicts:
+            self._verdicts[stored.change_id] = stored
+
+    def _restore_histories(self, records: Iterable[Record]) -> None:
+        for record in records:
+            self._keep_history(record)
--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/configuration_keeper.py
@@ -0,0 +1,194 @@
+"""One keeper: its replica of the log with the configuration that the log makes.
+
+Without I/O or clock, like the replica. The owner calls `flush` after each batch of events and
+sends the messages of the result; on an UsherError it drops the keeper and starts from the disk.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+from persimmonusher_agreement.configuration import Configuration, check_change
+from persimmonusher_agreement.configuration_objects import Change, Invalid, Verdict
+from persimmonusher_agreement.keeper_members import add_learner, plan_promotion, remove_keeper
+from persimmonusher_agreement.log_leadership import LogTiming
+from persimmonusher_agreement.log_messages import KeeperId, LogMessage, Members, Snapshot
+from persimmonusher_agreement.log_replica import LogReplica, ReplicaRole
+from persimmonusher_agreement.log_storage import LogStorage
+from persimmonusher_model.errors import ErrorCode, UsherError
+from persimmonusher_model.identifiers import Revision
+
+SNAPSHOT_ENTRIES: Final = 4_096
+"""Entries between snapshots: about a dozen snapshots a day at the target's 47,000 changes."""
+
+
+@dataclass(frozen=True)
+class KeeperOutput:
+    """What a flush hands out: messages to send and verdicts that are now committed."""
+
+    messages: tuple[LogMessage, ...]
+    verdicts: Mapping[str, Verdict]
+    """By change id."""
+
+
+@dataclass(frozen=True)
+class KeeperStatus:
+    """A keeper as operators see it."""
+
+    keeper: KeeperId
+    role: ReplicaRole
+    term: int
+    leader: KeeperId | None
+    leader_address: str | None
+    last_index: int
+    commit_index: int
+    snapshot_index: int
+    revision: Revision
+    members: Members
+
+
+@dataclass(frozen=True)
+class ReadTicket:
+    """A read that waits for the leader's confirmation; it covers up to `index`."""
+
+    term: int
+    round: int
+    index: int
+
+
+class ConfigurationKeeper:
+    """Takes changes as leader, replicates them, and keeps the configuration they make."""
+
+    def __init__(
+        self,
+        keeper: KeeperId,
+        storage: LogStorage,
+        random: Random,
+        now: float,
+        timing: LogTiming = LogTiming(),  # noqa: B008 - frozen
+        snapshot_entries: int = SNAPSHOT_ENTRIES,
+        configuration: Configuration | None = None,
+    ) -> None:
+        self._replica = LogReplica(keeper, storage, timing, random, now)
+        self._snapshot_entries = snapshot_entries
+        self.configuration = configuration or Configuration()
+        self._applied = 0
+        self._verdicts: dict[str, Verdict] = {}
+        self._take_installed()
+
+    @property
+    def replica(self) -> LogReplica:
+        """Return the log's replica, to be read only."""
+        return self._replica
+
+    def receive(self, message: LogMessage, now: float) -> None:
+        """Take a message of another keeper."""
+        self._replica.receive(message, now)
+
+    def advance(self, now: float) -> None:
+        """Let time pass, and as leader take the next step of a change of keepers."""
+        self._replica.advance(now)
+        if not self._replica.is_ready_leader or self._has_pending_members():
+            return
+        step = plan_promotion(self._replica.log.members, self._replica.list_caught_up())
+        if step is not None:
+            self._replica.propose(step, now)
+
+    def propose(self, change: Change, now: float) -> Verdict | None:
+        """Take a change as leader; None says that its verdict comes with a later flush.
+
+        A resend of a decided change is answered from the replicated verdicts by any keeper. The
+        rest needs the leader: raises NOT_LEADER elsewhere.
+        """
+        given = self.configuration.find_verdict(change)
+        if given is not None:
+            return given
+        if not self._replica.is_leader:
+            raise UsherError(ErrorCode.NOT_LEADER, f"{self._replica.keeper} is not the leader")
+        findings = check_change(change)
+        if findings:
+            return Invalid(findings)
+        self._replica.propose(change, now)
+        return None
+
+    def admit(self, keeper: KeeperId, address: str, promote: bool, now: float) -> None:
+        """Take a keeper that asks to join as a learner; as leader only, one step at a time."""
+        members = add_learner(self._replica.log.members, keeper, address, promote)
+        if members is not None:
+            self._replica.propose(members, now)
+
+    def dismiss(self, keeper: KeeperId, now: float) -> None:
+        """Remove a keeper for good; as leader only."""
+        members = remove_keeper(self._replica.log.members, keeper)
+        if members is None:
+            raise UsherError(ErrorCode.NOT_FOUND, f"{keeper} is no keeper, or is the last one")
+        self._replica.propose(members, now)
+
+    def start_read(self, now: float) -> ReadTicket:
+        """Begin a read of the latest committed state; as leader only."""
+        index = self._replica.commit
+        return ReadTicket(self._replica.term, self._replica.start_read(now), index)
+
+    def is_confirmed(self, ticket: ReadTicket) -> bool:
+        """Tell whether the read may be answered from the configuration here.
+
+        Guards against a leader that was deposed behind a cut and would show an old state as the
+        latest: a majority has to answer a heartbeat sent after the read began.
+        """
+        if ticket.term != self._replica.term or self._applied < ticket.index:
+            return False
+        return self._replica.is_confirmed(ticket.round)
+
+    def flush(self) -> KeeperOutput:
+        """Make everything durable, apply what is committed, and return what follows from it."""
+        messages = self._replica.flush()
+        self._take_installed()
+        for entry in self._replica.take_committed():
+            self._applied = entry.index
+            if isinstance(entry.command, Change):
+                self._verdicts[entry.command.change_id] = self.configuration.apply(entry.command)
+        self._compact()
+        verdicts, self._verdicts = self._verdicts, {}
+        return KeeperOutput(messages, verdicts)
+
+    def describe(self) -> KeeperStatus:
+        """Return the keeper's state for operators."""
+        replica = self._replica
+        leader = replica.log.members.find(replica.leader) if replica.leader else None
+        return KeeperStatus(
+            replica.keeper,
+            replica.role,
+            replica.term,
+            replica.leader,
+            leader.address if leader else None,
+            replica.log.last_index,
+            replica.commit,
+            replica.log.base_index,
+            self.configuration.revision,
+            replica.log.members,
+        )
+
+    def _has_pending_members(self) -> bool:
+        return self._replica.log.members_index > self._replica.commit
+
+    def _take_installed(self) -> None:
+        snapshot = self._replica.take_installed()
+        if snapshot is not None:
+            self.configuration.restore(snapshot.state)
+            self._applied = snapshot.index
+
+    def _compact(self) -> None:
+        log = self._replica.log
+        if self._applied - log.base_index < self._snapshot_entries:
+            return
+        term = log.find_term(self._applied)
+        assert term is not None
+        members = log.find_members_at(self._applied)
+        state = self.configuration.capture()
+        self._replica.compact(Snapshot(self._applied, term, members, state))
+
+
+def form_first_snapshot(members: Members) -> Snapshot:
+    """Make the snapshot that a new log begins with, the same on every first keeper."""
+    return Snapshot(1, 1, members, Configuration(members.lineage).capture())
--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/configuration_objects.py
@@ -0,0 +1,122 @@
+"""Typed words of the configuration: objects, changes, verdicts and batches of records."""
+
+import hashlib
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import TypeAlias
+
+from persimmonusher_model.errors import Finding
+from persimmonusher_model.identifiers import Revision
+
+
+class ObjectKind(Enum):
+    """What an object of the configuration describes, and what its JSON body holds."""
+
+    PROFILE = "profile"
+    """The body is a profile document, as `parse_profile` takes it."""
+    SERVICE = "service"
+    """The body is `{"profile": NAME}`."""
+    ROUTE = "route"
+    """Named by host and path, `HOST/PREFIX` or `*/PREFIX`; the body is `{"service": NAME}`."""
+
+
+@dataclass(frozen=True)
+class ObjectKey:
+    """Names one object of the configuration."""
+
+    kind: ObjectKind
+    name: str
+
+
+@dataclass(frozen=True)
+class Change:
+    """An operator's wish to create, change or retire one object.
+
+    `based_on` is the object's revision that the operator saw; 0 says that it must not exist. A
+    `body` of None retires the object. The client makes `change_id` once and keeps it over resends.
+    """
+
+    change_id: str
+    operator: str
+    key: ObjectKey
+    based_on: Revision
+    body: str | None
+
+    def digest(self) -> str:
+        """Return a hash of the content, to tell a resend from a change id used twice."""
+        parts = [self.operator, self.key.kind.value, self.key.name, self.based_on, self.body]
+        return hashlib.sha256(json.dumps(parts).encode()).hexdigest()[:32]
+
+
+@dataclass(frozen=True)
+class Record:
+    """An object as one accepted change left it; a `body` of None is a tombstone."""
+
+    key: ObjectKey
+    revision: Revision
+    body: str | None
+    change_id: str
+    operator: str
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """The change is committed as this revision and won't revert."""
+
+    revision: Revision
+
+
+@dataclass(frozen=True)
+class Conflict:
+    """Another change of the same object was accepted first; it is shown whole."""
+
+    winner: Record
+
+
+@dataclass(frozen=True)
+class Invalid:
+    """The change was refused with all that is wrong with it."""
+
+    findings: tuple[Finding, ...]
+
+
+Verdict: TypeAlias = Accepted | Conflict | Invalid
+
+
+@dataclass(frozen=True)
+class StoredVerdict:
+    """The verdict on a change id, with the digest of the change that it was given to."""
+
+    change_id: str
+    digest: str
+    verdict: Verdict
+
+
+@dataclass(frozen=True)
+class Batch:
+    """The latest record of each object whose revision is above `since`, up to `revision`.
+
+    A `whole` batch holds every live object: the receiver drops what it doesn't name.
+    """
+
+    lineage: str
+    since: Revision
+    revision: Revision
+    records: tuple[Record, ...]
+    whole: bool
+
+
+@dataclass(frozen=True)
+class ConfigurationState:
+    """All that a snapshot holds of the configuration."""
+
+    lineage: str
+    revision: Revision
+    tombstone_floor: Revision
+    records: tuple[Record, ...]
+    """Latest records, tombstones included, by rising revision."""
+    histories: tuple[Record, ...]
+    """Earlier records that are still kept, by rising revision."""
+    verdicts: tuple[StoredVerdict, ...]
+    """Oldest first."""
--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/log_messages.py
@@ -0,0 +1,174 @@
+"""Entries of the replicated log, its members, and the messages between keepers."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NewType, TypeAlias
+
+from persimmonusher_agreement.configuration_objects import Change, ConfigurationState
+
+KeeperId = NewType("KeeperId", str)
+"""`INSTANCE#DISK`: the instance and the random id of its data folder.
+
+A wiped or replaced disk makes another keeper, so that the promises (votes, acknowledged entries)
+of the lost disk are never taken as kept by the empty one."""
+
+
+def find_instance(keeper: KeeperId) -> str:
+    """Return the instance that a keeper runs on."""
+    return keeper.rpartition("#")[0]
+
+
+class MemberRole(Enum):
+    """Whether a member counts for a majority."""
+
+    VOTER = "voter"
+    LEARNER = "learner"
+
+
+@dataclass(frozen=True)
+class Member:
+    """One keeper as the log names it. `promote` asks the leader to make a learner a voter."""
+
+    keeper: KeeperId
+    address: str
+    role: MemberRole
+    promote: bool = False
+
+
+@dataclass(frozen=True)
+class Members:
+    """The members of the log; in force as soon as it is appended. Changed one voter at a time."""
+
+    lineage: str
+    """The random id of this fleet's log, made when it was first formed."""
+    members: tuple[Member, ...]
+
+    def list_voters(self) -> tuple[KeeperId, ...]:
+        """List the keepers that count for a majority."""
+        return tuple(m.keeper for m in self.members if m.role is MemberRole.VOTER)
+
+    def find(self, keeper: KeeperId) -> Member | None:
+        """Return the member of this identity, or None."""
+        return next((member for member in self.members if member.keeper == keeper), None)
+
+    def has_majority(self, keepers: set[KeeperId]) -> bool:
+        """Tell whether these keepers hold more than half of the votes."""
+        voters = self.list_voters()
+        return 2 * sum(voter in keepers for voter in voters) > len(voters)
+
+
+NO_MEMBERS = Members("", ())
+
+
+@dataclass(frozen=True)
+class Noop:
+    """The first entry of each leader's term: committing it commits all before it."""
+
+
+Command: TypeAlias = Noop | Change | Members
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One entry of the log; the index starts at 1."""
+
+    index: int
+    term: int
+    command: Command
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """All state up to and including an index; it stands for the log before it."""
+
+    index: int
+    term: int
+    members: Members
+    state: ConfigurationState
+
+
+@dataclass(frozen=True)
+class Vote:
+    """The promise of a term: at most one candidate gets this keeper's vote in it."""
+
+    term: int
+    voted_for: KeeperId | None
+
+
+@dataclass(frozen=True)
+class Message:
+    """What every message carries. It is for the identity in `target` alone."""
+
+    source: KeeperId
+    target: KeeperId
+    term: int
+
+
+@dataclass(frozen=True)
+class PreVoteRequest(Message):
+    """Ask whether a vote for `term` would be won, without raising any term."""
+
+    last_index: int
+    last_term: int
+
+
+@dataclass(frozen=True)
+class PreVoteReply(Message):
+    """A granted reply carries the asked term, a refusal the voter's own."""
+
+    granted: bool
+
+
+@dataclass(frozen=True)
+class VoteRequest(Message):
+    """Ask for the vote of a term."""
+
+    last_index: int
+    last_term: int
+
+
+@dataclass(frozen=True)
+class VoteReply(Message):
+    """Give or refuse the vote of a term."""
+
+    granted: bool
+
+
+@dataclass(frozen=True)
+class AppendRequest(Message):
+    """Entries after `previous_index`; without entries, a heartbeat."""
+
+    previous_index: int
+    previous_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    round: int
+    """Numbers the leader's rounds of heartbeats, to confirm that it still leads."""
+
+
+@dataclass(frozen=True)
+class AppendReply(Message):
+    """`match` is the last index that is synced and equal to the leader's, or a hint on refusal."""
+
+    success: bool
+    match: int
+    round: int
+
+
+@dataclass(frozen=True)
+class SnapshotRequest(Message):
+    """Replace the log up to the snapshot's index; answered by an AppendReply."""
+
+    snapshot: Snapshot
+    round: int
+
+
+LogMessage: TypeAlias = (
+    PreVoteRequest
+    | PreVoteReply
+    | VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotRequest
+)
