--- a/packages/agreement/src/persimmonusher_agreement/configuration.py
+++ b/packages/agreement/src/persimmonusher_agreement/configuration.py
@@ -24,7 +24,7 @@
     StoredVerdict,
     Verdict,
 )
-from persimmonusher_agreement.record_store import TOMBSTONES_KEPT, RecordStore
+from persimmonusher_agreement.configuration_store import TOMBSTONES_KEPT, RecordStore
 from persimmonusher_model.errors import ErrorCode, Finding, UsherError
 from persimmonusher_model.identifiers import Revision
 from persimmonusher_model.profile import parse_profile
--- a/packages/node/src/persimmonusher_node/applied_configuration.py
+++ b/packages/node/src/persimmonusher_node/applied_configuration.py
@@ -7,7 +7,7 @@
 
 from persimmonusher_agreement.configuration import find_reference
 from persimmonusher_agreement.configuration_objects import Batch, ObjectKey, ObjectKind
-from persimmonusher_agreement.record_store import RecordStore
+from persimmonusher_agreement.configuration_store import RecordStore
 from persimmonusher_model.errors import UsherError
 from persimmonusher_model.identifiers import ProfileName, ServiceName
 from persimmonusher_model.profile import Profile, parse_profile
