Add the lab's stand-ins, load and demo, and the operators' command line

Cause: the main job has to be shown on real processes, and operators need a way in. Change: stand-in backend servers with switchable gray faults and a ledger of what they really ran; an open-loop load that resends entries with their key; a runner that ends exactly its own children; the demo with a check for each promise; operator.proto and persimmonusherctl over it. The demo isn't run yet: it needs keepers, membership and the operators' service in the daemon.

--- /dev/null
+++ b/packages/ctl/src/persimmonusher_ctl/main.py
@@ -0,0 +1,36 @@
+"""persimmonusherctl: the operators' command line."""
+
+import typer
+
+from persimmonusher_ctl import profiles, reports, services
+from persimmonusher_ctl.connection import ConnectionOptions
+from persimmonusher_ctl.context import Addresses, AsJson, CommonOptions, SettingsFile
+
+app = typer.Typer(
+    no_args_is_help=True,
+    help="Drive a persimmonusher fleet. Exit codes are in docs/operators-guide.md.",
+    pretty_exceptions_enable=False,
+)
+app.add_typer(profiles.app, name="profiles")
+app.add_typer(services.services, name="services")
+app.add_typer(services.routes, name="routes")
+app.command("servers")(reports.list_servers)
+app.command("instances")(reports.list_instances)
+app.command("keepers")(reports.list_keepers)
+app.command("explain")(reports.explain)
+
+
+@app.callback()
+def take_common_options(
+    context: typer.Context,
+    settings: SettingsFile = None,
+    addresses: Addresses = None,
+    as_json: AsJson = False,
+) -> None:
+    """Take the options that stand before the command."""
+    context.obj = CommonOptions(ConnectionOptions(settings, addresses), as_json)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/packages/ctl/src/persimmonusher_ctl/objects.py
@@ -0,0 +1,98 @@
+"""Reading one object of the configuration and making changes of it."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import json5
+
+from persimmonusher_ctl.client import OperatorClient
+from persimmonusher_ctl.output import Output
+from persimmonusher_model.errors import ErrorCode, Finding, UsherError
+from persimmonusher_protocol import operator_pb2 as pb
+
+
+def find_object(client: OperatorClient, kind: pb.ObjectKind, name: str) -> pb.ObjectRecord | None:
+    """Return the live object, or None."""
+    found = client.read_objects(kind, name).objects
+    return found[0] if found else None
+
+
+def require_object(client: OperatorClient, kind: pb.ObjectKind, name: str) -> pb.ObjectRecord:
+    """Return the live object; raise UsherError when there is none."""
+    found = find_object(client, kind, name)
+    if found is None:
+        word = pb.ObjectKind.Name(kind).lower()
+        raise UsherError(ErrorCode.NOT_FOUND, f"there is no {word} named {name!r}")
+    return found
+
+
+def read_body(found: pb.ObjectRecord) -> dict[str, Any]:
+    """Return the document of a live object."""
+    document: dict[str, Any] = json.loads(found.body)
+    return document
+
+
+def make_change(kind: pb.ObjectKind, name: str, based_on: int, document: Any) -> pb.Change:
+    """Return the change that makes the object's body this document; None retires it."""
+    change = pb.Change(kind=kind, name=name, based_on=based_on)
+    if document is not None:
+        change.body = json.dumps(document)
+    return change
+
+
+def read_document(path: Path | None, assignments: list[str]) -> dict[str, Any]:
+    """Combine a JSON-with-comments file and `field=value` assignments; collect all findings."""
+    document = _read_file(path) if path else {}
+    findings = []
+    for text in assignments:
+        field, separator, value = text.partition("=")
+        if not separator or not field:
+            message = f"{text!r} is not field=value"
+            findings.append(Finding(ErrorCode.BAD_VALUE, "--set", message))
+            continue
+        document[field.strip()] = _parse_value(value.strip())
+    if findings:
+        raise UsherError(ErrorCode.BAD_VALUE, "the options were refused", findings)
+    return document
+
+
+def _read_file(path: Path) -> dict[str, Any]:
+    try:
+        document = json5.loads(path.read_text())
+    except OSError as error:
+        raise UsherError(ErrorCode.UNREADABLE_FILE, f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise UsherError(ErrorCode.BAD_JSON, f"{path}: {error}") from None
+    if not isinstance(document, dict):
+        raise UsherError(ErrorCode.BAD_VALUE, f"{path}: is not a JSON object")
+    return document
+
+
+def _parse_value(text: str) -> Any:
+    try:
+        return json5.loads(text)
+    except ValueError:
+        return text
+
+
+def show_objects(output: Output, found: pb.ObjectList) -> None:
+    """Print objects with their revisions."""
+    rows = [
+        [item.name, str(item.revision), item.operator_name, _summarize(item)]
+        for item in found.objects
+    ]
+    output.show(found, ["NAME", "REVISION", "OPERATOR", "BODY"], rows)
+
+
+def show_history(output: Output, found: pb.ObjectList) -> None:
+    """Print an object's records with the change ids that made them."""
+    rows = [
+        [str(item.revision), item.operator_name, item.change_id, _summarize(item)]
+        for item in found.objects
+    ]
+    output.show(found, ["REVISION", "OPERATOR", "CHANGE-ID", "BODY"], rows)
+
+
+def _summarize(item: pb.ObjectRecord) -> str:
+    return item.body if item.HasField("body") else "(retired)"
--- /dev/null
+++ b/packages/lab/src/persimmonusher_lab/demo_steps.py
@@ -0,0 +1,223 @@
+"""The steps of the demo and the checks of what came of them."""
+
+import json
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, Final
+
+from persimmonusher_lab import promises
+from persimmonusher_lab.faults import Faults
+from persimmonusher_lab.fleet import OPERATOR_TOKEN, OPERATORS_PORT, Fleet, wait_for
+from persimmonusher_lab.ledger import LedgerRecord
+from persimmonusher_lab.load import Caller, LoadOptions, Told, Try
+from persimmonusher_lab.processes import LabProcess
+from persimmonusher_lab.promises import PromiseResult
+from persimmonusher_lab.watch import Observations, check_floor, check_no_revert
+from persimmonusher_model.profile import PRESETS
+
+PROFILES: Final = {"shows": "detection-first", "housing": "ejection-averse"}
+FLOORS: Final = {
+    service: PRESETS[preset].health_floor_percent for service, preset in PROFILES.items()
+}
+HOSTS: Final = {service: f"{service}.example" for service in PROFILES}
+GRAY_SERVER: Final = "shows-2"
+GRAY_FAULTS: Final = Faults(fail_percent=80)
+DRAINED_SERVER: Final = "housing-3"
+STOPPED_INSTANCE: Final = "i5"
+START_SECONDS: Final = 15.0
+IN_FORCE_LIMIT_SECONDS: Final = 8.0
+DRAIN_LIMIT_SECONDS: Final = 3.0
+DETECTION_LIMIT_SECONDS: Final = 3.0
+CTL_SECONDS: Final = 30.0
+
+
+def run_ctl(fleet: Fleet, *arguments: str) -> Any:
+    """Run persimmonusherctl as an operator would and return its JSON; raise on a failure."""
+    running = [item for item in fleet.instances if fleet.processes[item.instance_id].is_running]
+    addresses = ",".join(item.at(OPERATORS_PORT) for item in running)
+    command = [sys.executable, "-m", "persimmonusher_ctl", "--json", "--addresses", addresses]
+    done = subprocess.run(
+        [*command, *arguments],
+        env={**os.environ, "PERSIMMONUSHERCTL_TOKEN": OPERATOR_TOKEN},
+        capture_output=True,
+        text=True,
+        timeout=CTL_SECONDS,
+        check=False,
+    )
+    if done.returncode != 0:
+        raise RuntimeError(f"{' '.join(arguments)}: exit {done.returncode}: {done.stderr}")
+    return json.loads(done.stdout)
+
+
+def configure(fleet: Fleet) -> list[PromiseResult]:
+    """Create the profiles, services and routes once the keepers have a leader."""
+    wait_for("a leading keeper", lambda: find_leader(fleet) or None, START_SECONDS)
+    wait_for("every instance", lambda: _count_instances(fleet) or None, START_SECONDS)
+    for service, preset in PROFILES.items():
+        run_ctl(fleet, "profiles", "create", service, "--preset", preset)
+        run_ctl(fleet, "services", "put", service, "--profile", service)
+        last = run_ctl(
+            fleet, "routes", "put", f"{HOSTS[service]}/", "--service", service, "--wait", "10"
+        )
+    held = last["revision"] == 3 * len(PROFILES)
+    return [PromiseResult("accepted changes count up", held, f"revision {last['revision']}")]
+
+
+def _count_instances(fleet: Fleet) -> bool:
+    found = fleet.make_client(2.0).list_instances().instances
+    return len(found) == len(fleet.instances) and all(item.answered for item in found)
+
+
+def find_leader(fleet: Fleet) -> str:
+    """Return the instance that leads the keepers, or an empty string."""
+    found = fleet.make_client(2.0).list_keepers().keepers
+    return next((item.instance_id for item in found if item.role == "leader"), "")
+
+
+def wait_for_servers(fleet: Fleet) -> None:
+    """Wait until every instance knows every server as ready."""
+
+    def all_known() -> bool | None:
+        found = fleet.make_client(2.0).list_servers("").servers
+        ready = [item for item in found if item.state == "ready"]
+        views = min((len(item.views) for item in ready), default=0)
+        return (len(ready) == len(fleet.servers) and views == len(fleet.instances)) or None
+
+    wait_for("every server at every instance", all_known, START_SECONDS)
+
+
+def start_loads(fleet: Fleet, seconds: float, rate: float) -> list[tuple[LabProcess, Path]]:
+    """Start one load process for each service."""
+    loads = []
+    for number, host in enumerate(HOSTS.values(), 1):
+        report = fleet.folder / f"load-{number}.jsonl"
+        arguments = [",".join(fleet.list_caller_addresses()), host, "--report", str(report)]
+        arguments += ["--seconds", str(seconds), "--rate", str(rate), "--seed", str(number)]
+        process = fleet.runner.start(f"load-{number}", ["persimmonusher_lab", "load", *arguments])
+        loads.append((process, report))
+    return loads
+
+
+def turn_gray(fleet: Fleet) -> None:
+    """Make one server fail real work while its health endpoint says well."""
+    fleet.set_faults(GRAY_SERVER, GRAY_FAULTS)
+
+
+def drain(fleet: Fleet) -> None:
+    """Let one server say that it leaves, and go on serving what still comes."""
+    fleet.set_faults(DRAINED_SERVER, Faults(drains_silently=True))
+    fleet.set_state(DRAINED_SERVER, "draining")
+
+
+def change_profile(fleet: Fleet) -> list[PromiseResult]:
+    """Change a profile, wait until it is in force everywhere, and resend the change."""
+    arguments = ["profiles", "change", "shows", "--set", "ramp_ms=5000"]
+    arguments += ["--change-id", "demo-change-1"]
+    based_on = run_ctl(fleet, "profiles", "list")["objects"]
+    revision = next(item["revision"] for item in based_on if item["name"] == "shows")
+    arguments += ["--based-on", str(revision)]
+    started = time.monotonic()
+    first = run_ctl(fleet, *arguments)
+    accepted = time.monotonic()
+    wait_for("the change in force", lambda: _in_force(fleet, first["revision"]) or None, 20.0)
+    seconds = time.monotonic() - accepted
+    again = run_ctl(fleet, *arguments)
+    figure = f"{seconds:.2f} s after accepted (accepting took {accepted - started:.2f} s)"
+    return [
+        PromiseResult("in force everywhere", seconds <= IN_FORCE_LIMIT_SECONDS, figure),
+        PromiseResult(
+            "a resent change gets its first verdict",
+            again["revision"] == first["revision"],
+            f"revision {first['revision']}, then {again['revision']}",
+        ),
+    ]
+
+
+def _in_force(fleet: Fleet, revision: int) -> bool:
+    running = sum(fleet.processes[item.instance_id].is_running for item in fleet.instances)
+    found = fleet.make_client(2.0).list_instances().instances
+    ahead = [item for item in found if item.answered and item.revision >= revision]
+    return len(ahead) == running
+
+
+def resend_entry(fleet: Fleet, report: Path, killed: str) -> PromiseResult:
+    """Send one entry, then again with its key through another instance."""
+    callers = dict(
+        zip(
+            (item.instance_id for item in fleet.instances),
+            fleet.list_caller_addresses(),
+            strict=True,
+        )
+    )
+    alive = [address for name, address in callers.items() if name not in (killed, STOPPED_INSTANCE)]
+    options = LoadOptions(tuple(alive), HOSTS["housing"], 1.0, 1.0, seed=99)
+    with Caller(options, report) as caller:
+        first = caller.send("resent-entry", True, alive[0], 1, time.monotonic())
+        second = caller.send("resent-entry", True, alive[-1], 2, time.monotonic())
+    held = first.told is Told.RAN and second.told is Told.RAN and first.server == second.server
+    figure = f"{first.told.value} by {first.server}, then {second.told.value} by {second.server}"
+    return PromiseResult("a resend gets the first run's answer", held, figure)
+
+
+def check_all(
+    tries: Sequence[Try],
+    records: Sequence[LedgerRecord],
+    seen: Observations,
+    marks: Mapping[str, float],
+) -> list[PromiseResult]:
+    """Check what holds for the whole run."""
+    return [
+        promises.check_whole_answers(tries),
+        promises.check_not_run(tries, records),
+        promises.check_at_most_once(tries, records),
+        promises.check_not_lost(tries, records),
+        promises.check_drain(records, DRAINED_SERVER, marks["drain"], DRAIN_LIMIT_SECONDS),
+        check_floor(seen),
+        check_no_revert(seen),
+        check_detection(records, marks["gray"]),
+        check_false_ejections(seen),
+    ]
+
+
+def check_detection(records: Sequence[LedgerRecord], gray_at: float) -> PromiseResult:
+    """Check that the gray server stopped receiving work in time."""
+    peers = sorted(
+        {item.server for item in records if item.server.startswith("shows-")} - {GRAY_SERVER}
+    )
+    seconds = promises.find_detection_seconds(records, GRAY_SERVER, peers, gray_at)
+    held = seconds is not None and seconds <= DETECTION_LIMIT_SECONDS
+    figure = "never" if seconds is None else f"{seconds:.2f} s"
+    return PromiseResult(
+        "the gray server stops receiving work", held, f"{figure} (limit {DETECTION_LIMIT_SECONDS})"
+    )
+
+
+def check_false_ejections(seen: Observations) -> PromiseResult:
+    """Check that no instance kept work from a server that is well."""
+    false = [item for item in seen.sightings if item.server_id != GRAY_SERVER]
+    servers = sorted({f"{item.server_id} ({item.reason})" for item in false})
+    figure = f"{len(servers)} servers {'; '.join(servers[:3])}".rstrip()
+    return PromiseResult("no false ejection", not false, figure)
+
+
+def check_stop(
+    tries: Sequence[Try],
+    records: Sequence[LedgerRecord],
+    fleet: Fleet,
+    marks: Mapping[str, float],
+    exit_code: int | None,
+) -> PromiseResult:
+    """Check the graceful stop of one instance."""
+    names = [item.instance_id for item in fleet.instances]
+    address = fleet.list_caller_addresses()[names.index(STOPPED_INSTANCE)]
+    return promises.check_graceful_stop(tries, records, address, marks["stop"], exit_code)
+
+
+def check_loads(loads: Sequence[tuple[LabProcess, Path]]) -> PromiseResult:
+    """Check that the loads themselves ended well."""
+    codes = [process.popen.poll() for process, _ in loads]
+    return PromiseResult("the loads ran to their end", set(codes) == {0}, f"exit codes {codes}")
--- /dev/null
+++ b/packages/lab/src/persimmonusher_lab/main.py
@@ -0,0 +1,80 @@
+"""The lab's command line: stand-ins, load, demo and measurements."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+app = typer.Typer(no_args_is_help=True, help=__doc__, pretty_exceptions_enable=False)
+
+
+@app.command("backend-server")
+def backend_server(
+    server_id: str,
+    service: str,
+    address: str,
+    ledger: Annotated[Path, typer.Option(help="File to append to.")],
+    announce_to: Annotated[str, typer.Option(help="ip:port list, comma-separated.")] = "",
+    failure_domain: str = "a",
+    slots: int = 4,
+    connection_limit: int = 400,
+    service_ms: float = 20.0,
+    cold_seconds: float = 0.0,
+    seed: int = 1,
+) -> None:
+    """Run one stand-in backend server until SIGTERM."""
+    from persimmonusher_lab.backend_process import run_backend
+    from persimmonusher_lab.backend_server import BackendOptions
+
+    options = BackendOptions(
+        server_id=server_id,
+        service=service,
+        address=address,
+        failure_domain=failure_domain,
+        slots=slots,
+        connection_limit=connection_limit,
+        service_ms=service_ms,
+        cold_seconds=cold_seconds,
+        seed=seed,
+    )
+    run_backend(options, [item for item in announce_to.split(",") if item], ledger)
+
+
+@app.command()
+def load(
+    entries: Annotated[str, typer.Argument(help="Caller addresses, comma-separated.")],
+    host: str,
+    report: Annotated[Path, typer.Option(help="File to append each try to.")],
+    seconds: Annotated[float, typer.Option(max=600.0)] = 10.0,
+    rate: Annotated[float, typer.Option(max=5_000.0)] = 50.0,
+    entry_percent: int = 30,
+    seed: int = 1,
+) -> None:
+    """Send a bounded open-loop load of lookups and entries."""
+    from persimmonusher_lab.load import Caller, LoadOptions
+
+    options = LoadOptions(
+        entries=tuple(entries.split(",")),
+        host=host,
+        seconds=seconds,
+        rate=rate,
+        entry_percent=entry_percent,
+        seed=seed,
+    )
+    with Caller(options, report) as caller:
+        caller.run()
+
+
+@app.command()
+def demo() -> None:
+    """Show every promise once on real processes; exits non-zero when one broke."""
+    from persimmonusher_lab.demo import run_demo
+
+    sys.stdout.flush()
+    sys.exit(run_demo())
+
+
+def main() -> None:
+    """Run the lab's command line."""
+    app()
--- /dev/null
+++ b/packages/lab/src/persimmonusher_lab/promises.py
@@ -0,0 +1,141 @@
+"""Checks of the promises over what callers were told and what the servers really ran."""
+
+from collections import Counter, defaultdict
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from persimmonusher_lab.ledger import LedgerRecord, Phase, count_runs
+from persimmonusher_lab.load import Told, Try
+
+DETECTION_WINDOW_SECONDS: Final = 0.5
+DETECTED_SHARE: Final = 0.2
+"""Below this share of its peers' mean a server counts as no longer receiving work; readmission
+probes stay below it."""
+
+
+@dataclass(frozen=True)
+class PromiseResult:
+    """Whether one promise held in this run, with the figure that shows it."""
+
+    promise: str
+    held: bool
+    figure: str
+
+
+def check_whole_answers(tries: Sequence[Try]) -> PromiseResult:
+    """Check that every answer is whole and belongs to its request."""
+    wrong = [item for item in tries if item.told is Told.WRONG]
+    figure = f"{len(wrong)} wrong of {len(tries)} answers"
+    return PromiseResult("whole answer to the right caller", not wrong, figure)
+
+
+def check_not_run(tries: Sequence[Try], records: Sequence[LedgerRecord]) -> PromiseResult:
+    """Check that no request that was told not run was run."""
+    begun = {record.request_id for record in records if record.phase is Phase.BEGUN}
+    told = [item for item in tries if item.told is Told.NOT_RUN]
+    false = [item.request_id for item in told if item.request_id in begun]
+    figure = f"{len(false)} false of {len(told)} not-run answers {' '.join(false[:3])}".rstrip()
+    return PromiseResult("'not run' is true", not false, figure)
+
+
+def check_at_most_once(tries: Sequence[Try], records: Sequence[LedgerRecord]) -> PromiseResult:
+    """Check that no entry was begun twice."""
+    entries = {item.token for item in tries if item.is_entry}
+    runs = count_runs(records)
+    doubled = sorted(token for token in entries if runs[token] > 1)
+    figure = f"{len(doubled)} doubled of {len(entries)} entries {' '.join(doubled[:3])}".rstrip()
+    return PromiseResult("an entry runs at most once", not doubled, figure)
+
+
+def check_not_lost(tries: Sequence[Try], records: Sequence[LedgerRecord]) -> PromiseResult:
+    """Check that no entry that its caller was told is done is missing at the servers."""
+    done = {record.token for record in records if record.phase is Phase.DONE}
+    told = {item.token for item in tries if item.is_entry and item.told is Told.RAN}
+    lost = sorted(told - done)
+    figure = f"{len(lost)} lost of {len(told)} told done {' '.join(lost[:3])}".rstrip()
+    return PromiseResult("no entry is lost", not lost, figure)
+
+
+def check_drain(
+    records: Sequence[LedgerRecord], server: str, drained_at: float, limit_seconds: float
+) -> PromiseResult:
+    """Check that a leaving server receives nothing once a few seconds have passed."""
+    arrivals = [
+        record.at - drained_at
+        for record in records
+        if record.server == server and record.at > drained_at and record.phase in _ARRIVALS
+    ]
+    last = max(arrivals, default=0.0)
+    figure = f"last new work {last:.2f} s after the announcement (limit {limit_seconds:.0f} s)"
+    return PromiseResult("no new work for a leaving server", last <= limit_seconds, figure)
+
+
+_ARRIVALS: Final = frozenset({Phase.BEGUN, Phase.REFUSED})
+
+
+def check_graceful_stop(
+    tries: Sequence[Try],
+    records: Sequence[LedgerRecord],
+    instance: str,
+    stopped_at: float,
+    exit_code: int | None,
+) -> PromiseResult:
+    """Check that a graceful shutdown cut off no request in flight."""
+    begun = {record.request_id for record in records if record.phase is Phase.BEGUN}
+    cut = [
+        item.request_id
+        for item in tries
+        if item.instance == instance
+        and item.told is Told.NO_ANSWER
+        and item.ended > stopped_at
+        and item.request_id in begun
+    ]
+    figure = f"{len(cut)} cut off, exit code {exit_code}"
+    return PromiseResult("graceful shutdown cuts nothing off", not cut and exit_code == 0, figure)
+
+
+def find_detection_seconds(
+    records: Sequence[LedgerRecord], server: str, peers: Collection[str], failed_at: float
+) -> float | None:
+    """Return the time until the server stopped receiving its share; None when it never did.
+
+    Time is cut into windows; the answer is the end of the last window, in the first stretch, in
+    which the server received at least `DETECTED_SHARE` of its peers' mean.
+    """
+    arrivals: dict[int, Counter[str]] = defaultdict(Counter)
+    for record in records:
+        if record.at >= failed_at and record.phase in _ARRIVALS:
+            arrivals[int((record.at - failed_at) / DETECTION_WINDOW_SECONDS)][record.server] += 1
+    last = max(arrivals, default=-1)
+    for number in range(last + 1):
+        mean = sum(arrivals[number][peer] for peer in peers) / len(peers)
+        if mean and arrivals[number][server] < DETECTED_SHARE * mean:
+            return _find_last_arrival(records, server, failed_at, number)
+    return None
+
+
+def _find_last_arrival(
+    records: Sequence[LedgerRecord], server: str, failed_at: float, window: int
+) -> float:
+    end = failed_at + (window + 1) * DETECTION_WINDOW_SECONDS
+    times = [
+        record.at - failed_at
+        for record in records
+        if record.server == server and failed_at <= record.at < end and record.phase in _ARRIVALS
+    ]
+    return max(times, default=0.0)
+
+
+def count_outcomes(tries: Sequence[Try]) -> Mapping[str, Counter[str]]:
+    """Count tries by kind of work and by what the caller was told."""
+    counts: dict[str, Counter[str]] = {"lookup": Counter(), "entry": Counter()}
+    for item in tries:
+        counts["entry" if item.is_entry else "lookup"][item.told.value] += 1
+    return counts
+
+
+def count_final_outcomes(tries: Sequence[Try]) -> Mapping[str, Counter[str]]:
+    """Count pieces of work by what the caller was told last."""
+    last = {item.token: item for item in sorted(tries, key=lambda item: item.number)}
+    return count_outcomes(list(last.values()))
