--- a/packages/node/tests/test_failure_points.py
+++ b/packages/node/tests/test_failure_points.py
@@ -78,7 +78,7 @@
                 self.assertEqual((told.status, told.outcome), (502, "unknown"))
 
     def test_before_the_connection_the_request_goes_elsewhere(self) -> None:
-        """One server's host is gone but it is still listed: an entry must be run once, elsewhere."""
+        """One server's host is gone but it is still listed: an entry runs once, elsewhere."""
         self.servers[0].stop()
         for _ in range(6):
             told = self.call("POST", body=b"entry")
