Exchange evidence with assessors; commit rosters by the keepers' leader

Cause: pooled detection and claims had their state machines but no way between processes. Change: evidence.proto with reports, leases and hints; assessors held per service with a deputy; the roster as a configuration object that the leader proposes once enough registers have answered; registers whose number stays above earlier lives also when the wall clock went back, and that wait while a peer knows a newer roster.

--- a/packages/agreement/src/persimmonusher_agreement/claims.py
+++ b/packages/agreement/src/persimmonusher_agreement/claims.py
@@ -100,6 +100,7 @@
 
     register: InstanceId
     trusted: bool
+    roster_version: int
     records: tuple[ClaimRecord, ...]
     known_boots: Mapping[InstanceId, int] = field(default_factory=dict)
 
--- a/packages/agreement/src/persimmonusher_agreement/configuration.py
+++ b/packages/agreement/src/persimmonusher_agreement/configuration.py
@@ -25,6 +25,7 @@
     Verdict,
 )
 from persimmonusher_agreement.configuration_store import TOMBSTONES_KEPT, RecordStore
+from persimmonusher_agreement.roster_document import check_roster
 from persimmonusher_model.errors import ErrorCode, Finding, UsherError
 from persimmonusher_model.identifiers import Revision
 from persimmonusher_model.profile import parse_profile
@@ -66,6 +67,8 @@
         return (*findings, Finding(ErrorCode.BAD_JSON, "body", str(error)))
     if not isinstance(document, dict):
         return (*findings, Finding(ErrorCode.BAD_VALUE, "body", "must be a JSON object"))
+    if change.key.kind is ObjectKind.ROSTER:
+        return (*findings, *check_roster(change.key.name, document))
     if change.key.kind is not ObjectKind.PROFILE:
         return (*findings, *_check_reference(change.key.kind, document))
     try:
--- a/packages/agreement/src/persimmonusher_agreement/configuration_objects.py
+++ b/packages/agreement/src/persimmonusher_agreement/configuration_objects.py
@@ -17,6 +17,8 @@
     """The body is a profile document, as `parse_profile` takes it."""
     SERVICE = "service"
     """The body is `{"profile": NAME}`."""
+    ROSTER = "roster"
+    """The instances that hold claims, written by the keepers' leader; see `roster_document`."""
     ROUTE = "route"
     """Named by host and path, `HOST/PREFIX` or `*/PREFIX`; the body is `{"service": NAME}`."""
 
--- a/packages/agreement/src/persimmonusher_agreement/register.py
+++ b/packages/agreement/src/persimmonusher_agreement/register.py
@@ -77,17 +77,26 @@
         self._released: dict[str, float] = {}
         self._peer_boots: dict[InstanceId, int] = {}
         self._answered: set[InstanceId] = set()
+        self._newest_version = 0
 
     def replace_roster(self, roster: Roster) -> None:
         """Take a newer roster; an older one is ignored."""
         if self._roster is None or roster.version > self._roster.version:
             self._roster = roster
+            listed = roster.find_boot(self._instance)
+            if listed is not None and listed > self._boot:
+                self._raise_boot(listed)
 
     @property
     def roster(self) -> Roster | None:
         """Return the roster in force here."""
         return self._roster
 
+    @property
+    def boot(self) -> int:
+        """Return the number of this life; above that of every earlier one it heard of."""
+        return self._boot
+
     @property
     def record_count(self) -> int:
         """Return how many keys are held."""
@@ -154,7 +163,9 @@
             for entry in held.values()
         )
         trusted = self.is_whole(now) and self._knows_version(request.roster_version)
-        return ShareAnswer(self._instance, trusted, records, dict(self._peer_boots))
+        version = self._roster.version if self._roster else 0
+        boots = dict(self._peer_boots)
+        return ShareAnswer(self._instance, trusted, version, records, boots)
 
     def import_share(self, answer: ShareAnswer, now: float) -> None:
         """Take a peer's records; only a peer with whole memory counts as read."""
@@ -164,14 +175,18 @@
                 self._keep(record, now)
         for instance, boot in answer.known_boots.items():
             self._peer_boots[instance] = max(boot, self._peer_boots.get(instance, 0))
-        if answer.trusted:
+        self._newest_version = max(self._newest_version, answer.roster_version)
+        if self._peer_boots.get(self._instance, 0) > self._boot:
+            self._raise_boot(self._peer_boots[self._instance])
+        elif answer.trusted:
             self._answered.add(answer.register)
 
     def is_whole(self, now: float) -> bool:
         """Tell whether nothing that this register granted can be missing for any key."""
         if now - self._started > self._longest_window:
             return True
-        if self._roster is None:
+        if self._roster is None or self._roster.version < self._newest_version:
+            # A peer is ahead: claims under its roster may rely on what was granted here.
             return False
         if self._roster.find_boot(self._instance) == self._boot:
             return True
@@ -183,8 +198,19 @@
             return False
         return self.is_whole(now) or self._has_read_enough(request.key)
 
+    def _raise_boot(self, known: int) -> None:
+        """Begin anew above a boot that peers know.
+
+        The failure: the wall clock went back over a restart, so this life's number is below an
+        earlier one's; votes of the earlier life would look like the newer ones and still count.
+        Every life reads three of four peers before it grants, so the next one hears its number.
+        """
+        self._boot = known + 1
+        self._answered.clear()
+
     def _has_read_enough(self, key: str) -> bool:
-        assert self._roster is not None
+        if self._roster is None or self._roster.version < self._newest_version:
+            return False
         for group in self._roster.list_sets(key):
             others = len(group & self._answered)
             if self._instance in group and others < len(group) - count_majority(len(group)) + 1:
--- a/packages/node/src/persimmonusher_node/claims.py
+++ b/packages/node/src/persimmonusher_node/claims.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import itertools
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -63,6 +62,8 @@
 SHARE_TIMEOUT_SECONDS: Final = 5.0
 MAX_KEPT_ANSWER_BYTES: Final = 65_536
 """Largest answer kept at the registers, five times over."""
+TOKEN_BITS: Final = 96
+"""Random bits of a token; two tokens must never be equal, also over restarts."""
 MAX_GRANTS: Final = 100_000
 """Claims of this instance that wait to be settled; more than it can have in flight."""
 
@@ -109,13 +110,24 @@
         answer = self.register.export_share(request, self.clock.monotonic())
         await stream.send_message(wire.write_share_answer(answer))
 
+    async def Describe(  # noqa: N802
+        self, stream: Stream[pb.DescribeRequest, pb.RegisterState]
+    ) -> None:
+        """Tell the boot and the roster of the register."""
+        await stream.recv_message()
+        roster = self.register.roster
+        version = roster.version if roster is not None else 0
+        state = pb.RegisterState(boot=self.register.boot, roster_version=version)
+        await stream.send_message(state)
+
 
 @dataclass
 class PeerClaims(Component, KeyClaims):
     """Claims keys at the registers that the committed roster names.
 
     `find_roster` returns the roster in force here, or None before the first; `boot` is a number
-    that rises with each start of this instance.
+    that rises with each start of this instance. No record is kept for longer than
+    `longest_window` seconds, the same for the whole fleet.
     """
 
     instance: InstanceId
@@ -130,7 +142,6 @@
     def __post_init__(self) -> None:
         now = self.clock.monotonic()
         self.register = Register(self.instance, self.boot, self.longest_window, now)
-        self._tokens = itertools.count(1)
         self._grants: dict[ClaimKey, _Grant] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -139,7 +150,8 @@
         return (RegisterService(self.register, self.clock),)
 
     def start(self) -> None:
-        """Start reading back what a restart lost, where something can be missing."""
+        """Start following the roster, and reading back what a restart lost."""
+        self._keep(start_coroutine(self._follow_roster()))
         self._keep(start_coroutine(self._read_share()))
 
     def stop(self) -> None:
@@ -187,10 +199,9 @@
             roster = self._refresh_roster()
             if roster is None:
                 return result
-            token = f"{self.instance}:{self.boot}:{next(self._tokens)}"
-            request = ClaimRequest(
-                digest, token, fingerprint, roster.version, window + pending, pending
-            )
+            token = f"{self.instance}:{self.random.getrandbits(TOKEN_BITS):x}"
+            kept = min(window + pending, self.longest_window)
+            request = ClaimRequest(digest, token, fingerprint, roster.version, kept, pending)
             claim_round = ClaimRound(request, roster)
             status = await self._collect_votes(claim_round)
             if status is RoundStatus.GRANTED:
@@ -291,11 +302,17 @@
             return None
         return register
 
-    async def _read_share(self) -> None:
+    async def _follow_roster(self) -> None:
+        # A register without requests of its own must know the roster too: its peers' claims wait
+        # for it, and the keepers' leader for its word that it has the newest version.
         while True:
             self._refresh_roster()
+            await asyncio.sleep(SHARE_PAUSE_SECONDS)
+
+    async def _read_share(self) -> None:
+        while True:
             now = self.clock.monotonic()
-            if self.register.is_whole(now):
+            if self.register.roster is not None and self.register.is_whole(now):
                 return
             addresses = self._find_addresses()
             unread = [name for name in self.register.list_unread() if name in addresses]
--- a/packages/node/src/persimmonusher_node/claims_wire.py
+++ b/packages/node/src/persimmonusher_node/claims_wire.py
@@ -134,6 +134,7 @@
     message = pb.ShareAnswer(
         register=answer.register,
         trusted=answer.trusted,
+        roster_version=answer.roster_version,
         records=[write_record(record) for record in answer.records],
     )
     message.known_boots.update({str(name): boot for name, boot in answer.known_boots.items()})
@@ -145,6 +146,7 @@
     return ShareAnswer(
         register=InstanceId(message.register),
         trusted=message.trusted,
+        roster_version=message.roster_version,
         records=tuple(read_record(record) for record in message.records),
         known_boots={InstanceId(name): boot for name, boot in message.known_boots.items()},
     )
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/evidence.py
@@ -0,0 +1,201 @@
+"""The exchange of evidence and verdicts between this instance and the services' assessors.
+
+The load it is for: every instance reports each service it has traffic for about once a second, and
+at once when something fails. The service's assessor is the live instance that rendezvous hashing
+puts first; the second, in another failure domain, is its deputy and is asked when the first doesn't
+answer. Verdicts come back as leases, so that what a cut-off assessor said ends by itself.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Final
+
+from grpclib._typing import IServable
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Stream
+
+from persimmonusher_decisions.evidence_messages import EjectionSet, EvidenceDigest
+from persimmonusher_model.clock import Clock
+from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServiceName
+from persimmonusher_model.rendezvous import choose_spread
+from persimmonusher_node import evidence_wire as wire
+from persimmonusher_node.assessors import ASSESS_SECONDS, AssessorBook
+from persimmonusher_node.component import Component
+from persimmonusher_node.loop import start_coroutine
+from persimmonusher_node.peers import ChannelPool
+from persimmonusher_node.ports import ConfigurationView, Membership, ServerDirectory
+from persimmonusher_node.services import LiveService, ServiceBook
+from persimmonusher_protocol import evidence_pb2 as pb
+from persimmonusher_protocol.evidence_grpc import EvidenceBase, EvidenceStub
+
+TICK_SECONDS: Final = 0.05
+"""Period in which digests are looked for: a twentieth of the detection time aimed at."""
+ASK_SECONDS: Final = 1.0
+"""An instance with nothing to report asks this often: a third of a lease, so that two questions
+may be lost before an ejection lapses."""
+CALL_TIMEOUT_SECONDS: Final = 0.25
+"""Wait for an assessor before its deputy is asked."""
+AVOID_SECONDS: Final = 2.0
+"""An assessor that didn't answer isn't asked for so long; membership declares it dead by then, or
+it is well again."""
+
+_CALL_FAILURES: Final = (GRPCError, StreamTerminatedError, OSError, asyncio.TimeoutError)
+
+
+class EvidenceExchange(Component):
+    """Reports this instance's evidence, applies verdicts, and assesses for others."""
+
+    def __init__(
+        self,
+        instance_id: InstanceId,
+        failure_domain: FailureDomain,
+        epoch: int,
+        services: ServiceBook,
+        view: ConfigurationView,
+        directory: ServerDirectory,
+        membership: Membership,
+        channels: ChannelPool,
+        clock: Clock,
+    ) -> None:
+        self._instance_id = instance_id
+        self._failure_domain = failure_domain
+        self._epoch = epoch
+        self._services = services
+        self._membership = membership
+        self._channels = channels
+        self._clock = clock
+        self.assessors = AssessorBook(instance_id, epoch, view, directory, clock, self._send_hints)
+        self._asked: dict[ServiceName, float] = {}
+        self._avoided: dict[InstanceId, float] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def list_peer_handlers(self) -> tuple[IServable, ...]:
+        """List the evidence service."""
+        return (_EvidenceService(self),)
+
+    def start(self) -> None:
+        """Begin to report and to assess."""
+        self._spawn(self._run_reports())
+        self._spawn(self._run_assessors())
+
+    def stop(self) -> None:
+        """End all calls; the leases held elsewhere lapse."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def answer(
+        self, service: ServiceName, reporter: InstanceId, digest: EvidenceDigest | None
+    ) -> EjectionSet | None:
+        """Take a report as the assessor."""
+        return self.assessors.receive(service, reporter, digest)
+
+    def hear_hint(self, service: ServiceName) -> None:
+        """Ask for a verdict that changed at once, and not with the next report."""
+        self._asked.pop(service, None)
+        for live in self._services:
+            if live.name == service:
+                self._report(live, self._clock.monotonic())
+
+    async def _run_reports(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = self._clock.monotonic()
+            for live in self._services:
+                self._report(live, now)
+
+    async def _run_assessors(self) -> None:
+        while True:
+            await asyncio.sleep(ASSESS_SECONDS)
+            self.assessors.assess()
+
+    def _report(self, live: LiveService, now: float) -> None:
+        digest = live.traffic.digest(now)
+        if digest is None and now - self._asked.get(live.name, -ASK_SECONDS) < ASK_SECONDS:
+            return
+        self._asked[live.name] = now
+        self._spawn(self._ask(live, digest))
+
+    async def _ask(self, live: LiveService, digest: EvidenceDigest | None) -> None:
+        for assessor, address in self._choose_assessors(live.name):
+            asked = self._clock.monotonic()
+            if assessor == self._instance_id:
+                verdict = self.answer(live.name, self._instance_id, digest)
+            else:
+                verdict = await self._call(live.name, assessor, address, digest)
+            if verdict is not None:
+                live.traffic.apply_ejections(verdict, asked)
+                return
+
+    async def _call(
+        self,
+        service: ServiceName,
+        assessor: InstanceId,
+        address: str,
+        digest: EvidenceDigest | None,
+    ) -> EjectionSet | None:
+        if digest is None:
+            request = pb.ReportRequest(service=service, instance_id=self._instance_id)
+        else:
+            request = wire.write_digest(digest)
+        stub = EvidenceStub(self._channels.get(address))
+        try:
+            message = await stub.Report(request, timeout=CALL_TIMEOUT_SECONDS)
+        except _CALL_FAILURES:
+            self._avoided[assessor] = self._clock.monotonic() + AVOID_SECONDS
+            return None
+        return wire.read_set(message) if message.assessor_id else None
+
+    def _choose_assessors(self, service: ServiceName) -> list[tuple[InstanceId, str]]:
+        live = {one.instance_id: one for one in self._membership.list_live()}
+        domains = {str(name): str(one.failure_domain) for name, one in live.items()}
+        chosen = [InstanceId(name) for name in choose_spread(domains, f"assessor-{service}", 2)]
+        now = self._clock.monotonic()
+        # An avoided assessor goes last, not out: if both fail, one of them is still asked.
+        chosen.sort(key=lambda name: self._avoided.get(name, 0.0) > now)
+        return [(name, live[name].peer_address) for name in chosen]
+
+    def _send_hints(self, service: ServiceName, reporters: tuple[InstanceId, ...]) -> None:
+        addresses = {one.instance_id: one.peer_address for one in self._membership.list_live()}
+        for reporter in reporters:
+            if reporter == self._instance_id:
+                self.hear_hint(service)
+            elif reporter in addresses:
+                self._spawn(self._send_hint(addresses[reporter], service))
+
+    async def _send_hint(self, address: str, service: ServiceName) -> None:
+        stub = EvidenceStub(self._channels.get(address))
+        try:
+            await stub.Hint(pb.ChangedHint(service=service), timeout=CALL_TIMEOUT_SECONDS)
+        except _CALL_FAILURES:
+            # The instance asks by itself within a second.
+            return
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        # The loop holds tasks weakly: one that nobody holds may be collected before it ends.
+        task = start_coroutine(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class _EvidenceService(EvidenceBase):
+    """Serves reports and hints of peers."""
+
+    def __init__(self, exchange: EvidenceExchange) -> None:
+        self._exchange = exchange
+
+    async def Report(self, stream: Stream[pb.ReportRequest, pb.EjectionSet]) -> None:  # noqa: N802
+        """Take a digest or a question; an empty answer says that the service is unknown here."""
+        message = await stream.recv_message()
+        assert message is not None
+        digest = wire.read_digest(message) if message.sequence else None
+        service = ServiceName(message.service)
+        reporter = InstanceId(message.instance_id)
+        verdict = self._exchange.answer(service, reporter, digest)
+        await stream.send_message(wire.write_set(verdict) if verdict else pb.EjectionSet())
+
+    async def Hint(self, stream: Stream[pb.ChangedHint, pb.HintDone]) -> None:  # noqa: N802
+        """Ask for the changed verdict."""
+        message = await stream.recv_message()
+        assert message is not None
+        self._exchange.hear_hint(ServiceName(message.service))
+        await stream.send_message(pb.HintDone())
--- a/packages/node/src/persimmonusher_node/keeper_wire.py
+++ b/packages/node/src/persimmonusher_node/keeper_wire.py
@@ -31,6 +31,7 @@
     ObjectKind.PROFILE: pb.PROFILE,
     ObjectKind.SERVICE: pb.SERVICE,
     ObjectKind.ROUTE: pb.ROUTE,
+    ObjectKind.ROSTER: pb.ROSTER,
 }
 KINDS_FROM_WIRE: Final = {number: kind for kind, number in KINDS_TO_WIRE.items()}
 
--- a/packages/node/src/persimmonusher_node/settings.py
+++ b/packages/node/src/persimmonusher_node/settings.py
@@ -36,6 +36,19 @@
     """Answers up to this size are held until whole; longer ones stream with a checked end."""
 
 
+class ClaimSettings(BaseModel):
+    """Claims on Idempotency-Keys; the same on every instance of the fleet."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    founding_instances: int = Field(default=5, ge=1, le=10_000)
+    """Live instances that the first roster waits for. Fewer than 5 is for trials: with one or two
+    instances, a restart makes keyed requests wait for the longest window."""
+    longest_window_seconds: float = Field(default=900.0, ge=1, le=86_400)
+    """Longest time for which a key is kept; profiles' windows end here. After a restart of the
+    whole fleet at once, keyed requests are refused, as not run, for so long."""
+
+
 class Keeper(BaseModel):
     """One of the first keepers of the configuration log."""
 
@@ -71,6 +84,7 @@
     """Time between the health path's first 503 and the closed listener, for the balancer to see
     it: at least two of its check periods."""
     limits: Limits = Limits()
+    claims: ClaimSettings = ClaimSettings()
 
     @property
     def is_keeper(self) -> bool:
--- a/packages/protocol/src/persimmonusher_protocol/claims_grpc.py
+++ b/packages/protocol/src/persimmonusher_protocol/claims_grpc.py
@@ -26,6 +26,10 @@
     async def ReadShare(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.claims_pb2.ShareRequest, persimmonusher_protocol.claims_pb2.ShareAnswer]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Describe(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.claims_pb2.DescribeRequest, persimmonusher_protocol.claims_pb2.RegisterState]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/persimmonusher.claims.Claims/Claim': grpclib.const.Handler(
@@ -46,6 +50,12 @@
                 persimmonusher_protocol.claims_pb2.ShareRequest,
                 persimmonusher_protocol.claims_pb2.ShareAnswer,
             ),
+            '/persimmonusher.claims.Claims/Describe': grpclib.const.Handler(
+                self.Describe,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonusher_protocol.claims_pb2.DescribeRequest,
+                persimmonusher_protocol.claims_pb2.RegisterState,
+            ),
         }
 
 
@@ -70,3 +80,9 @@
             persimmonusher_protocol.claims_pb2.ShareRequest,
             persimmonusher_protocol.claims_pb2.ShareAnswer,
         )
+        self.Describe = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonusher.claims.Claims/Describe',
+            persimmonusher_protocol.claims_pb2.DescribeRequest,
+            persimmonusher_protocol.claims_pb2.RegisterState,
+        )
