--- a/packages/lab/src/persimmonusher_lab/demo_steps.py
+++ b/packages/lab/src/persimmonusher_lab/demo_steps.py
@@ -11,9 +11,15 @@
 
 from persimmonusher_lab import promises
 from persimmonusher_lab.faults import Faults
-from persimmonusher_lab.fleet import OPERATOR_TOKEN, OPERATORS_PORT, Fleet, wait_for
+from persimmonusher_lab.fleet import (
+    CALLERS_PORT,
+    OPERATOR_TOKEN,
+    OPERATORS_PORT,
+    Fleet,
+    wait_for,
+)
 from persimmonusher_lab.ledger import LedgerRecord
-from persimmonusher_lab.load import Caller, LoadOptions, Told, Try
+from persimmonusher_lab.load import REPLAYED, Caller, LoadOptions, Told, Try
 from persimmonusher_lab.processes import LabProcess
 from persimmonusher_lab.promises import PromiseResult
 from persimmonusher_lab.watch import Observations, check_floor, check_no_revert
@@ -159,7 +165,9 @@
         first = caller.send("resent-entry", True, alive[0], 1, time.monotonic())
         second = caller.send("resent-entry", True, alive[-1], 2, time.monotonic())
     held = first.told is Told.RAN and second.told is Told.RAN and first.server == second.server
+    held = held and second.detail == REPLAYED
     figure = f"{first.told.value} by {first.server}, then {second.told.value} by {second.server}"
+    figure += f" {second.detail}".rstrip()
     return PromiseResult("a resend gets the first run's answer", held, figure)
 
 
@@ -212,8 +220,8 @@
     exit_code: int | None,
 ) -> PromiseResult:
     """Check the graceful stop of one instance."""
-    names = [item.instance_id for item in fleet.instances]
-    address = fleet.list_caller_addresses()[names.index(STOPPED_INSTANCE)]
+    plan = next(item for item in fleet.instances if item.instance_id == STOPPED_INSTANCE)
+    address = plan.at(CALLERS_PORT)
     return promises.check_graceful_stop(tries, records, address, marks["stop"], exit_code)
 
 
--- a/packages/lab/src/persimmonusher_lab/load.py
+++ b/packages/lab/src/persimmonusher_lab/load.py
@@ -19,6 +19,7 @@
 import urllib3
 
 from persimmonusher_lab import wire
+from persimmonusher_lab.balancer import Balancer
 
 
 class Told(Enum):
@@ -73,6 +74,8 @@
 
 
 MAX_CONCURRENT: Final = 2_000
+REPLAYED: Final = "replayed"
+"""The detail of an answer that an earlier run of the same key had."""
 MAX_RESEND_WAIT_SECONDS: Final = 2.0
 
 
@@ -82,6 +85,7 @@
     def __init__(self, options: LoadOptions, report: Path) -> None:
         self._options = options
         self._random = Random(options.seed)
+        self._balancer = Balancer(options.entries, self._random, time.monotonic)
         self._report = report.open("a", buffering=1)
         self._pool = urllib3.PoolManager(
             num_pools=64,
@@ -108,7 +112,7 @@
         tried: set[str] = set()
         started = due
         for number in range(1, self._options.resends + 2):
-            result = self.send(token, is_entry, self._choose(tried), number, started)
+            result = self.send(token, is_entry, self._balancer.choose(tried), number, started)
             tried.add(result.instance)
             if result.told in (Told.RAN, Told.FAILED, Told.WRONG):
                 break
@@ -131,6 +135,8 @@
         method, path = ("POST", "/entries") if is_entry else ("GET", "/lookup")
         url = f"http://{instance}{path}?token={token}&bytes={options.answer_bytes}"
         told, status, server, detail = self._exchange(method, url, headers, token)
+        if told is Told.NO_ANSWER:
+            self._balancer.note_failure(instance)
         record = Try(
             started=started,
             ended=time.monotonic(),
@@ -147,10 +153,6 @@
         self._report.write(json.dumps({**asdict(record), "told": told.value}) + "\n")
         return record
 
-    def _choose(self, tried: set[str]) -> str:
-        fresh = [entry for entry in self._options.entries if entry not in tried]
-        return self._random.choice(fresh or list(self._options.entries))
-
     def _exchange(
         self, method: str, url: str, headers: dict[str, str], token: str
     ) -> tuple[Told, int, str, str]:
@@ -162,6 +164,8 @@
         told, server, detail = judge_answer(
             answer.status, answer.headers.get(wire.OUTCOME), answer.data, token
         )
+        if wire.REPLAYED in answer.headers:
+            detail = REPLAYED
         return told, answer.status, server, detail
 
     def __enter__(self) -> Self:
--- a/packages/lab/src/persimmonusher_lab/watch.py
+++ b/packages/lab/src/persimmonusher_lab/watch.py
@@ -62,7 +62,7 @@
         views: dict[tuple[str, str], list[pb.ServerView]] = {}
         for server in found.servers:
             for view in server.views:
-                if server.state != READY:
+                if view.state != READY:
                     continue
                 views.setdefault((view.instance_id, server.service), []).append(view)
                 if not view.taking_work:
