Test membership under faults on virtual time

Cause: membership must outlive one-way cuts, freezes, restarts, partitions and loss; the thin version was shown on a healthy loopback only.

The shards that an instance watches are kept in place of being searched for at every look.

--- a/packages/agreement/src/persimmonusher_agreement/anti_entropy.py
+++ b/packages/agreement/src/persimmonusher_agreement/anti_entropy.py
@@ -13,6 +13,7 @@
 from random import Random
 from typing import Final
 
+from persimmonusher_agreement.membership_limits import MembershipLimits
 from persimmonusher_agreement.membership_messages import (
     BucketDigests,
     GroupDigests,
@@ -24,8 +25,6 @@
 ENTRY_BYTES: Final = 16
 """Hash and fingerprint of one record in a summary."""
 BUCKET_BYTES: Final = 2
-SUMMARY_BYTES: Final = 1000
-"""Keeps a summary with its header under the 1,400 bytes of one datagram."""
 MAX_GROUPS: Final = 4
 MAX_SUMMARIES: Final = 4
 REPAIR_BYTES: Final = 1100
@@ -46,14 +45,15 @@
 class AntiEntropy:
     """The steps of an exchange over one store."""
 
-    def __init__(self, store: RecordStore, random: Random) -> None:
+    def __init__(self, store: RecordStore, limits: MembershipLimits, random: Random) -> None:
         self._store = store
+        self._summary_bytes = limits.summary_bytes
         self._random = random
 
     @property
     def is_small(self) -> bool:
         """Tell whether all live records fit one summary, so that no digests are needed."""
-        return self._store.live_count * ENTRY_BYTES <= SUMMARY_BYTES
+        return self._store.live_count * ENTRY_BYTES <= self._summary_bytes
 
     def start(self) -> Summary | GroupDigests:
         """Return the first message of an exchange."""
@@ -105,7 +105,7 @@
         for bucket in buckets:
             more = self._store.list_live((bucket,))
             size = (len(records) + len(more)) * ENTRY_BYTES + (len(chosen) + 1) * BUCKET_BYTES
-            if chosen and size > SUMMARY_BYTES:
+            if chosen and size > self._summary_bytes:
                 summaries.append(_summarize(chosen, records))
                 chosen, records = [], []
             chosen.append(bucket)
--- a/packages/agreement/src/persimmonusher_agreement/membership.py
+++ b/packages/agreement/src/persimmonusher_agreement/membership.py
@@ -85,7 +85,7 @@
         self.directory = Directory(self._store, self._limits)
         self.prober = Prober(self.members, self._limits, random)
         self._outbox = Outbox(self.members, self._store, self._queue, self._limits, random)
-        self._exchange = AntiEntropy(self._store, random)
+        self._exchange = AntiEntropy(self._store, self._limits, random)
         self.heartbeats = ServerHeartbeats(self.members, self.directory, self._limits)
         self._due: dict[Callable[[float], None], float] = {}
         self._next_exchange = 0.0
--- a/packages/agreement/src/persimmonusher_agreement/membership_limits.py
+++ b/packages/agreement/src/persimmonusher_agreement/membership_limits.py
@@ -31,6 +31,8 @@
     """Between exchanges while all records fit one summary: at most 4 KB/s."""
     large_sync_interval: float = 5.0
     """Between exchanges of larger stores, about 2.5 KB each: 0.5 KB/s."""
+    summary_bytes: int = 1000
+    """Keeps a summary with its header under the 1,400 bytes of one datagram."""
     catch_up_interval: float = 0.05
     """Between exchanges while the last one brought records that we lacked."""
     budget_rate: float = 6000.0
--- a/packages/agreement/src/persimmonusher_agreement/watchers.py
+++ b/packages/agreement/src/persimmonusher_agreement/watchers.py
@@ -28,6 +28,7 @@
         self._domains: dict[str, str] = {}
         self._chosen: dict[int, tuple[InstanceId, ...]] = {}
         self._stale: set[int] = set(range(SHARDS))
+        self._own_shards: dict[int, None] = {}
         self._changes = -1
 
     def update(self, live: Mapping[InstanceId, MemberRecord], changes: int) -> None:
@@ -55,13 +56,16 @@
         step = max(MIN_SHARDS_PER_STEP, HASHES_PER_STEP // max(1, len(self._domains)))
         for shard in sorted(self._stale)[:step]:
             self._choose(shard)
-        return [shard for shard, chosen in self._chosen.items() if self._own in chosen]
+        return list(self._own_shards)
 
     def _choose(self, shard: int) -> tuple[InstanceId, ...]:
         if shard in self._stale:
             names = choose_spread(self._domains, _make_key(shard), self._count)
             self._chosen[shard] = tuple(InstanceId(name) for name in names)
             self._stale.discard(shard)
+            self._own_shards.pop(shard, None)
+            if self._own in names:
+                self._own_shards[shard] = None
         return self._chosen[shard]
 
     def _is_outranked(self, shard: int, chosen: tuple[InstanceId, ...], added: list[str]) -> bool:
--- /dev/null
+++ b/packages/lab/src/persimmonusher_lab/membership_checks.py
@@ -0,0 +1,93 @@
+"""What must hold of membership and the directory after every step of a virtual fleet."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from persimmonusher_agreement.server_record import ServerRecord, ServerState
+from persimmonusher_lab.virtual_fleet import VirtualFleet, VirtualInstance
+from persimmonusher_model.identifiers import ServerId
+
+MAX_VIOLATIONS: Final = 20
+"""One broken mechanism shows at every later step; the first few say it all."""
+
+
+@dataclass(frozen=True)
+class Violation:
+    """A rule that was broken, where and when."""
+
+    now: float
+    rule: str
+    place: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.now:.3f} {self.place}: {self.rule}: {self.detail}"
+
+
+class FleetChecker:
+    """Checks each instance after each of its steps, and the whole fleet on request."""
+
+    def __init__(self, fleet: VirtualFleet) -> None:
+        self._fleet = fleet
+        self._newest: dict[tuple[int, int, ServerId], tuple[int, ...]] = {}
+        self.steps = 0
+        self.violations: list[Violation] = []
+        fleet.on_step = self.check_step
+
+    def check_step(self, instance: VirtualInstance) -> None:
+        """Check that no freshness went back and that no announcing server is lost."""
+        self.steps += 1
+        for server_id, server in self._fleet.servers.items():
+            record = instance.fleet.directory.find(server_id)
+            if record is None:
+                continue
+            self._check_freshness(instance, record)
+            if record.lost and server.announcing:
+                self._report("an announcing server is lost", instance.name, repr(record.version))
+
+    def check_members(self) -> None:
+        """Check that each running instance sees exactly the running ones."""
+        running = {one.name for one in self._fleet.list_running()}
+        for instance in self._fleet.list_running():
+            live = set(instance.fleet.members.live)
+            if live != running:
+                detail = f"missing {sorted(running - live)}, too many {sorted(live - running)}"
+                self._report("the live instances differ", instance.name, detail)
+
+    def check_state(
+        self, server_id: ServerId, state: ServerState, leave_out: Iterable[int] = ()
+    ) -> None:
+        """Check that each running instance knows the server's state, or a later one."""
+        left_out = set(leave_out)
+        for instance in self._fleet.list_running():
+            record = instance.fleet.directory.find(server_id)
+            known = record is not None and (record.lost or record.state >= state)
+            if not known and instance.number not in left_out:
+                detail = f"{server_id} should be {state.name}, is {record}"
+                self._report("a change of state did not arrive", instance.name, detail)
+
+    def check_gone(self, server_id: ServerId) -> None:
+        """Check that no running instance lists the server."""
+        for instance in self._fleet.list_running():
+            record = instance.fleet.directory.find(server_id)
+            if record is not None and not record.is_tombstone:
+                self._report("a server that is gone is listed", instance.name, repr(record))
+
+    def check_agreement(self) -> None:
+        """Check that all running instances hold the same live records."""
+        digests = {one.fleet.digest for one in self._fleet.list_running()}
+        if len(digests) > 1:
+            self._report("digests differ", "fleet", f"{len(digests)} digests")
+
+    def _check_freshness(self, instance: VirtualInstance, record: ServerRecord) -> None:
+        place = (instance.number, instance.life, record.server_id)
+        before = self._newest.get(place, ())
+        if record.version < before:
+            detail = f"{record.server_id} from {before} to {record.version}"
+            self._report("freshness went back", instance.name, detail)
+        self._newest[place] = record.version
+
+    def _report(self, rule: str, place: str, detail: str) -> None:
+        if len(self.violations) < MAX_VIOLATIONS:
+            self.violations.append(Violation(self._fleet.now, rule, place, detail))
