Compose the fleet: keepers, membership, claims, evidence and operators in one daemon

Cause: the daemon ran with adapters in memory; the whole path was not yet one. Change: FleetParts makes and joins the components; a claim carries how long its request may run; the demo's check that revisions equal the number of the operator's changes becomes one that they strictly rise, since the roster is a change of the fleet's own.

--- a/packages/lab/src/persimmonusher_lab/demo_steps.py
+++ b/packages/lab/src/persimmonusher_lab/demo_steps.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from collections.abc import Mapping, Sequence
+from itertools import pairwise
 from pathlib import Path
 from typing import Any, Final
 
@@ -63,14 +64,19 @@
     """Create the profiles, services and routes once the keepers have a leader."""
     wait_for("a leading keeper", lambda: find_leader(fleet) or None, START_SECONDS)
     wait_for("every instance", lambda: _count_instances(fleet) or None, START_SECONDS)
+    answers = []
     for service, preset in PROFILES.items():
-        run_ctl(fleet, "profiles", "create", service, "--preset", preset)
-        run_ctl(fleet, "services", "put", service, "--profile", service)
-        last = run_ctl(
-            fleet, "routes", "put", f"{HOSTS[service]}/", "--service", service, "--wait", "10"
-        )
-    held = last["revision"] == 3 * len(PROFILES)
-    return [PromiseResult("accepted changes count up", held, f"revision {last['revision']}")]
+        route = f"{HOSTS[service]}/"
+        answers += [
+            run_ctl(fleet, "profiles", "create", service, "--preset", preset),
+            run_ctl(fleet, "services", "put", service, "--profile", service),
+            run_ctl(fleet, "routes", "put", route, "--service", service, "--wait", "10"),
+        ]
+    # The fleet's own change, the roster, takes a revision somewhere in between.
+    revisions = [answer["revision"] for answer in answers]
+    held = all(later > earlier for earlier, later in pairwise(revisions))
+    figure = ", ".join(str(revision) for revision in revisions)
+    return [PromiseResult("accepted changes count up", held, f"revisions {figure}")]
 
 
 def _count_instances(fleet: Fleet) -> bool:
--- a/packages/node/src/persimmonusher_node/keyed.py
+++ b/packages/node/src/persimmonusher_node/keyed.py
@@ -32,6 +32,11 @@
 }
 
 
+SETTLE_SECONDS: Final = 2.0
+"""Time after the deadline in which the outcome still reaches the registers. A resend is told that
+the request runs until then, and that its outcome is unknown after."""
+
+
 class KeyedForwarder:
     """Runs a non-idempotent request under its key at most once, whichever entries it reaches."""
 
@@ -44,7 +49,9 @@
         assert call.key is not None
         key = ClaimKey(live.name, call.caller, call.key)
         window = live.profile.key_window_ms / 1000.0
-        result = self._claim(key, compute_fingerprint(call), window)
+        deadline = live.profile.deadline_ms if call.deadline_ms is None else call.deadline_ms
+        pending = deadline / 1000.0 + SETTLE_SECONDS
+        result = self._claim(key, compute_fingerprint(call), window, pending)
         if result.status is ClaimStatus.FINISHED and result.answer is not None:
             return make_replay(result.answer, call.request_id)
         if result.status is not ClaimStatus.GRANTED:
@@ -52,9 +59,9 @@
             return make_error(code, message, call.request_id)
         return self._run(call, live, key)
 
-    def _claim(self, key: ClaimKey, fingerprint: str, window: float) -> ClaimResult:
+    def _claim(self, key: ClaimKey, fingerprint: str, window: float, pending: float) -> ClaimResult:
         try:
-            return self._claims.claim(key, fingerprint, window)
+            return self._claims.claim(key, fingerprint, window, pending)
         except UsherError:
             return ClaimResult(ClaimStatus.NO_QUORUM)
 
--- a/packages/node/src/persimmonusher_node/memory.py
+++ b/packages/node/src/persimmonusher_node/memory.py
@@ -94,7 +94,9 @@
     def __init__(self) -> None:
         self._claims: OrderedDict[ClaimKey, tuple[str, ClaimResult]] = OrderedDict()
 
-    def claim(self, key: ClaimKey, fingerprint: str, window_seconds: float) -> ClaimResult:
+    def claim(
+        self, key: ClaimKey, fingerprint: str, window_seconds: float, pending_seconds: float
+    ) -> ClaimResult:
         """Grant a key that is not claimed."""
         held = self._claims.get(key)
         if held is None:
--- a/packages/node/src/persimmonusher_node/ports.py
+++ b/packages/node/src/persimmonusher_node/ports.py
@@ -118,8 +118,14 @@
     """Claims on Idempotency-Keys over the entry instances."""
 
     @abstractmethod
-    def claim(self, key: ClaimKey, fingerprint: str, window_seconds: float) -> ClaimResult:
-        """Claim the key for one dispatch; waits for a majority of the key's registers."""
+    def claim(
+        self, key: ClaimKey, fingerprint: str, window_seconds: float, pending_seconds: float
+    ) -> ClaimResult:
+        """Claim the key for one dispatch; waits for a majority of the key's registers.
+
+        The outcome is kept for `window_seconds`; a request that isn't settled after
+        `pending_seconds` is taken as one of unknown outcome.
+        """
 
     @abstractmethod
     def finish(self, key: ClaimKey, answer: StoredAnswer) -> None:
--- a/packages/node/src/persimmonusher_node/process.py
+++ b/packages/node/src/persimmonusher_node/process.py
@@ -4,8 +4,9 @@
 
 from persimmonusher_node.clock import SystemClock
 from persimmonusher_node.daemon import Daemon
+from persimmonusher_node.fleet import FleetParts
 from persimmonusher_node.logs import LoggingObserver, configure_logs
-from persimmonusher_node.parts import make_parts
+from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.shutdown import StopSignal
 
@@ -16,6 +17,7 @@
     clock = SystemClock()
     stop = StopSignal()
     stop.install()
-    parts = make_parts(settings, clock)
-    daemon = Daemon(settings, parts, LoggingObserver(), clock, SystemRandom())
-    return daemon.run(stop)
+    with ChannelPool(settings.peer_token) as channels:
+        parts = FleetParts(settings, channels, clock).make()
+        daemon = Daemon(settings, parts, LoggingObserver(), clock, SystemRandom())
+        return daemon.run(stop)
