--- a/packages/lab/src/persimmonusher_lab/backend_process.py
+++ b/packages/lab/src/persimmonusher_lab/backend_process.py
@@ -16,7 +16,7 @@
 
 def run_backend(options: BackendOptions, announce_to: Sequence[str], ledger_path: Path) -> None:
     """Serve until SIGTERM, which announces `stopped` and ends the process."""
-    host, _, port = options.address.rpartition(":")
+    host, _, port = options.listen.rpartition(":")
     with Ledger(ledger_path) as ledger:
         stand_in = StandIn(options, ledger)
         announcer = Announcer(announce_to, Random(options.seed), stand_in.describe)
--- a/packages/lab/src/persimmonusher_lab/backend_server.py
+++ b/packages/lab/src/persimmonusher_lab/backend_server.py
@@ -42,6 +42,8 @@
     server_id: str
     service: str
     address: str
+    """As announced."""
+    listen: str = ""
     failure_domain: str = "a"
     slots: int = 4
     connection_limit: int = 400
--- a/packages/lab/src/persimmonusher_lab/demo_steps.py
+++ b/packages/lab/src/persimmonusher_lab/demo_steps.py
@@ -61,7 +61,7 @@
 
 def configure(fleet: Fleet) -> list[PromiseResult]:
     """Create the profiles, services and routes once the keepers have a leader."""
-    wait_for("a leading keeper", lambda: find_leader(fleet) or None, START_SECONDS)
+    wait_for("a leading keeper", lambda: find_leader(fleet) or None, START_SECONDS, fleet.runner)
     wait_for("every instance", lambda: _count_instances(fleet) or None, START_SECONDS)
     for service, preset in PROFILES.items():
         run_ctl(fleet, "profiles", "create", service, "--preset", preset)
--- a/packages/lab/src/persimmonusher_lab/fleet.py
+++ b/packages/lab/src/persimmonusher_lab/fleet.py
@@ -57,6 +57,8 @@
     failure_domain: str
     service_ms: float = 20.0
     slots: int = 4
+    listens_at: str = ""
+    """Its own address where it announces a relay's."""
 
 
 def choose_network() -> str:
@@ -153,9 +155,14 @@
         )
 
     def start_server(self, plan: ServerPlan) -> None:
-        """Start a stand-in that announces itself to the whole fleet's announcement addresses."""
+        """Start a stand-in that announces itself to the whole fleet's announcement addresses.
+
+        Where `listens_at` differs from the announced address, a relay stands between.
+        """
         announce_to = ",".join(item.at(ANNOUNCEMENTS_PORT) for item in self.instances)
         arguments = [plan.server_id, plan.service, plan.address]
+        if plan.listens_at:
+            arguments += ["--listen", plan.listens_at]
         options = {
             "ledger": str(self.ledgers / f"{plan.server_id}.jsonl"),
             "announce-to": announce_to,
@@ -197,13 +204,19 @@
 
     def _control(self, server_id: str, path: str, body: str) -> None:
         plan = next(item for item in self.servers if item.server_id == server_id)
-        request = urllib.request.Request(f"http://{plan.address}{path}", body.encode())
+        address = plan.listens_at or plan.address
+        request = urllib.request.Request(f"http://{address}{path}", body.encode())
         with urllib.request.urlopen(request, timeout=5.0):
             pass
 
 
-def wait_for(what: str, find: Callable[[], Found | None], seconds: float) -> Found:
-    """Poll until something is found; raise TimeoutError that names it."""
+def wait_for(
+    what: str, find: Callable[[], Found | None], seconds: float, runner: ProcessRunner | None = None
+) -> Found:
+    """Poll until something is found; raise TimeoutError that names it.
+
+    With a runner, a child that crashed ends the wait at once.
+    """
     give_up = time.monotonic() + seconds
     problem = ""
     while time.monotonic() < give_up:
@@ -214,5 +227,7 @@
             found = None
         if found is not None and found is not False:
             return found
+        if runner is not None and (crashed := runner.list_crashed()):
+            raise RuntimeError(f"{crashed[0].name} crashed while waiting for {what}")
         time.sleep(POLL_SECONDS)
     raise TimeoutError(f"waited {seconds} s for {what}{problem}")
