--- a/packages/node/src/persimmonusher_node/settings.py
+++ b/packages/node/src/persimmonusher_node/settings.py
@@ -32,8 +32,22 @@
     head_seconds: float = Field(default=10.0, gt=0, le=600)
     body_seconds: float = Field(default=30.0, gt=0, le=600)
     write_seconds: float = Field(default=30.0, gt=0, le=600)
-    buffered_answer_bytes: int = Field(default=1_048_576, ge=1_024, le=67_108_864)
-    """Answers up to this size are held until whole; longer ones stream with a checked end."""
+    buffered_answer_bytes: int = Field(default=1_048_576, ge=16_384, le=67_108_864)
+    """Answers up to this size are held until whole; longer ones stream with a checked end.
+    Below eventlet's write size of 4 KB, a cut-off stream would end before its head was sent."""
+
+
+class ClaimSettings(BaseModel):
+    """Claims on Idempotency-Keys; the same on every instance of the fleet."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    founding_instances: int = Field(default=5, ge=1, le=10_000)
+    """Live instances that the first roster waits for. Fewer than 5 is for trials: with one or two
+    instances, a restart makes keyed requests wait for the longest window."""
+    longest_window_seconds: float = Field(default=900.0, ge=1, le=86_400)
+    """Longest time for which a key is kept; profiles' windows end here. After a restart of the
+    whole fleet at once, keyed requests are refused, as not run, for so long."""
 
 
 class Keeper(BaseModel):
@@ -71,6 +85,7 @@
     """Time between the health path's first 503 and the closed listener, for the balancer to see
     it: at least two of its check periods."""
     limits: Limits = Limits()
+    claims: ClaimSettings = ClaimSettings()
 
     @property
     def is_keeper(self) -> bool:
