--- a/packages/lab/src/persimmonusher_lab/demo_steps.py
+++ b/packages/lab/src/persimmonusher_lab/demo_steps.py
@@ -62,7 +62,7 @@
 
 def configure(fleet: Fleet) -> list[PromiseResult]:
     """Create the profiles, services and routes once the keepers have a leader."""
-    wait_for("a leading keeper", lambda: find_leader(fleet) or None, START_SECONDS)
+    wait_for("a leading keeper", lambda: find_leader(fleet) or None, START_SECONDS, fleet.runner)
     wait_for("every instance", lambda: _count_instances(fleet) or None, START_SECONDS)
     answers = []
     for service, preset in PROFILES.items():
