Test the configuration and the traps of the log

The change of a test is based on what the leader shows, as a change based on a cut-off keeper's view rightly conflicts.

--- a/packages/lab/src/persimmonusher_lab/log_cluster.py
+++ b/packages/lab/src/persimmonusher_lab/log_cluster.py
@@ -182,10 +182,16 @@
         """List the keepers that run."""
         return [k.running for k in self.keepers.values() if k.running is not None]
 
-    def make_change(self, number: int, operator: str, name: str = "") -> Change:
-        """Make a change of one of three profiles, based on what some keeper shows."""
+    def make_change(
+        self,
+        number: int,
+        operator: str,
+        name: str = "",
+        shown: ConfigurationKeeper | None = None,
+    ) -> Change:
+        """Make a change of one of three profiles, based on what a keeper shows, or any keeper."""
         key = ObjectKey(ObjectKind.PROFILE, name or f"p{self.random.randrange(3)}")
-        shown = self.random.choice(list(self.list_running()) or [None])
+        shown = shown or self.random.choice(list(self.list_running()) or [None])
         live = shown.configuration.store.find_live(key) if shown else None
         body = json.dumps({"ramp_ms": number})
         based_on = live.revision if live else Revision(0)
--- a/packages/lab/src/persimmonusher_lab/log_schedule.py
+++ b/packages/lab/src/persimmonusher_lab/log_schedule.py
@@ -103,8 +103,9 @@
 class LogSchedule:
     """Runs a cluster in virtual time and keeps a trace of what happened."""
 
-    def __init__(self, seed: int, faults: tuple[Fault, ...] = ()) -> None:
+    def __init__(self, seed: int, faults: tuple[Fault, ...] = (), tick: float = TICK) -> None:
         self.cluster = LogCluster(seed)
+        self._tick_seconds = tick
         self.now = 0.0
         self.steps = 0
         self.struck: list[Fault] = []
@@ -135,7 +136,7 @@
             if due_at <= tick_at:
                 self._deliver(heapq.heappop(self._due))
             else:
-                self._next_tick[tick_name] = tick_at + TICK
+                self._next_tick[tick_name] = tick_at + self._tick_seconds
                 self._tick(tick_name)
         self.now = end
 
