--- a/packages/agreement/src/persimmonusher_agreement/register.py
+++ b/packages/agreement/src/persimmonusher_agreement/register.py
@@ -35,10 +35,11 @@
 class _Entry:
     """A record with its times in this register's monotonic seconds."""
 
-    __slots__ = ("expires", "pending_until", "record")
+    __slots__ = ("expires", "granted_here", "pending_until", "record")
 
-    def __init__(self, record: ClaimRecord, now: float) -> None:
+    def __init__(self, record: ClaimRecord, now: float, granted_here: bool) -> None:
         self.record = record
+        self.granted_here = granted_here
         self.expires = now + record.expires_in
         self.pending_until = now + record.pending_for
 
@@ -76,17 +77,26 @@
         self._released: dict[str, float] = {}
         self._peer_boots: dict[InstanceId, int] = {}
         self._answered: set[InstanceId] = set()
+        self._newest_version = 0
 
     def replace_roster(self, roster: Roster) -> None:
         """Take a newer roster; an older one is ignored."""
         if self._roster is None or roster.version > self._roster.version:
             self._roster = roster
+            listed = roster.find_boot(self._instance)
+            if listed is not None and listed > self._boot:
+                self._raise_boot(listed)
 
     @property
     def roster(self) -> Roster | None:
         """Return the roster in force here."""
         return self._roster
 
+    @property
+    def boot(self) -> int:
+        """Return the number of this life; above that of every earlier one it heard of."""
+        return self._boot
+
     @property
     def record_count(self) -> int:
         """Return how many keys are held."""
@@ -103,10 +113,14 @@
         for token, entry in held.items():
             if token != request.token:
                 return self._vote(VoteKind.TAKEN, request.key, entry.export(now))
-        if not held and not self._may_grant(request, now):
+        own = held.get(request.token)
+        if own is not None and own.granted_here:
+            return self._vote(VoteKind.GRANTED, request.key)
+        if not self._may_grant(request, now):
+            # Also when a peer has reported this very token: the peers that are still to be read
+            # may report another one, which this register granted before it restarted.
             return self._vote(VoteKind.ABSTAINED, request.key)
-        if not held:
-            self._keep(_make_record(request), now)
+        self._keep(_make_record(request), now, granted_here=True)
         return self._vote(VoteKind.GRANTED, request.key)
 
     def settle(self, settlement: Settlement, now: float) -> None:
@@ -149,7 +163,9 @@
             for entry in held.values()
         )
         trusted = self.is_whole(now) and self._knows_version(request.roster_version)
-        return ShareAnswer(self._instance, trusted, records, dict(self._peer_boots))
+        version = self._roster.version if self._roster else 0
+        boots = dict(self._peer_boots)
+        return ShareAnswer(self._instance, trusted, version, records, boots)
 
     def import_share(self, answer: ShareAnswer, now: float) -> None:
         """Take a peer's records; only a peer with whole memory counts as read."""
@@ -159,14 +175,18 @@
                 self._keep(record, now)
         for instance, boot in answer.known_boots.items():
             self._peer_boots[instance] = max(boot, self._peer_boots.get(instance, 0))
-        if answer.trusted:
+        self._newest_version = max(self._newest_version, answer.roster_version)
+        if self._peer_boots.get(self._instance, 0) > self._boot:
+            self._raise_boot(self._peer_boots[self._instance])
+        elif answer.trusted:
             self._answered.add(answer.register)
 
     def is_whole(self, now: float) -> bool:
         """Tell whether nothing that this register granted can be missing for any key."""
         if now - self._started > self._longest_window:
             return True
-        if self._roster is None:
+        if self._roster is None or self._roster.version < self._newest_version:
+            # A peer is ahead: claims under its roster may rely on what was granted here.
             return False
         if self._roster.find_boot(self._instance) == self._boot:
             return True
@@ -178,8 +198,19 @@
             return False
         return self.is_whole(now) or self._has_read_enough(request.key)
 
+    def _raise_boot(self, known: int) -> None:
+        """Begin anew above a boot that peers know.
+
+        The failure: the wall clock went back over a restart, so this life's number is below an
+        earlier one's; votes of the earlier life would look like the newer ones and still count.
+        Every life reads three of four peers before it grants, so the next one hears its number.
+        """
+        self._boot = known + 1
+        self._answered.clear()
+
     def _has_read_enough(self, key: str) -> bool:
-        assert self._roster is not None
+        if self._roster is None or self._roster.version < self._newest_version:
+            return False
         for group in self._roster.list_sets(key):
             others = len(group & self._answered)
             if self._instance in group and others < len(group) - count_majority(len(group)) + 1:
@@ -203,8 +234,8 @@
         }
         return Vote(self._instance, self._boot, kind, record, boots)
 
-    def _keep(self, record: ClaimRecord, now: float) -> None:
-        entry = _Entry(record, now)
+    def _keep(self, record: ClaimRecord, now: float, granted_here: bool = False) -> None:
+        entry = _Entry(record, now, granted_here)
         self._entries.setdefault(record.key, {})[record.token] = entry
         heapq.heappush(self._expiries, (entry.expires, record.key, record.token))
 
