Prove the graceful stop on real processes; give metrics a listener

Cause: a request in the kernel's accept queue would be reset by closing the listening socket, and metrics had no listener. Change: what waits is accepted before the socket closes; tests of a stop under load with a slow request and a second SIGTERM, with a stuck request, with half a request, with idle connections; data_plane.py composes forwarding, daemon.py the listeners; announcements' bodies are bounded in time as callers' are.

--- a/packages/node/src/persimmonusher_node/announcements.py
+++ b/packages/node/src/persimmonusher_node/announcements.py
@@ -11,11 +11,14 @@
 from persimmonusher_model.errors import ErrorCode, Finding
 from persimmonusher_model.identifiers import FailureDomain, ServerId, ServiceName
 from persimmonusher_model.profile import collect_findings
+from persimmonusher_node.bodies import BodyError, read_body
 from persimmonusher_node.ports import ServerDirectory
+from persimmonusher_node.protocol import ENVIRON_KEY
 
 ANNOUNCE_PATH: Final = "/announce"
 LARGEST_ANNOUNCEMENT: Final = 16_384
 """Bytes; an announcement is a few hundred."""
+BODY_SECONDS: Final = 5.0
 SHARE_OF_TIMEOUT: Final = 3
 """Two announcements in a row may be lost before the server is taken as lost."""
 
@@ -96,12 +99,10 @@
         if environ["REQUEST_METHOD"] != "POST":
             return HTTPStatus.METHOD_NOT_ALLOWED, _describe("bad-request", "announce by POST")
         try:
-            body = environ["wsgi.input"].read(LARGEST_ANNOUNCEMENT + 1)
-        except (OSError, ValueError):
-            return HTTPStatus.BAD_REQUEST, _describe("bad-request", "the body broke off")
-        if len(body) > LARGEST_ANNOUNCEMENT:
-            message = f"an announcement has at most {LARGEST_ANNOUNCEMENT} bytes"
-            return HTTPStatus.REQUEST_ENTITY_TOO_LARGE, _describe("bad-request", message)
+            body = read_body(environ["wsgi.input"], LARGEST_ANNOUNCEMENT, BODY_SECONDS)
+        except BodyError as error:
+            environ[ENVIRON_KEY].close_unread()
+            return HTTPStatus.BAD_REQUEST, _describe("bad-request", str(error))
         try:
             server = parse_announcement(body)
         except RefusedAnnouncementError as error:
--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -7,12 +7,12 @@
 from typing import Any, Final
 from urllib.parse import unquote
 
-import eventlet
 from structlog import get_logger
 
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import CallerId, InstanceId, RequestId
 from persimmonusher_node.answers import Answer, AnswerCode, make_error
+from persimmonusher_node.bodies import BodyError, BodyProblem, read_body
 from persimmonusher_node.calls import Call
 from persimmonusher_node.entry import Entry
 from persimmonusher_node.exchange import find_header
@@ -37,6 +37,11 @@
 
 _NAME: Final = re.compile(rf"[A-Za-z0-9._:-]{{1,{LONGEST_NAME}}}")
 _PHRASES: Final = {status.value: f"{status.value} {status.phrase}" for status in HTTPStatus}
+_BODY_CODES: Final = {
+    BodyProblem.TOO_LARGE: AnswerCode.BODY_TOO_LARGE,
+    BodyProblem.TOO_SLOW: AnswerCode.SLOW_REQUEST,
+    BodyProblem.BROKEN_OFF: AnswerCode.BODY_INCOMPLETE,
+}
 _BODYLESS: Final = frozenset({204, 304})
 
 _log = get_logger(__name__)
@@ -63,6 +68,8 @@
         self._numbers = count(1)
         self.stopping = False
         """Whether the health path answers 503."""
+        self.count_connections: Callable[[], int] = int
+        """Returns the number of the callers' open connections."""
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -129,34 +136,11 @@
         self, environ: dict[str, Any], live: LiveService, request_id: RequestId
     ) -> bytes:
         """Read the whole body: only a request that arrived whole is ever dispatched."""
-        source = environ["wsgi.input"]
-        chunked = source.chunked_input
-        length = source.content_length or 0
-        if not chunked and not length:
-            return b""
-        limit = live.profile.max_body_bytes
-        if length <= limit:
-            body = self._read_bounded(source, limit + 1 if chunked else length, request_id)
-            if len(body) <= limit:
-                return check_length(body, None if chunked else length, request_id)
-        message = f"the body is larger than {limit} bytes"
-        raise BadCall(make_error(AnswerCode.BODY_TOO_LARGE, message, request_id))
-
-    def _read_bounded(self, source: Any, size: int, request_id: RequestId) -> bytes:
-        timer = eventlet.Timeout(self._body_seconds)
         try:
-            body: bytes = source.read(size)
-            return body
-        except eventlet.Timeout as error:
-            if error is not timer:
-                raise
-            message = f"the body did not arrive within {self._body_seconds:g} s"
-            raise BadCall(make_error(AnswerCode.SLOW_REQUEST, message, request_id)) from error
-        except (OSError, ValueError) as error:
-            message = "the body broke off or is framed wrongly"
-            raise BadCall(make_error(AnswerCode.BODY_INCOMPLETE, message, request_id)) from error
-        finally:
-            timer.cancel()
+            return read_body(environ["wsgi.input"], live.profile.max_body_bytes, self._body_seconds)
+        except BodyError as error:
+            code = _BODY_CODES[error.problem]
+            raise BadCall(make_error(code, str(error), request_id)) from error
 
 
 def read_path(environ: dict[str, Any], request_id: RequestId) -> str:
@@ -199,14 +183,6 @@
     raise BadCall(make_error(AnswerCode.BAD_REQUEST, message, request_id))
 
 
-def check_length(body: bytes, length: int | None, request_id: RequestId) -> bytes:
-    """Return a body that has its announced length; a shorter one was cut off on its way."""
-    if length is None or len(body) == length:
-        return body
-    message = f"the body broke off after {len(body)} of {length} bytes"
-    raise BadCall(make_error(AnswerCode.BODY_INCOMPLETE, message, request_id))
-
-
 def write_answer(
     answer: Answer, method: str, protocol: HttpProtocol, start_response: Callable[..., Any]
 ) -> Iterable[bytes]:
--- a/packages/node/src/persimmonusher_node/daemon.py
+++ b/packages/node/src/persimmonusher_node/daemon.py
@@ -1,30 +1,23 @@
-"""The daemon: composes the parts of one instance, runs them, and ends them in order."""
+"""The daemon: one instance's listeners and components, started and ended in order."""
 
+from collections.abc import Callable
 from contextlib import ExitStack
-from dataclasses import replace
 from random import Random
+from typing import Any
 
 from structlog import get_logger
 
-from persimmonusher_decisions.server import BackendServer, ServerState
 from persimmonusher_model.clock import Clock
-from persimmonusher_model.identifiers import FailureDomain, InstanceId, RequestId
 from persimmonusher_node.announcements import AnnouncementsApplication
-from persimmonusher_node.callers import CallersApplication
 from persimmonusher_node.component import Component
-from persimmonusher_node.entry import Entry
-from persimmonusher_node.forwarding import Forwarder
+from persimmonusher_node.data_plane import DataPlane
 from persimmonusher_node.grpc_listener import GrpcListener
-from persimmonusher_node.keyed import KeyedForwarder
 from persimmonusher_node.listener import HttpListener, ListenerLimits
+from persimmonusher_node.metrics import MetricsApplication
 from persimmonusher_node.observer import RequestObserver
 from persimmonusher_node.parts import Parts
-from persimmonusher_node.records import RecordRing, RequestRecord
-from persimmonusher_node.services import ServiceBook
-from persimmonusher_node.settings import Settings
+from persimmonusher_node.settings import Limits, Settings
 from persimmonusher_node.shutdown import GracefulStop, StopSignal
-from persimmonusher_node.upstream import Upstream
-from persimmonusher_node.watch import Watch
 
 _log = get_logger(__name__)
 
@@ -40,83 +33,69 @@
         clock: Clock,
         random: Random,
     ) -> None:
-        self.settings = settings
-        self.parts = parts
-        self.records = RecordRing()
-        domain = FailureDomain(settings.failure_domain)
-        instance_id = InstanceId(settings.instance_id)
-        self.services = ServiceBook(
-            parts.view, parts.directory, parts.membership, instance_id, domain, clock, random
-        )
-        self.upstream = Upstream(clock, settings.limits.buffered_answer_bytes)
-        self.forwarder = Forwarder(
-            self.services, self.upstream, self.records, observer, clock, self.note_draining
-        )
-        keyed = KeyedForwarder(self.forwarder, parts.claims)
-        entry = Entry(self.services, self.forwarder, keyed)
-        self.application = CallersApplication(
-            entry, instance_id, clock, settings.limits.body_seconds
-        )
-        self.watch = Watch(self.services, self.forwarder, self.upstream, clock)
+        self._settings = settings
+        self._directory = parts.directory
         self._clock = clock
-        more = parts.make_more(self.services, self.records)
+        self.plane = DataPlane(settings, parts, observer, clock, random)
+        more = parts.make_more(self.plane.services, self.plane.records)
         self._components: tuple[Component, ...] = (*parts.components, *more)
 
-    def explain(self, request_id: RequestId) -> RequestRecord | None:
-        """Return what this instance decided for a request lately, or None."""
-        return self.records.explain(request_id)
-
-    def note_draining(self, server: BackendServer) -> None:
-        """Tell the directory that a server's answer said that it is leaving.
+    def run(self, stop: StopSignal) -> bool:
+        """Serve until the stop signal, then stop gracefully; tell whether nothing was cut off.
 
-        The server is already left out here; its own announcement may be on its way by another
-        entry, and carries the same or a later sequence number.
+        Components, membership among them, end only after the last request: until then peers still
+        find this instance's register of claims, and its share of connections stays counted.
         """
-        draining = replace(server, sequence=server.sequence + 1, state=ServerState.DRAINING)
-        self.parts.directory.announce(draining)
-
-    def run(self, stop: StopSignal) -> bool:
-        """Serve until the stop signal, then stop gracefully; tell whether nothing was cut off."""
-        limits = self.settings.limits
-        listen = self.settings.listen
+        settings = self._settings
+        listen = settings.listen
+        heartbeat = settings.heartbeat_timeout_seconds
         callers = HttpListener(
-            listen.callers,
-            self.application,
-            ListenerLimits(
-                limits.connections,
-                limits.idle_seconds,
-                limits.head_seconds,
-                limits.body_seconds,
-                limits.write_seconds,
-            ),
+            listen.callers, self.plane.application, make_listener_limits(settings.limits)
         )
-        heartbeat = self.settings.heartbeat_timeout_seconds
-        application = AnnouncementsApplication(self.parts.directory, heartbeat)
-        announcements = HttpListener(listen.announcements, application)
+        self.plane.application.count_connections = lambda: callers.connections
         with ExitStack() as stack:
             self._start_grpc(stack)
-            for component in (*self._components, self.watch):
+            for component in (*self._components, self.plane.watch):
                 stack.enter_context(component)
-            announcements.start()
-            stack.callback(announcements.abort)
-            stack.callback(announcements.stop_accepting)
+            announcements = AnnouncementsApplication(self._directory, heartbeat)
+            _start_http(stack, listen.announcements, announcements)
+            _start_http(stack, listen.metrics, MetricsApplication(self.plane.metrics))
             callers.start()
-            _log.info("started", callers=listen.callers, announcements=listen.announcements)
+            _log.info("started", **listen.model_dump())
             stop.wait()
-            graceful = GracefulStop(
-                self.settings, self.application, callers, self.forwarder, self._clock
-            )
-            return graceful.run()
+            forwarder = self.plane.forwarder
+            return GracefulStop(
+                settings, self.plane.application, callers, forwarder, self._clock
+            ).run()
 
     def _start_grpc(self, stack: ExitStack) -> None:
         components = self._components
         peers = [handler for part in components for handler in part.list_peer_handlers()]
         operators = [handler for part in components for handler in part.list_operator_handlers()]
-        names = {token: name for name, token in self.settings.operator_tokens.items()}
+        names = {token: name for name, token in self._settings.operator_tokens.items()}
+        listen = self._settings.listen
         listeners = (
-            GrpcListener(self.settings.listen.peers, peers, {self.settings.peer_token: "peer"}),
-            GrpcListener(self.settings.listen.operators, operators, names),
+            GrpcListener(listen.peers, peers, {self._settings.peer_token: "peer"}),
+            GrpcListener(listen.operators, operators, names),
         )
         for listener in listeners:
             listener.start()
             stack.callback(listener.stop)
+
+
+def make_listener_limits(limits: Limits) -> ListenerLimits:
+    """Return the callers' listener's part of the settings."""
+    return ListenerLimits(
+        limits.connections,
+        limits.idle_seconds,
+        limits.head_seconds,
+        limits.body_seconds,
+        limits.write_seconds,
+    )
+
+
+def _start_http(stack: ExitStack, address: str, application: Callable[..., Any]) -> None:
+    listener = HttpListener(address, application)
+    listener.start()
+    stack.callback(listener.abort)
+    stack.callback(listener.stop_accepting)
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -0,0 +1,92 @@
+"""The data plane of one instance: everything between the callers' listener and the ports."""
+
+from dataclasses import replace
+from random import Random
+
+from persimmonusher_decisions.server import BackendServer, ServerState
+from persimmonusher_model.clock import Clock
+from persimmonusher_model.identifiers import FailureDomain, InstanceId, RequestId
+from persimmonusher_node.callers import CallersApplication
+from persimmonusher_node.entry import Entry
+from persimmonusher_node.forwarding import Forwarder
+from persimmonusher_node.keyed import KeyedForwarder
+from persimmonusher_node.metrics import InstanceGauges, ObserverChain, RequestMetrics
+from persimmonusher_node.observer import RequestObserver
+from persimmonusher_node.parts import Parts
+from persimmonusher_node.records import RecordRing, RequestRecord
+from persimmonusher_node.services import ServiceBook
+from persimmonusher_node.settings import Settings
+from persimmonusher_node.upstream import Upstream
+from persimmonusher_node.watch import Watch
+
+
+class DataPlane:
+    """Composes forwarding, its clockwork, records and metrics."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        parts: Parts,
+        observer: RequestObserver,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._parts = parts
+        self._clock = clock
+        self.records = RecordRing()
+        self.metrics = RequestMetrics(self.read_gauges)
+        instance_id = InstanceId(settings.instance_id)
+        self.services = ServiceBook(
+            parts.view,
+            parts.directory,
+            parts.membership,
+            instance_id,
+            FailureDomain(settings.failure_domain),
+            clock,
+            random,
+        )
+        upstream = Upstream(clock, settings.limits.buffered_answer_bytes)
+        self.forwarder = Forwarder(
+            self.services,
+            upstream,
+            self.records,
+            ObserverChain(observer, self.metrics),
+            clock,
+            self.note_draining,
+        )
+        keyed = KeyedForwarder(self.forwarder, parts.claims)
+        entry = Entry(self.services, self.forwarder, keyed)
+        body_seconds = settings.limits.body_seconds
+        self.application = CallersApplication(entry, instance_id, clock, body_seconds)
+        self.watch = Watch(self.services, self.forwarder, upstream, clock)
+
+    def explain(self, request_id: RequestId) -> RequestRecord | None:
+        """Return what this instance decided for a request lately, or None."""
+        return self.records.explain(request_id)
+
+    def note_draining(self, server: BackendServer) -> None:
+        """Tell the directory that a server's answer said that it is leaving.
+
+        The server is already left out here; its own announcement may be on its way by another
+        entry, and carries the same or a later sequence number.
+        """
+        draining = replace(server, sequence=server.sequence + 1, state=ServerState.DRAINING)
+        self._parts.directory.announce(draining)
+
+    def read_gauges(self) -> InstanceGauges:
+        """Return what is measured at the moment of a scrape."""
+        now = self._clock.monotonic()
+        taking = {}
+        left_out = {}
+        for live in self.services:
+            statuses = live.traffic.describe(now)
+            taking[live.name] = sum(status.taking_work for status in statuses)
+            left_out[live.name] = len(statuses) - taking[live.name]
+        return InstanceGauges(
+            self.forwarder.in_flight,
+            self.application.count_connections(),
+            self.services.revision(),
+            len(self._parts.membership.list_live()),
+            taking,
+            left_out,
+        )
--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -9,8 +9,9 @@
 from typing import Any, Final, TypeAlias
 
 import eventlet
+from eventlet.greenio import GreenSocket
 from eventlet.greenthread import GreenThread
-from eventlet.wsgi import Server
+from eventlet.wsgi import STATE_IDLE, Server
 
 from persimmonusher_node.protocol import HttpProtocol
 
@@ -19,6 +20,8 @@
 BACKLOG: Final = 1024
 ACCEPT_PAUSE_SECONDS: Final = 0.05
 """Pause after a failed accept, such as for want of file descriptors, so as not to spin."""
+LAST_REQUEST_SECONDS: Final = 1.0
+"""How long a connection accepted just before the stop may take to send its first request."""
 STOP_POLL_SECONDS: Final = 0.02
 
 FULL_ANSWER: Final = (
@@ -102,17 +105,20 @@
     def stop_accepting(self) -> None:
         """Close the listening socket and idle connections; requests in flight go on.
 
-        An idle connection is shut for reading only: a request whose bytes have already arrived is
-        still read and answered; with a full close its caller would see a reset.
+        Connections that the kernel has taken already are accepted first: closing the socket would
+        reset them, with the requests that their callers may have sent. An idle connection is shut
+        for reading only: a request whose bytes have arrived is still read and answered.
         """
         self.close_after_answers()
         if self._thread is not None:
             self._thread.kill()
             self._thread = None
+        idle = [state for state in self._connections.values() if state[2] == STATE_IDLE]
+        self._accept_waiting()
         self._socket.close()
-        for state in list(self._connections.values()):
-            if state[2] == "idle":
-                shut(state[1], socket.SHUT_RD)
+        for state in idle:
+            shut(state[1], socket.SHUT_RD)
+        eventlet.spawn_after(LAST_REQUEST_SECONDS, self._shut_idle)
 
     def wait_until_idle(self, deadline: Callable[[], bool]) -> bool:
         """Wait until every connection has ended; False when `deadline` tells so first."""
@@ -134,22 +140,40 @@
             except OSError:
                 eventlet.sleep(ACCEPT_PAUSE_SECONDS)
                 continue
-            if len(self._connections) >= self._limits.connections:
-                refuse(connection)
-                continue
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection.settimeout(self._limits.write_seconds)
-            eventlet.spawn_n(self._serve, [peer, connection, "idle"])
+            self._take(connection, peer)
+
+    def _accept_waiting(self) -> None:
+        """Accept what waits, without waiting for more."""
+        below: socket.socket = getattr(self._socket, "fd", self._socket)
+        while True:
+            try:
+                connection, peer = below.accept()
+            except OSError:
+                return
+            self._take(GreenSocket(connection), peer)
+
+    def _take(self, connection: socket.socket, peer: Any) -> None:
+        if len(self._connections) >= self._limits.connections:
+            refuse(connection)
+            return
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.settimeout(self._limits.write_seconds)
+        state = [peer, connection, STATE_IDLE]
+        self._connections[id(state)] = state
+        eventlet.spawn_n(self._serve, state)
+
+    def _shut_idle(self) -> None:
+        for state in list(self._connections.values()):
+            if state[2] == STATE_IDLE:
+                shut(state[1], socket.SHUT_RD)
 
     def _serve(self, state: list[Any]) -> None:
-        key = id(state)
-        self._connections[key] = state
         try:
             self._server.process_request(state)
         except OSError:
             return
         finally:
-            del self._connections[key]
+            del self._connections[id(state)]
             state[1].close()
 
 
--- a/packages/node/tests/entry_harness.py
+++ b/packages/node/tests/entry_harness.py
@@ -22,8 +22,9 @@
 )
 from persimmonusher_model.profile import Profile  # noqa: E402
 from persimmonusher_node.clock import SystemClock  # noqa: E402
-from persimmonusher_node.daemon import Daemon  # noqa: E402
-from persimmonusher_node.listener import HttpListener, ListenerLimits  # noqa: E402
+from persimmonusher_node.daemon import make_listener_limits  # noqa: E402
+from persimmonusher_node.data_plane import DataPlane  # noqa: E402
+from persimmonusher_node.listener import HttpListener  # noqa: E402
 from persimmonusher_node.memory import (  # noqa: E402
     MemoryClaims,
     MemoryConfiguration,
@@ -220,21 +221,15 @@
         instance = Instance(InstanceId("e1"), FailureDomain("a"), "127.0.0.1:1", ("entry",))
         parts = Parts(self.view, self.directory, MemoryMembership([instance]), self.claims)
         self.observer = KeepingObserver()
-        self.daemon = Daemon(settings, parts, self.observer, SystemClock(), Random(1))
+        self.plane = DataPlane(settings, parts, self.observer, SystemClock(), Random(1))
         self.listener = HttpListener(
             "127.0.0.1:0",
-            self.daemon.application,
-            ListenerLimits(
-                self.limits.connections,
-                self.limits.idle_seconds,
-                self.limits.head_seconds,
-                self.limits.body_seconds,
-                self.limits.write_seconds,
-            ),
+            self.plane.application,
+            make_listener_limits(self.limits),
         )
         self.listener.start()
-        self.daemon.watch.start()
-        self.addCleanup(self.daemon.watch.stop)
+        self.plane.watch.start()
+        self.addCleanup(self.plane.watch.stop)
         self.addCleanup(self.listener.abort)
         self.addCleanup(self.listener.stop_accepting)
 
--- a/packages/node/tests/test_callers_bounds.py
+++ b/packages/node/tests/test_callers_bounds.py
@@ -137,7 +137,7 @@
         self.assertGreater(int(heard["persimmonusher-deadline-ms"]), 500)
         self.assertEqual((heard["x-request-id"], told.headers["x-request-id"]), ("r-1", "r-1"))
         self.assertTrue(self.call().headers["x-request-id"].startswith("e1-"))
-        record = self.daemon.explain("r-1")
+        record = self.plane.explain("r-1")
         self.assertEqual([step.step for step in record.steps], ["dispatch", "outcome"])
 
 
--- /dev/null
+++ b/packages/node/tests/test_shutdown.py
@@ -0,0 +1,172 @@
+"""A graceful stop of a real process cuts off no request in flight."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+import unittest
+from collections import Counter
+from http.client import HTTPConnection
+from pathlib import Path
+
+import eventlet
+from entry_harness import PROFILE, ScriptedServer, Told, answer, read_answer, stall
+from lone_instance import HOST
+
+from persimmonusher_node.settings import Limits, Listeners, Settings
+
+SCRIPT = Path(__file__).with_name("lone_instance.py")
+LIMITS = Limits(head_seconds=1.0, body_seconds=1.0, write_seconds=1.0)
+
+
+def find_free_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class ShutdownTest(unittest.TestCase):
+    def setUp(self) -> None:
+        listen = Listeners(**{name: find_free_address() for name in Listeners.model_fields})
+        settings = Settings(
+            instance_id="e1",
+            failure_domain="a",
+            listen=listen,
+            peer_token="secret",
+            log_level="error",
+            stop_delay_seconds=0.3,
+            limits=LIMITS,
+        )
+        self.listen = listen
+        self.process = subprocess.Popen(
+            [sys.executable, str(SCRIPT), settings.model_dump_json(), PROFILE.model_dump_json()]
+        )
+        self.addCleanup(self.process.kill)
+        self.server = ScriptedServer("s1")
+        self.addCleanup(self.server.stop)
+        self.wait_until(lambda: self.read_health() == 200)
+        self.announce()
+
+    def announce(self) -> None:
+        server = self.server.announce()
+        document = {
+            "server_id": server.server_id,
+            "service": server.service,
+            "address": server.address,
+            "failure_domain": server.failure_domain,
+            "slots": 64,
+            "boot_id": 1,
+            "sequence": 1,
+            "state": "ready",
+        }
+        connection = self.open(self.listen.announcements)
+        connection.request("POST", "/announce", json.dumps(document))
+        self.assertEqual(json.loads(connection.getresponse().read())["taken"], True)
+
+    def open(self, address: str) -> HTTPConnection:
+        host, _, port = address.rpartition(":")
+        connection = HTTPConnection(host, int(port), timeout=10)
+        self.addCleanup(connection.close)
+        return connection
+
+    def read_health(self) -> int:
+        try:
+            connection = self.open(self.listen.callers)
+            connection.request("GET", "/.persimmonusher/health")
+            return connection.getresponse().status
+        except OSError:
+            return 0
+
+    def wait_until(self, met, seconds: float = 10.0) -> float:  # type: ignore[no-untyped-def]
+        started = time.monotonic()
+        while not met():
+            self.assertLess(time.monotonic() - started, seconds)
+            eventlet.sleep(0.02)
+        return time.monotonic() - started
+
+    def post(self, body: bytes, connection: HTTPConnection | None = None, **headers: str) -> Told:
+        connection = connection or self.open(self.listen.callers)
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        connection.request("POST", "/entry", body, {"Host": HOST, **named})
+        return read_answer(connection.getresponse())
+
+    def stop(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def wait_for_exit(self, seconds: float) -> int:
+        self.wait_until(lambda: self.process.poll() is not None, seconds)
+        return int(self.process.returncode)
+
+    def test_sigterm_under_load_cuts_off_nothing(self) -> None:
+        """Eight callers lodge entries all the time while the instance is told to stop, twice.
+
+        Each entry that was sent is answered whole. Once the listener is closed, a caller can't
+        connect, which is no cut-off: the balancer has sent it elsewhere by then.
+        """
+        quick = stall(0.01, answer(b"lodged"))
+        late = stall(1.5, answer(b"lodged late"))
+        self.server.default = lambda connection, heard: (
+            late(connection, heard) if heard.body == b"slow" else quick(connection, heard)
+        )
+        results: Counter[str] = Counter()
+
+        def call_until_refused() -> None:
+            connection = self.open(self.listen.callers)
+            while True:
+                try:
+                    connection.connect()
+                except ConnectionRefusedError:
+                    return
+                while connection.sock is not None:
+                    told = self.post(b"entry", connection)
+                    results[f"{told.status} {told.outcome} {told.body.decode()}"] += 1
+
+        callers = [eventlet.spawn(call_until_refused) for _ in range(8)]
+        slow = eventlet.spawn(self.post, b"slow")
+        eventlet.sleep(0.3)
+        self.stop()
+        eventlet.sleep(0.1)
+        self.assertEqual(self.read_health(), 503)
+        self.stop()
+        self.assertEqual(slow.wait().body, b"lodged late")
+        for caller in callers:
+            caller.wait()
+        self.assertEqual(list(results), ["200 ran lodged"])
+        self.assertGreater(results.total(), 50)
+        self.assertEqual(self.wait_for_exit(5.0), 0)
+        self.assertEqual(len(self.server.ran), results.total() + 1)
+
+    def test_a_stuck_request_ends_at_its_deadline_and_the_process_with_it(self) -> None:
+        """A backend server never answers. The bound of a stop is the request's own deadline."""
+        self.server.default = stall(60.0, answer())
+        stuck = eventlet.spawn(self.post, b"x", Persimmonusher_Deadline_Ms="1500")
+        eventlet.sleep(0.2)
+        started = time.monotonic()
+        self.stop()
+        told = stuck.wait()
+        self.assertEqual((told.status, told.outcome), (504, "unknown"))
+        self.assertEqual(self.wait_for_exit(5.0), 0)
+        self.assertLess(time.monotonic() - started, 3.0)
+
+    def test_a_caller_that_never_ends_its_request_holds_the_stop_for_a_bounded_time(self) -> None:
+        """A caller sends half a head and nothing more; it is told so and the process ends."""
+        host, _, port = self.listen.callers.rpartition(":")
+        with socket.create_connection((host, int(port))) as connection:
+            connection.sendall(b"POST /entry HTTP/1.1\r\nHo")
+            eventlet.sleep(0.1)
+            self.stop()
+            self.assertIn(b" 408 ", connection.recv(65_536))
+        self.assertEqual(self.wait_for_exit(5.0), 0)
+
+    def test_idle_connections_do_not_hold_the_stop(self) -> None:
+        idle = self.open(self.listen.callers)
+        self.assertEqual(self.post(b"x", idle).status, 200)
+        unused = self.open(self.listen.callers)
+        unused.connect()
+        self.stop()
+        self.assertEqual(self.wait_for_exit(3.0), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/node/tests/test_whole_answers.py
+++ b/packages/node/tests/test_whole_answers.py
@@ -114,7 +114,7 @@
         self.script(stall(1.0, answer()))
         self.leave("GET")
         eventlet.sleep(0.3)
-        self.assertEqual(self.daemon.forwarder.in_flight, 0)
+        self.assertEqual(self.plane.forwarder.in_flight, 0)
         self.assertIn("caller-left", self.observer.finished[-1].record.result)
 
     def leave(self, method: str, header: str = "") -> None:
@@ -143,7 +143,7 @@
                 told = self.call()
                 self.assertEqual((told.status, told.body == body), (200, True))
         eventlet.sleep(0.05)
-        self.assertEqual(self.daemon.forwarder.in_flight, 0)
+        self.assertEqual(self.plane.forwarder.in_flight, 0)
 
     def test_a_long_answer_that_is_cut_off_is_cut_off_towards_the_caller(self) -> None:
         """The head and a part are already with the caller when the server breaks off.
@@ -163,7 +163,7 @@
                     with self.assertRaises(ConnectionResetError):
                         self.send_raw(request)
         eventlet.sleep(0.05)
-        self.assertEqual(self.daemon.forwarder.in_flight, 0)
+        self.assertEqual(self.plane.forwarder.in_flight, 0)
 
     def test_a_caller_that_leaves_a_long_answer_frees_its_place(self) -> None:
         body = b"y" * 20_000_000
@@ -172,7 +172,7 @@
             connection.sendall(f"GET / HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
             connection.recv(10)
         eventlet.sleep(0.3)
-        self.assertEqual(self.daemon.forwarder.in_flight, 0)
+        self.assertEqual(self.plane.forwarder.in_flight, 0)
 
 
 class HedgingTest(EntryTestCase):
@@ -186,8 +186,8 @@
             self.assertEqual((told.status, told.body), (200, b"ok"))
             server.script.clear()
         eventlet.sleep(0.05)
-        self.assertEqual(self.daemon.forwarder.in_flight, 0)
-        statuses = self.daemon.services.find(HOST, "/").traffic.describe(0.0)
+        self.assertEqual(self.plane.forwarder.in_flight, 0)
+        statuses = self.plane.services.find(HOST, "/").traffic.describe(0.0)
         self.assertEqual([status.outstanding for status in statuses], [0, 0])
 
     def test_work_that_is_not_idempotent_is_never_copied(self) -> None:
