Record and replay traces of every promise

Cause: the users want proof by replay of recorded traces against stated outcomes. Scenarios: racing operators and a resend, a keeper isolated for hours, a wiped keeper with a second one lost, a claim resent over a restarted register, the floor, drain, a crashing request; and a part of a demo's run for whole answers and graceful stop.

--- a/packages/lab/src/persimmonusher_lab/demo.py
+++ b/packages/lab/src/persimmonusher_lab/demo.py
@@ -16,11 +16,18 @@
 
 from persimmonusher_lab import demo_steps as steps
 from persimmonusher_lab.demo_report import print_report
-from persimmonusher_lab.fleet import Fleet, choose_network, plan_instances, plan_servers
+from persimmonusher_lab.fleet import (
+    CALLERS_PORT,
+    Fleet,
+    choose_network,
+    plan_instances,
+    plan_servers,
+)
 from persimmonusher_lab.ledger import read_ledgers
 from persimmonusher_lab.load import read_tries
 from persimmonusher_lab.processes import ProcessRunner
 from persimmonusher_lab.promises import PromiseResult
+from persimmonusher_lab.trace_runs import write_marks
 from persimmonusher_lab.watch import FleetWatch
 
 INSTANCES: Final = 6
@@ -50,6 +57,7 @@
     started = time.monotonic()
     with tempfile.TemporaryDirectory(prefix="persimmonusher-demo-") as scratch:
         work = folder or Path(scratch)
+        work.mkdir(parents=True, exist_ok=True)
         try:
             results = _run(work)
         except Exception:
@@ -126,6 +134,8 @@
     process = run.fleet.processes[steps.STOPPED_INSTANCE]
     process.send(SIGTERM)
     run.exit_code = process.wait(20.0)
+    plan = next(i for i in run.fleet.instances if i.instance_id == steps.STOPPED_INSTANCE)
+    write_marks(run.fleet.folder, plan.at(CALLERS_PORT), run.marks["stop"], run.exit_code)
 
 
 def _print_crashes(run: DemoRun) -> None:
--- a/packages/lab/src/persimmonusher_lab/demo_steps.py
+++ b/packages/lab/src/persimmonusher_lab/demo_steps.py
@@ -98,14 +98,8 @@
 
 def start_loads(fleet: Fleet, seconds: float, rate: float) -> list[tuple[LabProcess, Path]]:
     """Start one load process for each service."""
-    loads = []
-    for number, host in enumerate(HOSTS.values(), 1):
-        report = fleet.folder / f"load-{number}.jsonl"
-        arguments = [",".join(fleet.list_caller_addresses()), host, "--report", str(report)]
-        arguments += ["--seconds", str(seconds), "--rate", str(rate), "--seed", str(number)]
-        process = fleet.runner.start(f"load-{number}", ["persimmonusher_lab", "load", *arguments])
-        loads.append((process, report))
-    return loads
+    hosts = enumerate(HOSTS.values(), 1)
+    return [fleet.start_load(number, host, seconds, rate) for number, host in hosts]
 
 
 def turn_gray(fleet: Fleet) -> None:
--- a/packages/lab/src/persimmonusher_lab/fleet.py
+++ b/packages/lab/src/persimmonusher_lab/fleet.py
@@ -177,6 +177,24 @@
             plan.server_id, ["persimmonusher_lab", "backend-server", *arguments]
         )
 
+    def start_load(
+        self, number: int, host: str, seconds: float, rate: float, deadline_ms: int = 5_000
+    ) -> tuple[LabProcess, Path]:
+        """Start a load over all instances; its number seeds it. Return it with its report."""
+        report = self.folder / f"load-{number}.jsonl"
+        options = {
+            "report": report,
+            "seconds": seconds,
+            "rate": rate,
+            "seed": number,
+            "deadline-ms": deadline_ms,
+        }
+        arguments = [",".join(self.list_caller_addresses()), host]
+        for name, value in options.items():
+            arguments += [f"--{name}", str(value)]
+        process = self.runner.start(f"load-{number}", ["persimmonusher_lab", "load", *arguments])
+        return process, report
+
     def start_all(self) -> None:
         """Start every instance and every server."""
         for instance in self.instances:
--- a/packages/lab/src/persimmonusher_lab/main.py
+++ b/packages/lab/src/persimmonusher_lab/main.py
@@ -51,6 +51,7 @@
     seconds: Annotated[float, typer.Option(max=600.0)] = 10.0,
     rate: Annotated[float, typer.Option(max=5_000.0)] = 50.0,
     entry_percent: int = 30,
+    deadline_ms: int = 5_000,
     seed: int = 1,
 ) -> None:
     """Send a bounded open-loop load of lookups and entries."""
@@ -62,6 +63,7 @@
         seconds=seconds,
         rate=rate,
         entry_percent=entry_percent,
+        deadline_ms=deadline_ms,
         seed=seed,
     )
     with Caller(options, report) as caller:
@@ -69,12 +71,54 @@
 
 
 @app.command()
-def demo() -> None:
+def demo(
+    keep: Annotated[Path | None, typer.Option(help="Empty folder to keep reports in.")] = None,
+) -> None:
     """Show every promise once on real processes; exits non-zero when one broke."""
     from persimmonusher_lab.demo import run_demo
 
-    sys.stdout.flush()
-    sys.exit(run_demo())
+    sys.exit(run_demo(keep))
+
+
+@app.command()
+def record(
+    folder: Annotated[Path, typer.Argument(help="Folder to write the traces to.")],
+    run: Annotated[Path | None, typer.Option(help="Kept folder of a demo to record too.")] = None,
+) -> None:
+    """Record the scenarios of all promises anew, each as a trace."""
+    from persimmonusher_lab.trace import write_trace
+    from persimmonusher_lab.trace_runs import record_run
+    from persimmonusher_lab.trace_scenarios import SCENARIOS
+
+    folder.mkdir(parents=True, exist_ok=True)
+    traces = {name: scenario() for name, scenario in SCENARIOS.items()}
+    if run is not None:
+        traces["demo-run"] = record_run(run)
+    for name, trace in traces.items():
+        write_trace(trace, folder / f"{name}.jsonl")
+        typer.echo(f"{name}: {len(trace.steps)} steps")
+
+
+@app.command()
+def replay(
+    files: list[Path],
+    strict: Annotated[bool, typer.Option(help="Compare results that aren't stated too.")] = False,
+) -> None:
+    """Replay traces; exits non-zero when a stated outcome differs."""
+    from persimmonusher_lab.trace import read_trace
+    from persimmonusher_lab.trace import replay as replay_trace
+
+    failed = False
+    for path in files:
+        trace = read_trace(path)
+        differences = replay_trace(trace, strict)
+        stated = sum(bool(step.states) for step in trace.steps)
+        failed = failed or bool(differences)
+        verdict = f"{len(differences)} differ" if differences else "as stated"
+        typer.echo(f"{path.name}: {len(trace.steps)} steps, {stated} stated: {verdict}")
+        for difference in differences:
+            typer.echo(str(difference))
+    sys.exit(1 if failed else 0)
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/lab/src/persimmonusher_lab/trace_machines.py
@@ -0,0 +1,298 @@
+"""The state machines that traces can drive, each with the calls that are recorded."""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Final
+
+from persimmonusher_agreement.claims import ClaimRequest, ClaimRound
+from persimmonusher_agreement.configuration import Configuration
+from persimmonusher_agreement.configuration_keeper import ConfigurationKeeper
+from persimmonusher_agreement.configuration_objects import Change, Verdict
+from persimmonusher_agreement.log_messages import (
+    Entry,
+    KeeperId,
+    LogMessage,
+    Members,
+    Snapshot,
+    Vote,
+)
+from persimmonusher_agreement.log_storage import LogStorage, StoredLog
+from persimmonusher_agreement.register import Register
+from persimmonusher_agreement.roster import Roster
+from persimmonusher_decisions.evidence_messages import EjectionSet
+from persimmonusher_decisions.server import BackendServer
+from persimmonusher_decisions.traffic import ServiceTraffic
+from persimmonusher_decisions.work import Dispatch, Outcome, Refusal, Request
+from persimmonusher_lab import promises
+from persimmonusher_lab.ledger import LedgerRecord
+from persimmonusher_lab.load import Try
+from persimmonusher_lab.promises import PromiseResult
+from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServerId, ServiceName
+from persimmonusher_model.profile import Profile
+
+
+@dataclass(frozen=True)
+class MachineKind:
+    """How a machine is made, and which of its methods a trace may call."""
+
+    make: Callable[..., Any]
+    calls: frozenset[str]
+
+
+class MemoryDisk(LogStorage):
+    """A keeper's disk in memory: what was not synced is lost in a crash."""
+
+    def __init__(self) -> None:
+        self._vote = Vote(0, None)
+        self._snapshot: Snapshot | None = None
+        self._entries: list[Entry] = []
+        self._synced: tuple[Entry, ...] = ()
+
+    def load(self) -> StoredLog:
+        """Read what was durable."""
+        self._entries = list(self._synced)
+        return StoredLog(self._vote, self._snapshot, self._synced)
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Add entries, not yet durable."""
+        self._entries.extend(entries)
+
+    def truncate(self, index: int) -> None:
+        """Drop entries from an index on, not yet durable."""
+        self._entries = [entry for entry in self._entries if entry.index < index]
+
+    def sync(self) -> None:
+        """Make all durable."""
+        self._synced = tuple(self._entries)
+
+    def save_vote(self, vote: Vote) -> None:
+        """Keep the vote at once."""
+        self._vote = vote
+
+    def save_snapshot(self, snapshot: Snapshot, kept: Sequence[Entry]) -> None:
+        """Keep the snapshot and the rest of the log at once."""
+        self._snapshot = snapshot
+        self._entries = list(kept)
+        self.sync()
+
+
+class KeeperMachine:
+    """A keeper with its disk; each event returns the messages that it caused."""
+
+    def __init__(self, keeper: str, seed: int) -> None:
+        self._id = KeeperId(keeper)
+        self._seed = seed
+        self._disk = MemoryDisk()
+        self._start(0.0)
+
+    def _start(self, now: float) -> None:
+        self._keeper = ConfigurationKeeper(self._id, self._disk, Random(self._seed), now)
+        self._decided: dict[str, Verdict] = {}
+
+    def form(self, members: Members) -> tuple[LogMessage, ...]:
+        """Begin a new log."""
+        self._keeper.form(members)
+        return self._flush()
+
+    def receive(self, message: LogMessage, now: float) -> tuple[LogMessage, ...]:
+        """Take a message."""
+        self._keeper.receive(message, now)
+        return self._flush()
+
+    def advance(self, now: float) -> tuple[LogMessage, ...]:
+        """Let time pass."""
+        self._keeper.advance(now)
+        return self._flush()
+
+    def propose(self, change: Change, now: float) -> tuple[LogMessage, ...]:
+        """Take a change as leader; its verdict shows in `find_verdict` once it is committed."""
+        verdict = self._keeper.propose(change, now)
+        if verdict is not None:
+            self._decided[change.change_id] = verdict
+        return self._flush()
+
+    def admit(self, keeper: str, now: float) -> tuple[LogMessage, ...]:
+        """Take a keeper with an empty disk as a learner."""
+        self._keeper.admit(KeeperId(keeper), f"{keeper}:1", True, now)
+        return self._flush()
+
+    def find_verdict(self, change_id: str) -> Verdict | None:
+        """Return the verdict on a change that this keeper decided as leader."""
+        return self._decided.get(change_id)
+
+    def crash(self, now: float) -> None:
+        """Lose all that is not durable and start again from the disk."""
+        self._start(now)
+
+    def wipe(self, keeper: str, now: float) -> None:
+        """Start again on an empty disk, as another identity."""
+        self._id = KeeperId(keeper)
+        self._disk = MemoryDisk()
+        self._start(now)
+
+    def read_role(self) -> str:
+        """Return what the keeper does in its term."""
+        return self._keeper.replica.role.value
+
+    def read_revision(self) -> int:
+        """Return the revision that the keeper has applied."""
+        return self._keeper.configuration.revision
+
+    def _flush(self) -> tuple[LogMessage, ...]:
+        output = self._keeper.flush()
+        self._decided.update(output.verdicts)
+        return output.messages
+
+
+class RunJudge:
+    """The demo's checks over a recorded run of real processes."""
+
+    def __init__(self) -> None:
+        self._tries: list[Try] = []
+        self._records: list[LedgerRecord] = []
+
+    def take_try(self, item: Try) -> None:
+        """Take what a caller was told."""
+        self._tries.append(item)
+
+    def take_record(self, record: LedgerRecord) -> None:
+        """Take what a server did."""
+        self._records.append(record)
+
+    def count_tries(self) -> int:
+        """Return how many tries were taken."""
+        return len(self._tries)
+
+    def judge_answers(self) -> PromiseResult:
+        """Check whole answers to the right callers."""
+        return promises.check_whole_answers(self._tries)
+
+    def judge_runs(self) -> tuple[PromiseResult, ...]:
+        """Check that entries ran at most once, none was lost, and `not run` is true."""
+        return (
+            promises.check_at_most_once(self._tries, self._records),
+            promises.check_not_lost(self._tries, self._records),
+            promises.check_not_run(self._tries, self._records),
+        )
+
+    def judge_stop(self, instance: str, stopped_at: float, exit_code: int | None) -> PromiseResult:
+        """Check that a graceful stop cut off no request in flight."""
+        return promises.check_graceful_stop(
+            self._tries, self._records, instance, stopped_at, exit_code
+        )
+
+
+class TrafficMachine:
+    """One entry's decisions for one service, told by request id.
+
+    Results say what a promise is about and leave out which of several servers was chosen, so that
+    a trace outlives a change of placement.
+    """
+
+    def __init__(self, profile: Profile, domain: str, seed: int) -> None:
+        self._traffic = ServiceTraffic(
+            profile, FailureDomain(domain), Random(seed), ServiceName("shows"), InstanceId("i1"), 1
+        )
+        self._dispatches: dict[str, Dispatch] = {}
+
+    def replace_servers(self, servers: Sequence[BackendServer], now: float) -> None:
+        """Take the announced servers."""
+        self._traffic.replace_servers(servers, now)
+
+    def apply_ejections(self, ejections: EjectionSet, asked: float) -> None:
+        """Take an assessor's set."""
+        self._traffic.apply_ejections(ejections, asked)
+
+    def offer(self, request: Request, now: float) -> str:
+        """Offer a request; return `dispatch`, `wait` or the reason of the refusal."""
+        decision = self._traffic.offer(request, now)
+        if isinstance(decision, Dispatch):
+            self._dispatches[request.request_id] = decision
+            return "dispatch"
+        return decision.reason.value if isinstance(decision, Refusal) else "wait"
+
+    def finish(self, request_id: str, outcome: Outcome, now: float) -> None:
+        """End the attempt of a dispatched request."""
+        self._traffic.finish(self._dispatches[request_id], outcome, now)
+
+    def advance(self, now: float) -> None:
+        """Let time pass."""
+        self._traffic.advance(now)
+
+    def was_given(self, server_id: str, request_ids: Sequence[str]) -> bool:
+        """Tell whether any of these requests was placed on the server."""
+        placed = (self._dispatches.get(request_id) for request_id in request_ids)
+        return any(item is not None and item.server.server_id == server_id for item in placed)
+
+    def count_taking(self, now: float) -> int:
+        """Return how many servers this entry gives work to."""
+        return sum(status.taking_work for status in self._traffic.describe(now))
+
+    def takes_work(self, server_id: str, now: float) -> bool:
+        """Tell whether this entry gives work to a server."""
+        statuses = {item.server.server_id: item for item in self._traffic.describe(now)}
+        found = statuses.get(ServerId(server_id))
+        return found is not None and found.taking_work
+
+
+def _make_register(instance: str, boot: int, window: float, roster: Roster) -> Register:
+    register = Register(InstanceId(instance), boot, window, 0.0)
+    register.replace_roster(roster)
+    return register
+
+
+def _make_round(request: ClaimRequest, roster: Roster) -> ClaimRound:
+    return ClaimRound(request, roster)
+
+
+MACHINES: Final[Mapping[str, MachineKind]] = {
+    "claim-round": MachineKind(_make_round, frozenset({"receive", "miss", "find_record"})),
+    "configuration": MachineKind(Configuration, frozenset({"apply", "list_history"})),
+    "keeper": MachineKind(
+        KeeperMachine,
+        frozenset(
+            {
+                "admit",
+                "advance",
+                "crash",
+                "find_verdict",
+                "form",
+                "propose",
+                "read_revision",
+                "read_role",
+                "receive",
+                "wipe",
+            }
+        ),
+    ),
+    "register": MachineKind(
+        _make_register, frozenset({"claim", "settle", "export_share", "import_share"})
+    ),
+    "run": MachineKind(
+        RunJudge,
+        frozenset(
+            {"take_try", "take_record", "count_tries", "judge_answers", "judge_runs", "judge_stop"}
+        ),
+    ),
+    "traffic": MachineKind(
+        TrafficMachine,
+        frozenset(
+            {
+                "advance",
+                "apply_ejections",
+                "count_taking",
+                "finish",
+                "offer",
+                "replace_servers",
+                "takes_work",
+                "was_given",
+            }
+        ),
+    ),
+}
+
+
+def make_machine(kind: str, arguments: Mapping[str, Any]) -> Any:
+    """Make a machine of a kind from its typed arguments."""
+    return MACHINES[kind].make(**arguments)
