--- a/packages/agreement/src/persimmonusher_agreement/configuration.py
+++ b/packages/agreement/src/persimmonusher_agreement/configuration.py
@@ -24,7 +24,7 @@
     StoredVerdict,
     Verdict,
 )
-from persimmonusher_agreement.configuration_store import TOMBSTONES_KEPT, RecordStore
+from persimmonusher_agreement.configuration_store import TOMBSTONES_KEPT, ConfigurationStore
 from persimmonusher_agreement.roster_document import check_roster
 from persimmonusher_model.errors import ErrorCode, Finding, UsherError
 from persimmonusher_model.identifiers import Revision
@@ -127,7 +127,7 @@
         self._clear(lineage)
 
     def _clear(self, lineage: str) -> None:
-        self._store = RecordStore(lineage, self._tombstones_kept)
+        self._store = ConfigurationStore(lineage, self._tombstones_kept)
         self._histories: dict[ObjectKey, deque[Record]] = {}
         self._verdicts: OrderedDict[str, StoredVerdict] = OrderedDict()
         self._users: dict[ObjectKey, set[ObjectKey]] = {}
@@ -138,7 +138,7 @@
         return self._store.revision
 
     @property
-    def store(self) -> RecordStore:
+    def store(self) -> ConfigurationStore:
         """Return the latest records, to be read only."""
         return self._store
 
--- a/packages/agreement/src/persimmonusher_agreement/configuration_store.py
+++ b/packages/agreement/src/persimmonusher_agreement/configuration_store.py
@@ -15,7 +15,7 @@
 longer gets a whole batch instead, so the bound costs bytes and never correctness."""
 
 
-class RecordStore:
+class ConfigurationStore:
     """Latest records by key and by revision; the revision only ever rises."""
 
     def __init__(self, lineage: str = "", tombstones_kept: int = TOMBSTONES_KEPT) -> None:
--- a/packages/agreement/tests/test_configuration.py
+++ b/packages/agreement/tests/test_configuration.py
@@ -12,7 +12,7 @@
     ObjectKind,
     Verdict,
 )
-from persimmonusher_agreement.record_store import RecordStore
+from persimmonusher_agreement.configuration_store import ConfigurationStore
 from persimmonusher_model.errors import ErrorCode
 from persimmonusher_model.identifiers import Revision
 
@@ -126,7 +126,7 @@
                 self.assertEqual(len(check_change(change)), count)
 
 
-class RecordStoreTest(unittest.TestCase):
+class ConfigurationStoreTest(unittest.TestCase):
     def setUp(self) -> None:
         self.source = Configuration("fleet", tombstones_kept=2)
         self.number = 0
@@ -138,7 +138,7 @@
         verdict = self.source.apply(make(f"c{self.number}", "profile", name, based_on, body))
         self.assertIsInstance(verdict, Accepted)
 
-    def list_names(self, store: RecordStore) -> list[str]:
+    def list_names(self, store: ConfigurationStore) -> list[str]:
         return sorted(record.key.name for record in store.list_live(ObjectKind.PROFILE))
 
     def test_a_replica_that_was_away_gets_the_same_state(self) -> None:
@@ -148,7 +148,7 @@
         was retired meanwhile are forgotten already.
         """
         for away in (1, 8):
-            replica = RecordStore()
+            replica = ConfigurationStore()
             for name in "abcde":
                 self.change(name, {})
             replica.take(self.source.collect_since(replica.revision))
@@ -168,7 +168,7 @@
 
         Neither may take the entry back to an older configuration.
         """
-        replica = RecordStore()
+        replica = ConfigurationStore()
         self.change("a", {})
         late = self.source.collect_since(Revision(0))
         self.change("a", {"ramp_ms": 1})
@@ -179,7 +179,7 @@
             self.assertEqual((replica.revision, self.list_names(replica)), (2, ["a"]))
 
     def test_a_replica_serves_another_replica(self) -> None:
-        first, second = RecordStore(), RecordStore()
+        first, second = ConfigurationStore(), ConfigurationStore()
         for name in "abc":
             self.change(name, {})
             first.take(self.source.collect_since(first.revision))
--- a/packages/lab/src/persimmonusher_lab/log_cluster.py
+++ b/packages/lab/src/persimmonusher_lab/log_cluster.py
@@ -13,11 +13,11 @@
 from persimmonusher_agreement.configuration import Configuration
 from persimmonusher_agreement.configuration_keeper import ConfigurationKeeper, KeeperOutput
 from persimmonusher_agreement.configuration_objects import Change, ObjectKey, ObjectKind, Verdict
+from persimmonusher_agreement.configuration_store import ConfigurationStore
 from persimmonusher_agreement.keeper_members import form_members
 from persimmonusher_agreement.log_leadership import LogTiming
 from persimmonusher_agreement.log_messages import KeeperId, LogMessage, find_instance
 from persimmonusher_agreement.log_storage import StorageError
-from persimmonusher_agreement.record_store import RecordStore
 from persimmonusher_lab.log_disk import MemoryDisk
 from persimmonusher_lab.log_invariants import LogInvariants
 from persimmonusher_model.errors import UsherError
@@ -48,7 +48,7 @@
         self.random = Random(seed)
         self.invariants = LogInvariants()
         self.changes: dict[str, Change] = {}
-        self.entries = [RecordStore(), RecordStore()]
+        self.entries = [ConfigurationStore(), ConfigurationStore()]
         self._snapshot_entries = snapshot_entries
         names = [f"k{number}" for number in range(1, size + 1)]
         self.keepers = {name: SimulatedKeeper(KeeperId(f"{name}#1")) for name in names}
--- a/packages/node/src/persimmonusher_node/applied_configuration.py
+++ b/packages/node/src/persimmonusher_node/applied_configuration.py
@@ -7,7 +7,7 @@
 
 from persimmonusher_agreement.configuration import find_reference
 from persimmonusher_agreement.configuration_objects import Batch, ObjectKey, ObjectKind
-from persimmonusher_agreement.configuration_store import RecordStore
+from persimmonusher_agreement.configuration_store import ConfigurationStore
 from persimmonusher_model.errors import UsherError
 from persimmonusher_model.identifiers import ProfileName, ServiceName
 from persimmonusher_model.profile import Profile, parse_profile
@@ -20,7 +20,7 @@
     """Records with the routes and parsed profiles that follow from them."""
 
     def __init__(self) -> None:
-        self.store = RecordStore()
+        self.store = ConfigurationStore()
         self.routes = RouteTable()
         self._profiles: dict[ProfileName, Profile] = {}
         self._profile_names: dict[ServiceName, ProfileName] = {}
