--- a/packages/agreement/src/persimmonusher_agreement/roster.py
+++ b/packages/agreement/src/persimmonusher_agreement/roster.py
@@ -27,9 +27,9 @@
 """Two registers of a key may be lost, such as by a restart and a failure at the same moment."""
 MAX_LAGGARDS: Final = (REGISTERS_PER_KEY - 1) // 2
 """Members that may lag behind a version: any majority of 5 then still meets one that doesn't."""
-SLOTS: Final = 4_096
+SLOTS: Final = 1_024
 """Keys share the registers of their slot: ranking 2,500 members takes milliseconds, too long for
-each request, and 4,096 remembered choices still spread the keys evenly."""
+each request, and 1,024 remembered choices still spread the keys evenly."""
 
 
 @dataclass(frozen=True)
@@ -61,7 +61,7 @@
         sets = self._sets.get(slot)
         if sets is None:
             versions = [self.members, self.previous] if self.previous else [self.members]
-            sets = tuple(_choose_registers(members, slot) for members in versions)
+            sets = tuple(choose_registers(members, slot) for members in versions)
             self._sets[slot] = sets
         return sets
 
@@ -77,7 +77,8 @@
         return None
 
 
-def _choose_registers(members: Sequence[Member], slot: int) -> frozenset[InstanceId]:
+def choose_registers(members: Sequence[Member], slot: int) -> frozenset[InstanceId]:
+    """Choose the registers of a slot, over as many failure domains as there are."""
     domains = {str(member.instance_id): str(member.failure_domain) for member in members}
     chosen = choose_spread(domains, f"claims-{slot}", REGISTERS_PER_KEY)
     return frozenset(InstanceId(name) for name in chosen)
--- a/packages/agreement/tests/test_claims.py
+++ b/packages/agreement/tests/test_claims.py
@@ -132,6 +132,39 @@
             first.receive(self.registers[InstanceId(name)].claim(first.request, 1.0))
         self.assertNotEqual(first.status, RoundStatus.GRANTED)
 
+    def test_a_wall_clock_that_went_back_does_not_revive_old_votes(self) -> None:
+        # An entry ran twice. The wall clock went back over a restart, so the new life's boot was
+        # below the old one's, and the old life's vote passed for the newer.
+        roster = Roster(1, make_members(NAMES, boot=50))
+        registers = {}
+        for name in NAMES:
+            registers[name] = Register(name, 50, WINDOW, 0.0)
+            registers[name].replace_roster(roster)
+        reborn = Register(NAMES[0], 20, WINDOW, 0.0)
+        reborn.replace_roster(roster)
+        self.assertEqual(reborn.boot, 51)
+        for name in NAMES[1:4]:
+            request = reborn.make_share_request()
+            reborn.import_share(registers[name].export_share(request, 1.0), 1.0)
+        again = Register(NAMES[0], 30, WINDOW, 1.0)
+        again.import_share(registers[NAMES[1]].export_share(again.make_share_request(), 2.0), 2.0)
+        self.assertEqual(again.boot, 52)
+        again.replace_roster(roster)
+        self.assertEqual(len(again.list_unread()), 4)
+
+    def test_a_restarted_register_waits_for_a_roster_that_peers_know(self) -> None:
+        # The restarted instance pulled its configuration from an instance that lags behind; its
+        # peers hold claims under a newer roster, of which it can't judge.
+        newer = Roster(2, ROSTER.members, ROSTER.members)
+        for name in "bcde":
+            self.registers[InstanceId(name)].replace_roster(newer)
+        reborn = self.start(NAMES[0], 2)
+        self.read_share(reborn, "bcde")
+        self.assertEqual(reborn.claim(make_request("t1"), 1.0).kind, VoteKind.ABSTAINED)
+        reborn.replace_roster(newer)
+        vote = reborn.claim(make_request("t1", version=2), 1.0)
+        self.assertEqual(vote.kind, VoteKind.GRANTED)
+
     def test_a_register_refuses_an_older_roster_and_abstains_under_a_newer_one(self) -> None:
         # An instance that is cut off from the keepers claims under a roster two versions old,
         # whose majorities need not meet those of today.
--- a/packages/lab/src/persimmonusher_lab/trace_machines.py
+++ b/packages/lab/src/persimmonusher_lab/trace_machines.py
@@ -96,8 +96,8 @@
         return self._flush()
 
     def receive(self, message: LogMessage, now: float) -> tuple[LogMessage, ...]:
-        """Take a message."""
-        self._keeper.receive(message, now)
+        """Take a message; a trace holds one log, so that no lineage needs to be told apart."""
+        self._keeper.receive(message, "", now)
         return self._flush()
 
     def advance(self, now: float) -> tuple[LogMessage, ...]:
--- a/packages/model/src/persimmonusher_model/rendezvous.py
+++ b/packages/model/src/persimmonusher_model/rendezvous.py
@@ -25,6 +25,18 @@
     `domains` maps each member to its failure domain. Members are taken in rank order, one from
     each domain in turn, until `count` are found.
     """
+    best: dict[str, tuple[int, str]] = {}
+    for member, domain in domains.items():
+        # Sorted by falling weight, then by name, as in `rank`.
+        place = (-weigh(member, key), member)
+        if domain not in best or place < best[domain]:
+            best[domain] = place
+    if count > len(best):
+        return _choose_in_turns(domains, key, count)
+    return [member for _, member in sorted(best.values())[:count]]
+
+
+def _choose_in_turns(domains: Mapping[str, str], key: str, count: int) -> list[str]:
     chosen: list[str] = []
     waiting = rank(domains, key)
     while waiting and len(chosen) < count:
--- a/packages/model/tests/test_rendezvous.py
+++ b/packages/model/tests/test_rendezvous.py
@@ -21,6 +21,13 @@
             self.assertEqual(len(set(chosen)), 5)
             self.assertEqual(len({domains[member] for member in chosen}), 4)
 
+    def test_choosing_few_is_the_start_of_choosing_many(self) -> None:
+        domains = {f"entry-{number}": f"domain-{number % 4}" for number in range(12)}
+        for key in (f"key-{number}" for number in range(100)):
+            every = choose_spread(domains, key, 12)
+            for count in range(1, 12):
+                self.assertEqual(choose_spread(domains, key, count), every[:count])
+
     def test_fewer_members_than_asked_gives_all(self) -> None:
         self.assertEqual(sorted(choose_spread({"a": "x", "b": "x"}, "k", 5)), ["a", "b"])
         self.assertEqual(choose_spread({}, "k", 5), [])
--- a/packages/node/src/persimmonusher_node/evidence.py
+++ b/packages/node/src/persimmonusher_node/evidence.py
@@ -17,8 +17,8 @@
 from persimmonusher_decisions.evidence_messages import EjectionSet, EvidenceDigest
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServiceName
-from persimmonusher_model.rendezvous import choose_spread
 from persimmonusher_node import evidence_wire as wire
+from persimmonusher_node.assessor_choice import AssessorChoice
 from persimmonusher_node.assessors import ASSESS_SECONDS, AssessorBook
 from persimmonusher_node.component import Component
 from persimmonusher_node.loop import start_coroutine
@@ -65,6 +65,7 @@
         self._channels = channels
         self._clock = clock
         self.assessors = AssessorBook(instance_id, epoch, view, directory, clock, self._send_hints)
+        self._choice = AssessorChoice()
         self._asked: dict[ServiceName, float] = {}
         self._avoided: dict[InstanceId, float] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -146,13 +147,11 @@
         return wire.read_set(message) if message.assessor_id else None
 
     def _choose_assessors(self, service: ServiceName) -> list[tuple[InstanceId, str]]:
-        live = {one.instance_id: one for one in self._membership.list_live()}
-        domains = {str(name): str(one.failure_domain) for name, one in live.items()}
-        chosen = [InstanceId(name) for name in choose_spread(domains, f"assessor-{service}", 2)]
+        chosen = self._choice.find(service, self._membership.list_live())
         now = self._clock.monotonic()
         # An avoided assessor goes last, not out: if both fail, one of them is still asked.
-        chosen.sort(key=lambda name: self._avoided.get(name, 0.0) > now)
-        return [(name, live[name].peer_address) for name in chosen]
+        chosen.sort(key=lambda one: self._avoided.get(one.instance_id, 0.0) > now)
+        return [(one.instance_id, one.peer_address) for one in chosen]
 
     def _send_hints(self, service: ServiceName, reporters: tuple[InstanceId, ...]) -> None:
         addresses = {one.instance_id: one.peer_address for one in self._membership.list_live()}
--- a/packages/node/src/persimmonusher_node/fleet.py
+++ b/packages/node/src/persimmonusher_node/fleet.py
@@ -103,8 +103,9 @@
             self._clock,
         )
         state = DataPlaneState(self.configuration, services, self.directory, records, self._clock)
-        roles = ("entry", "keeper") if settings.is_keeper else ("entry",)
-        own = Instance(InstanceId(settings.instance_id), domain, settings.listen.peers, roles)
+        own = Instance(
+            InstanceId(settings.instance_id), domain, settings.listen.peers, settings.roles
+        )
         operators = OperatorsComponent(
             own,
             state,
--- a/packages/node/src/persimmonusher_node/membership.py
+++ b/packages/node/src/persimmonusher_node/membership.py
@@ -206,12 +206,11 @@
     back meanwhile, the others answer with the earlier life's record, and the refutation goes above
     it, so the clock only spares that round and decides nothing.
     """
-    roles = ("entry", "keeper") if settings.is_keeper else ("entry",)
     return MemberRecord(
         InstanceId(settings.instance_id),
         FailureDomain(settings.failure_domain),
         settings.listen.peers,
-        roles,
+        settings.roles,
         int(clock.wall().timestamp() * 1000),
         MemberState.ALIVE,
     )
--- a/packages/node/src/persimmonusher_node/settings.py
+++ b/packages/node/src/persimmonusher_node/settings.py
@@ -79,6 +79,8 @@
     """Each operator's name and token."""
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     log_format: Literal["json", "console"] = "json"
+    assessor: bool = False
+    """Set aside for assessing services; where two or more are, no other instance assesses."""
     heartbeat_timeout_seconds: float = Field(default=5.0, ge=0.5, le=600)
     """A backend server that has not announced itself for this long is taken as lost."""
     stop_delay_seconds: float = Field(default=1.0, ge=0, le=600)
@@ -91,3 +93,10 @@
     def is_keeper(self) -> bool:
         """Tell whether this instance is one of the first keepers."""
         return any(keeper.instance_id == self.instance_id for keeper in self.keepers)
+
+    @property
+    def roles(self) -> tuple[str, ...]:
+        """Return the roles that other instances are told of."""
+        keeper = ("keeper",) if self.is_keeper else ()
+        assessor = ("assessor",) if self.assessor else ()
+        return ("entry", *keeper, *assessor)
