--- a/packages/lab/src/persimmonusher_lab/demo.py
+++ b/packages/lab/src/persimmonusher_lab/demo.py
@@ -88,6 +88,7 @@
     _step(run, "start", fleet.start_all)
     _step(run, "configure", lambda: run.results.extend(steps.configure(fleet)))
     _step(run, "servers known", lambda: steps.wait_for_servers(fleet))
+    _step(run, "entries served", lambda: steps.wait_for_entries(fleet, steps.HOSTS["shows"]))
     with FleetWatch(fleet.make_client, steps.FLOORS) as watch:
         loads = steps.start_loads(fleet, LOAD_SECONDS, LOAD_RATE)
         run.reports.extend(report for _, report in loads)
--- a/packages/lab/src/persimmonusher_lab/demo_steps.py
+++ b/packages/lab/src/persimmonusher_lab/demo_steps.py
@@ -1,5 +1,6 @@
 """The steps of the demo and the checks of what came of them."""
 
+import itertools
 import json
 import os
 import subprocess
@@ -102,6 +103,21 @@
     wait_for("every server at every instance", all_known, START_SECONDS)
 
 
+def wait_for_entries(fleet: Fleet, host: str) -> None:
+    """Wait until an entry with a key is served: the fleet has agreed on its claim registers."""
+    options = LoadOptions(tuple(fleet.list_caller_addresses()), host, 1.0, 1.0, seed=98)
+    numbers = itertools.count(1)
+    with Caller(options, fleet.folder / f"ready-{host}.jsonl") as caller:
+
+        def is_served() -> bool | None:
+            number = next(numbers)
+            address = options.entries[number % len(options.entries)]
+            told = caller.send(f"ready-{number}", True, address, 1, time.monotonic()).told
+            return told is Told.RAN or None
+
+        wait_for("a served entry", is_served, START_SECONDS, fleet.runner)
+
+
 def start_loads(fleet: Fleet, seconds: float, rate: float) -> list[tuple[LabProcess, Path]]:
     """Start one load process for each service."""
     hosts = enumerate(HOSTS.values(), 1)
