Replay the keepers' traces under bounded time; a refused call is a difference

Cause: the replica now takes a long pause for one bounded step, so the recorded isolation of three pauses no longer was one, and the trace of the old timing could not be replayed: the replayer crashed on NOT_LEADER.

--- a/packages/lab/src/persimmonusher_lab/trace.py
+++ b/packages/lab/src/persimmonusher_lab/trace.py
@@ -111,8 +111,12 @@
     for line, step in enumerate(trace.steps, 2):
         arguments = [decode(argument) for argument in step.arguments]
         kind = trace.machines[step.machine].kind
-        found = encode(_make_call(kind, machines[step.machine], step.call, arguments))
-        if found != step.result and (strict or step.states):
+        try:
+            found = encode(_make_call(kind, machines[step.machine], step.call, arguments))
+        except UsherError as error:
+            found = {"error": error.code.value, "message": error.message}
+        is_refused = isinstance(found, dict) and "error" in found
+        if found != step.result and (strict or step.states or is_refused):
             differences.append(Difference(line, step, found))
     return differences
 
--- a/packages/lab/src/persimmonusher_lab/trace_keepers.py
+++ b/packages/lab/src/persimmonusher_lab/trace_keepers.py
@@ -7,11 +7,14 @@
 from persimmonusher_agreement.keeper_members import form_members
 from persimmonusher_agreement.log_messages import KeeperId, LogMessage
 from persimmonusher_lab.trace import Trace, TraceRecorder
+from persimmonusher_lab.trace_machines import LINEAGE
 from persimmonusher_model.identifiers import Revision
 
 FIRST: Final = {"k1": "k1#a", "k2": "k2#a", "k3": "k3#a"}
 STEP_SECONDS: Final = 0.25
-HOURS: Final = 7_200.0
+ISOLATED_SECONDS: Final = 7_200.0
+ISOLATED_STEPS: Final = 150
+"""A replica takes a long pause for one bounded step, so that this many are elections at most."""
 
 
 class KeeperFleet:
@@ -23,7 +26,7 @@
         self.now = 0.0
         self.cut: set[str] = set()
         members = form_members(
-            "trace", {KeeperId(identity): f"{identity}:1" for identity in FIRST.values()}
+            LINEAGE, {KeeperId(identity): f"{identity}:1" for identity in FIRST.values()}
         )
         for seed, (name, identity) in enumerate(FIRST.items(), 1):
             recorder.add(name, "keeper", keeper=identity, seed=seed)
@@ -89,8 +92,8 @@
     others = [name for name in FIRST if name != alone]
     fleet.cut = {alone}
     fleet.change("c2", 1, "accepted by the majority that is left")
-    for _ in range(3):
-        fleet.now += HOURS / 3
+    for _ in range(ISOLATED_STEPS):
+        fleet.now += ISOLATED_SECONDS / ISOLATED_STEPS
         recorder.call(alone, "advance", fleet.now)
     recorder.call(alone, "read_role", states="cut off, it never becomes leader")
     recorder.call(alone, "read_revision", states="cut off, it has nothing newer")
--- a/packages/lab/src/persimmonusher_lab/trace_machines.py
+++ b/packages/lab/src/persimmonusher_lab/trace_machines.py
@@ -31,6 +31,9 @@
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServerId, ServiceName
 from persimmonusher_model.profile import Profile
 
+LINEAGE: Final = "trace"
+"""Names the one log of all recorded keepers."""
+
 
 @dataclass(frozen=True)
 class MachineKind:
@@ -97,7 +100,7 @@
 
     def receive(self, message: LogMessage, now: float) -> tuple[LogMessage, ...]:
         """Take a message."""
-        self._keeper.receive(message, now)
+        self._keeper.receive(message, LINEAGE, now)
         return self._flush()
 
     def advance(self, now: float) -> tuple[LogMessage, ...]:
