--- a/packages/lab/src/persimmonusher_lab/trace_machines.py
+++ b/packages/lab/src/persimmonusher_lab/trace_machines.py
@@ -31,6 +31,9 @@
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServerId, ServiceName
 from persimmonusher_model.profile import Profile
 
+LINEAGE: Final = "trace"
+"""Names the one log of all recorded keepers."""
+
 
 @dataclass(frozen=True)
 class MachineKind:
@@ -96,8 +99,8 @@
         return self._flush()
 
     def receive(self, message: LogMessage, now: float) -> tuple[LogMessage, ...]:
-        """Take a message; a trace holds one log, so that no lineage needs to be told apart."""
-        self._keeper.receive(message, "", now)
+        """Take a message."""
+        self._keeper.receive(message, LINEAGE, now)
         return self._flush()
 
     def advance(self, now: float) -> tuple[LogMessage, ...]:
