Count sheds as slowness, stuck attempts as failures; queue forecast for each lane

Change: a server's own refusal is weighed as slowness; an attempt in flight for 1.5 times the 99th percentile counts as failed at once; drain rate and places ahead are kept for each lane; windows let servers queue up to 2.5 for each slot; ramped servers are taken for unloaded; USUAL slow from 60% on says nothing.

--- a/packages/decisions/src/persimmonusher_decisions/admission.py
+++ b/packages/decisions/src/persimmonusher_decisions/admission.py
@@ -8,10 +8,10 @@
 from persimmonusher_decisions.work import Refusal, RefusalReason, Request
 from persimmonusher_model.profile import Profile
 
-RATE_MEMORY_SECONDS: Final = 2.0
+RATE_MEMORY_SECONDS: Final = 1.0
 FEWEST_ANSWERS: Final = 4.0
 """Answers in memory below which the drain rate isn't known yet."""
-WAIT_MARGIN: Final = 0.8
+WAIT_MARGIN: Final = 0.5
 """A request waits only if its expected wait is below this part of the longest one, so that few
 are refused only after they waited."""
 SHORTEST_RETRY_AFTER: Final = 1.0
@@ -21,19 +21,19 @@
 
 
 class DrainRate:
-    """The rate at which a service finishes this instance's requests, with fading memory."""
+    """The rate at which requests of one lane leave for servers, with fading memory."""
 
     def __init__(self) -> None:
         self._count = 0.0
         self._at = 0.0
 
     def record(self, now: float) -> None:
-        """Count one finished request."""
+        """Count one request."""
         self._fade(now)
         self._count += 1.0
 
     def find(self, now: float) -> float | None:
-        """Return finished requests a second; None where there are too few to tell."""
+        """Return requests a second; None where there are too few to tell."""
         self._fade(now)
         return self._count / RATE_MEMORY_SECONDS if self._count >= FEWEST_ANSWERS else None
 
@@ -59,7 +59,7 @@
         self._backlog = 0.0
         self._backlog_at = 0.0
         self.queue = FairQueue()
-        self.drain_rate = DrainRate()
+        self._rates = {True: DrainRate(), False: DrainRate()}
 
     def replace_profile(self, profile: Profile) -> None:
         """Take a new profile; what waits goes on waiting."""
@@ -69,7 +69,7 @@
         """Let the request wait, or refuse it; None means that it waits."""
         if not self.queue.has_room(request, self._profile.queue_limit):
             return self.refuse(request, RefusalReason.QUEUE_FULL, now)
-        rate = self.drain_rate.find(now)
+        rate = self._rates[request.idempotent].find(now)
         if rate is not None:
             expected = (self.queue.count_ahead(request) + 1) / rate
             longest = min(self._longest_wait(), request.deadline - now - usual_latency)
@@ -78,6 +78,10 @@
         self.queue.push(request)
         return None
 
+    def record_start(self, request: Request, now: float) -> None:
+        """Count a request that leaves for a server: its lane's drain rate."""
+        self._rates[request.idempotent].record(now)
+
     def refuse(self, request: Request, reason: RefusalReason, now: float) -> Refusal:
         """Refuse a request that was not run."""
         return Refusal(request, reason, self._find_retry_after(now))
@@ -96,8 +100,9 @@
         return self._profile.queue_wait_ms / 1000.0
 
     def _find_retry_after(self, now: float) -> float:
-        rate = self.drain_rate.find(now)
-        if rate is None:
+        rates = [rate.find(now) or 0.0 for rate in self._rates.values()]
+        rate = sum(rates)
+        if not rate:
             return SHORTEST_RETRY_AFTER
         drained = (now - self._backlog_at) * rate
         largest = rate * LONGEST_RETRY_AFTER
--- a/packages/decisions/src/persimmonusher_decisions/detection.py
+++ b/packages/decisions/src/persimmonusher_decisions/detection.py
@@ -40,7 +40,7 @@
         calm = 1.0 - sensitivity
         return cls(
             threshold=16.0 + 6.0 * calm,
-            failing_slices=round(4 + 14 * calm),
+            failing_slices=round(4 + 12 * calm),
             slow_slices=round(8 + 20 * calm),
             least_failing=0.05 + 0.05 * calm,
         )
--- a/packages/decisions/src/persimmonusher_decisions/evidence.py
+++ b/packages/decisions/src/persimmonusher_decisions/evidence.py
@@ -31,20 +31,22 @@
 class Attempt:
     """One attempt in flight."""
 
-    __slots__ = ("dispatch", "overdue", "track")
+    __slots__ = ("dispatch", "overdue", "stuck", "track")
 
     def __init__(self, dispatch: Dispatch, track: ServerTrack) -> None:
         self.dispatch = dispatch
         self.track = track
         self.overdue = False
+        self.stuck = False
 
 
 class EvidenceLog:
     """Attempts in flight, latency baselines, and counts for the next digest.
 
     An attempt that has been in flight for longer than answers of its class usually take counts as
-    slow at once, before it ends. That is for a server, or a one-way cut, that swallows requests:
-    they would say nothing until their deadlines, 10 s later, and keep a share of work until then.
+    slow at once, before it ends, and as failed once hardly any answer takes as long. That is for a
+    server, or a one-way cut, that swallows requests: they would say nothing until their deadlines,
+    10 s later, and keep a share of work until then.
     """
 
     def __init__(self) -> None:
@@ -68,11 +70,22 @@
         return attempt
 
     def learn(self, attempt: Attempt, outcome: Outcome) -> None:
-        """Count an outcome for or against the server."""
+        """Count an outcome for or against the server.
+
+        A refusal that the server itself answers counts as slow, not as failed. The load it is for:
+        the first moments of an overload, when some servers refuse before others. The harm: taken
+        for failures, refusals would eject the busiest servers. As slowness they are weighed over
+        more slices and not at all in saturation; a server that refuses alone is still ejected.
+        """
         track = attempt.track
+        if attempt.stuck:
+            return
         if outcome.kind is OutcomeKind.SUCCESS:
             track.answered += 1
             self._time(attempt, outcome.latency)
+        elif outcome.kind is OutcomeKind.REFUSED and outcome.reported_load is not None:
+            track.timed += 1
+            track.slow += 1
         elif outcome.kind in FAILED_KINDS:
             track.answered += 1
             track.failed += 1
@@ -87,18 +100,28 @@
             return
         self._overdue_at = now + OVERDUE_CHECK_SECONDS
         for attempt in self._attempts.values():
-            if attempt.overdue:
+            if attempt.stuck:
                 continue
-            limit = self._find_baseline(attempt.dispatch.request.request_class).slow_limit
-            if limit is not None and now - attempt.dispatch.started > limit:
-                attempt.overdue = True
-                attempt.track.timed += 1
-                attempt.track.slow += 1
+            baseline = self._find_baseline(attempt.dispatch.request.request_class)
+            if baseline.slow_limit is not None and baseline.stuck_limit is not None:
+                age = now - attempt.dispatch.started
+                self._mark(attempt, age > baseline.slow_limit, age > baseline.stuck_limit)
 
     def list_in_flight(self, track: ServerTrack) -> list[Dispatch]:
         """List the attempts in flight on one server."""
         return [item.dispatch for item in self._attempts.values() if item.track is track]
 
+    @staticmethod
+    def _mark(attempt: Attempt, slow: bool, stuck: bool) -> None:
+        if slow and not attempt.overdue:
+            attempt.overdue = True
+            attempt.track.timed += 1
+            attempt.track.slow += 1
+        if stuck:
+            attempt.stuck = True
+            attempt.track.answered += 1
+            attempt.track.failed += 1
+
     def _time(self, attempt: Attempt, latency: float) -> None:
         baseline = self._find_baseline(attempt.dispatch.request.request_class)
         track = attempt.track
--- a/packages/decisions/src/persimmonusher_decisions/fair_queue.py
+++ b/packages/decisions/src/persimmonusher_decisions/fair_queue.py
@@ -32,6 +32,11 @@
             return True
         return len(waiting) < max(1, limit // (len(self._callers) + 1))
 
+    def count_ahead(self, caller: CallerId) -> int:
+        """Count the requests that would be released before a new one of this caller."""
+        rounds = len(self._callers.get(caller, ())) + 1
+        return sum(min(rounds, len(waiting)) for waiting in self._callers.values())
+
     def push(self, request: Request) -> None:
         """Append a request to its caller's."""
         self._callers.setdefault(request.caller, deque()).append(request)
@@ -90,12 +95,9 @@
         return self._changing.has_room(request.caller, limit)
 
     def count_ahead(self, request: Request) -> int:
-        """Estimate how many requests are released before this one would be."""
-        changing, lookups = self._changing.count, self._lookups.count
-        turns = TURNS_FOR_NON_IDEMPOTENT
-        if request.idempotent:
-            return lookups + min(changing, turns * (lookups + 1))
-        return changing + min(lookups, changing // turns)
+        """Count the requests of the same lane that would be released before this one."""
+        lane = self._lookups if request.idempotent else self._changing
+        return lane.count_ahead(request.caller)
 
     def push(self, request: Request) -> None:
         """Let a request wait."""
--- a/packages/decisions/src/persimmonusher_decisions/latency.py
+++ b/packages/decisions/src/persimmonusher_decisions/latency.py
@@ -10,6 +10,11 @@
 """An answer is slow beyond so many times the median. The median, not a high quantile: where a
 class mixes short and long work a high quantile is the long work's, and short work on a server
 8 times slower would pass for usual."""
+RARE_SHARE: Final = 0.99
+STUCK_RARE_FACTOR: Final = 1.5
+STUCK_FACTOR: Final = 10.0
+"""An attempt is stuck beyond so many times the 99th percentile, and the median: well servers reach
+that in fewer than one answer of a hundred, which the test takes for usual."""
 FEWEST_SAMPLES: Final = 32
 REFRESH_SAMPLES: Final = 64
 MEMORY_SAMPLES: Final = 1024
@@ -29,6 +34,8 @@
         self.median: float | None = None
         self.slow_limit: float | None = None
         """Latency beyond which an answer counts as slow; None until there is a baseline."""
+        self.stuck_limit: float | None = None
+        """Time in flight beyond which an attempt counts as failed, before it ends."""
 
     def record(self, latency: float) -> None:
         """Add a successful answer's latency."""
@@ -45,6 +52,8 @@
         self._until_refresh = REFRESH_SAMPLES
         self.median = self._find_quantile(0.5)
         self.slow_limit = SLOW_FACTOR * self.median
+        rare = self._find_quantile(RARE_SHARE)
+        self.stuck_limit = max(STUCK_FACTOR * self.median, STUCK_RARE_FACTOR * rare)
         if self._samples >= MEMORY_SAMPLES:
             self._counts = [count // 2 for count in self._counts]
             self._samples = sum(self._counts)
--- a/packages/decisions/src/persimmonusher_decisions/peers.py
+++ b/packages/decisions/src/persimmonusher_decisions/peers.py
@@ -24,6 +24,9 @@
 """Memory of the lasting shares, which smooth over the few answers of a quiet service."""
 FEWEST_ANSWERS: Final = 2.0
 """Answers in memory below which a server says nothing on what is usual."""
+SATURATED_SHARE: Final = 0.6
+"""Usual share of slow answers from which on slowness says nothing: the service is saturated, and
+which server is the slowest is a matter of queues."""
 COMMON_CAUSE_SHARE: Final = 0.08
 """Failing share of the middle server from which on a common cause is reported."""
 
@@ -150,7 +153,8 @@
             failing.test.add(
                 failing.bad, failing.total, self.usual_failing, ill_failing, failing_cap, scale
             )
-            slow.test.add(slow.bad, slow.total, self.usual_slow, ill_slow, slow_cap, scale)
+            if self.usual_slow < SATURATED_SHARE:
+                slow.test.add(slow.bad, slow.total, self.usual_slow, ill_slow, slow_cap, scale)
             failing.open_slice()
             slow.open_slice()
 
--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -148,15 +148,16 @@
             if track.others is not None:
                 track.others = mean + (track.others - mean) * report_keep
             track.penalty *= penalty_keep
-            track.base = (mean if track.others is None else track.others) + track.penalty
-            self._ramp(track, now)
+            share = self._ramp(track, now)
+            track.base = (mean * share if track.others is None else track.others) + track.penalty
         if elapsed:
             self._random.shuffle(self._open)
 
-    def _ramp(self, track: ServerTrack, now: float) -> None:
+    def _ramp(self, track: ServerTrack, now: float) -> float:
         share = 1.0
         if track.ramp_from is not None:
             share = find_share(now - track.ramp_from, self.ramp_seconds)
             if share >= 1.0:
                 track.ramp_from = None
         track.inverse = 1.0 / (track.slots * share)
+        return share
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -276,6 +276,7 @@
             return None
         if attempt == 1:
             self._retries.earn()
+            self._admission.record_start(request, now)
         dispatch = Dispatch(request, track.server, attempt, now)
         self._evidence.start(dispatch, track)
         return dispatch
@@ -319,7 +320,6 @@
         if load is not None:
             self._placement.learn_load(track, load)
         if outcome.kind is OutcomeKind.SUCCESS:
-            self._admission.drain_rate.record(now)
             ratio = None if load is None else load / track.slots
             self._window.record_answer(ratio, len(self._evidence), now)
 
--- a/packages/decisions/src/persimmonusher_decisions/window.py
+++ b/packages/decisions/src/persimmonusher_decisions/window.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
-LOW_PRESSURE: Final = 1.0
-"""Reported load for each slot up to which servers have slots left."""
-HIGH_PRESSURE: Final = 1.75
+LOW_PRESSURE: Final = 1.5
+"""Reported load for each slot up to which servers' queues are short."""
+HIGH_PRESSURE: Final = 2.5
 """Reported load for each slot from which on work only waits at the servers."""
 LARGEST_REPORT: Final = 4.0
 PRESSURE_MEMORY: Final = 0.1
--- a/packages/lab/src/persimmonusher_lab/decisions_cases.py
+++ b/packages/lab/src/persimmonusher_lab/decisions_cases.py
@@ -15,6 +15,7 @@
 
 USUAL_LOAD: Final = 0.7
 CRASH_RESENDS: Final = 10
+CUT_DOMAIN: Final = 1
 
 
 def _steady(load: float) -> Callable[[float], float]:
@@ -49,7 +50,7 @@
 
 
 def _cut_domain(simulation: Simulation) -> None:
-    simulation.servers[0].fault = Fault(cut_from={simulation.domains[1]})
+    simulation.servers[0].fault = Fault(cut_from={simulation.domains[CUT_DOMAIN]})
 
 
 def _start_cold(simulation: Simulation) -> None:
@@ -109,7 +110,7 @@
     Case("flapping 0.4 s", _steady(USUAL_LOAD), _flap(0.4), 14.0, faulty=1),
     Case("flapping 2 s", _steady(USUAL_LOAD), _flap(2.0), 14.0, faulty=1),
     Case("flapping 10 s", _steady(USUAL_LOAD), _flap(10.0), 24.0, faulty=1),
-    Case("one-way cut", _steady(USUAL_LOAD), _cut_domain, 9.0, faulty=1),
+    Case("one-way cut", _steady(USUAL_LOAD), _cut_domain, 9.0, faulty=1, watched=CUT_DOMAIN),
     Case("cold third", _steady(0.6), _start_cold, 14.0, faulty=4),
     Case("overload 1.5x", _overload(1.5), None, 12.0),
     Case("overload 3x", _overload(3.0), None, 12.0),
--- a/packages/lab/src/persimmonusher_lab/decisions_servers.py
+++ b/packages/lab/src/persimmonusher_lab/decisions_servers.py
@@ -14,6 +14,7 @@
 
 QUEUE_FOR_EACH_SLOT: Final = 8
 """A server sheds load beyond so many waiting requests for each slot."""
+BLIP_FAILING: Final = 0.5
 FAIL_FAST_SECONDS: Final = 0.001
 CRASH_SECONDS: Final = 4.0
 """Time a crashed server takes to start again."""
@@ -103,13 +104,17 @@
         self._random = random
         self.server = server
         self.fault = Fault()
-        self.noise_failing = 0.005
+        self.noise_failing = 0.0
+        self.speed = 1.0
+        self.blip_until = 0.0
         self.paused_until = 0.0
         self._paused_from = 0.0
         self.crashed_until = 0.0
         self.crashes = 0
         self._queue: deque[tuple[Attempt, Answer]] = deque()
         self._running: dict[Attempt, Answer] = {}
+        self.watched_from: set[FailureDomain] = set()
+        """Domains whose work is recorded, all where none is named."""
         self.received: list[float] = []
         """When work arrived, for the detection time."""
 
@@ -127,7 +132,8 @@
 
     def receive(self, attempt: Attempt, answer: Answer) -> None:
         """Take a request that arrives now."""
-        self.received.append(self._loop.now)
+        if not self.watched_from or attempt.domain in self.watched_from:
+            self.received.append(self._loop.now)
         if self._loop.now < self.crashed_until:
             answer(attempt, OutcomeKind.REFUSED, None)
         elif len(self._queue) >= QUEUE_FOR_EACH_SLOT * self.server.slots:
@@ -139,7 +145,8 @@
 
     def _start(self, attempt: Attempt, answer: Answer) -> None:
         self._running[attempt] = answer
-        failing = max(self.noise_failing, self.fault.failing)
+        noise = BLIP_FAILING if self._loop.now < self.blip_until else self.noise_failing
+        failing = max(noise, self.fault.failing)
         failed = self._random.random() < failing
         kind = OutcomeKind.FAILURE if failed else OutcomeKind.SUCCESS
         seconds = attempt.call.work * self._find_factor()
@@ -149,7 +156,7 @@
         self._loop.call_at(start + seconds, self._finish, attempt, kind, self._loop.now)
 
     def _find_factor(self) -> float:
-        factor = self.fault.slow
+        factor = self.fault.slow * self.speed
         left = self.fault.cold_until - self._loop.now
         if left > 0.0:
             factor *= 1.0 + (self.COLD_FACTOR - 1.0) * left / self.COLD_SECONDS
--- a/packages/lab/src/persimmonusher_lab/decisions_simulation.py
+++ b/packages/lab/src/persimmonusher_lab/decisions_simulation.py
@@ -4,6 +4,7 @@
 the one-way latency and aren't lost but for the cuts that a case makes.
 """
 
+import re
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -53,7 +54,14 @@
 CALLERS: Final = 40
 DEADLINE_SECONDS: Final = 3.0
 RESEND_SECONDS: Final = 1.0
+NUMBERS: Final = re.compile(r"\d+")
 PAUSE_EVERY: Final = 60.0
+"""Natural noise of a well server: pauses, blips in which half its work fails, such as a broken
+connection of its own to a database, and differences between servers in failures and speed."""
+BLIP_EVERY: Final = 120.0
+BLIP_SECONDS: Final = 0.15
+NATURAL_FAILING: Final = (0.002, 0.012)
+NATURAL_SPEED: Final = (0.85, 1.2)
 PAUSE_MEAN: Final = 0.15
 PAUSE_LONGEST: Final = 0.6
 
@@ -93,9 +101,10 @@
     faulty: int = 0
     """How many servers, from the first one, the fault is on."""
     skewed: bool = False
+    watched: int | None = None
+    """The failure domain whose work on servers is recorded, all for None."""
     greedy: bool = False
     """Whether one caller sends half of all requests."""
-    pauses: bool = True
 
 
 FAULT_AT: Final = 4.0
@@ -160,9 +169,13 @@
         for index in range(self.site.entries):
             phase = index / self.site.entries * ADVANCE_SECONDS
             self.loop.call_at(phase, self._tick, index)
-        if self.case.pauses:
-            for server in self.servers:
-                self.loop.call_later(self._draw(PAUSE_EVERY), self._pause, server)
+        for server in self.servers:
+            server.noise_failing = self.random.uniform(*NATURAL_FAILING)
+            if self.case.watched is not None:
+                server.watched_from = {self.domains[self.case.watched]}
+            server.speed = self.random.uniform(*NATURAL_SPEED)
+            self.loop.call_later(self._draw(PAUSE_EVERY), self._pause, server)
+            self.loop.call_later(self._draw(BLIP_EVERY), self._blip, server)
         if self.case.inject:
             self.loop.call_at(FAULT_AT, self.case.inject, self)
         self.loop.call_at(FAULT_AT, self._watch_capacity)
@@ -170,6 +183,11 @@
         self.loop.run_until(self.case.seconds)
         return self.tally
 
+    @property
+    def capacity(self) -> float:
+        """Return requests a second with every slot busy, at the servers' own speeds."""
+        return sum(item.server.slots / item.speed for item in self.servers) / MEAN_WORK
+
     def announce(self) -> None:
         """Tell every instance the servers' present announcements."""
         announced = [item.server for item in self.servers]
@@ -221,6 +239,10 @@
         server.pause(min(PAUSE_LONGEST, self._draw(PAUSE_MEAN)))
         self.loop.call_later(self._draw(PAUSE_EVERY), self._pause, server)
 
+    def _blip(self, server: FakeServer) -> None:
+        server.blip_until = self.loop.now + BLIP_SECONDS
+        self.loop.call_later(self._draw(BLIP_EVERY), self._blip, server)
+
     def _arrive(self) -> None:
         now = self.loop.now
         rate = self.case.load(now) * self.site.capacity
@@ -272,7 +294,8 @@
         current = self.assessor.assess(self.loop.now)
         self._last_set = current
         if self.loop.now >= FAULT_AT:
-            self.tally.notes[current.note.split(":")[0]] += 1
+            if current.note:
+                self.tally.notes[NUMBERS.sub("n", current.note)] += 1
         if before is None:
             return
         if current.tells_other_than(before):
@@ -292,7 +315,7 @@
         fresh = {server_id for server_id, _ in list_ejected(current) - list_ejected(before)}
         for server_id in fresh:
             self.tally.out_times[server_id].append(self.loop.now)
-            if server_id not in faulty:
+            if server_id not in faulty and not self.by_id[server_id].crashes:
                 self.tally.false_ejections += 1
 
     def _watch_capacity(self) -> None:
