Show a repaired keeper, a full disk and news without keepers on real sockets

The rejoin test's first run failed: in one test process a stopped node's connections stayed open, so its peers kept calling the old role. Looking into it showed a real fault of the same kind: after a long cut TCP sends again up to two minutes apart, so a healed keeper would stay cut off. The two minutes after a cut were reasoned, not measured.

--- a/packages/node/src/persimmonusher_node/applied_configuration.py
+++ b/packages/node/src/persimmonusher_node/applied_configuration.py
@@ -36,7 +36,7 @@
 
     def take(self, batch: Batch) -> Sequence[ObjectKey]:
         """Apply a batch and return the objects that it touched."""
-        if self.store.lineage not in ("", batch.lineage):
+        if batch.lineage and self.store.lineage not in ("", batch.lineage):
             logger.error(
                 "configuration-of-another-fleet",
                 kept=self.store.lineage,
--- a/packages/node/src/persimmonusher_node/configuration_client.py
+++ b/packages/node/src/persimmonusher_node/configuration_client.py
@@ -197,8 +197,10 @@
     async def _pull(self, address: str) -> None:
         try:
             batch = await self._fetch(address)
-        except CALL_ERRORS:
+        except CALL_ERRORS as error:
             self._sources.report(address, False, self._clock.monotonic())
+            if isinstance(error, asyncio.TimeoutError):
+                self._channels.forget(address)
         else:
             self._sources.report(address, True, self._clock.monotonic())
             self.take(batch)
--- a/packages/node/src/persimmonusher_node/keeper.py
+++ b/packages/node/src/persimmonusher_node/keeper.py
@@ -70,7 +70,7 @@
         if settings.data_folder is None:
             raise UsherError(ErrorCode.MISSING_KEY, "data_folder: a keeper needs one")
         self._settings = settings
-        self._folder = Path(settings.data_folder) / FOLDER
+        self.folder = Path(settings.data_folder) / FOLDER
         self._channels = channels
         self._clock = clock
         self._client = client
@@ -167,7 +167,7 @@
     # The disk
 
     def _open(self) -> None:
-        files = KeeperFiles(self._folder)
+        files = KeeperFiles(self.folder)
         try:
             files.__enter__()
             self._files = files
--- a/packages/node/src/persimmonusher_node/keeper_courier.py
+++ b/packages/node/src/persimmonusher_node/keeper_courier.py
@@ -18,6 +18,9 @@
 """Per keeper. Messages to one that hangs would otherwise gather without bound; the log sends anew
 whatever is dropped."""
 
+TIMEOUTS_TO_RECONNECT: Final = 3
+"""In a row. One can be a pause of the other's loop, and others use the connection too."""
+
 ADDRESSES_KEPT: Final = 64
 """Keepers that are no members here, known by their messages; more can only be strays."""
 
@@ -30,6 +33,7 @@
         self._own_address = own_address
         self._addresses: dict[KeeperId, str] = {}
         self._in_flight: dict[str, int] = {}
+        self._timeouts: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def learn_address(self, keeper: KeeperId, address: str) -> None:
@@ -57,11 +61,26 @@
     async def _call(self, address: str, wire: pb.LogMessage, timeout: float) -> None:
         try:
             await KeeperStub(self._channels.get(address)).Step(wire, timeout=timeout)
+            self._timeouts.pop(address, None)
+        except TimeoutError:
+            self._count_timeout(address)
         except CALL_ERRORS:
             return
         finally:
             self._in_flight[address] -= 1
 
+    def _count_timeout(self, address: str) -> None:
+        """Give up a connection on which nothing gets through.
+
+        Guards against a cut that heals: TCP sends again ever more seldom, up to two minutes apart,
+        so a keeper would stay cut off that long after the network is well. A new connection tries
+        at once.
+        """
+        count = self._timeouts.get(address, 0) + 1
+        self._timeouts[address] = count % TIMEOUTS_TO_RECONNECT
+        if count == TIMEOUTS_TO_RECONNECT:
+            self._channels.forget(address)
+
     def stop(self) -> None:
         """End all calls."""
         for task in tuple(self._tasks):
--- a/packages/node/src/persimmonusher_node/keeper_files.py
+++ b/packages/node/src/persimmonusher_node/keeper_files.py
@@ -86,15 +86,15 @@
     """
 
     def __init__(self, folder: Path) -> None:
-        self._folder = folder
+        self.folder = folder
         self._lock: int | None = None
         self._appending: int | None = None
 
     def __enter__(self) -> Self:
         with self._translate_errors("folder"):
-            self._folder.mkdir(parents=True, exist_ok=True)
-            self._sync_folder(self._folder.parent)
-            self._lock = os.open(self._folder / LOCK_FILE, os.O_RDWR | os.O_CREAT)
+            self.folder.mkdir(parents=True, exist_ok=True)
+            self._sync_folder(self.folder.parent)
+            self._lock = os.open(self.folder / LOCK_FILE, os.O_RDWR | os.O_CREAT)
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         return self
 
@@ -115,12 +115,12 @@
 
     def exists(self, name: str) -> bool:
         """Tell whether a file of this name is there."""
-        return (self._folder / name).exists()
+        return (self.folder / name).exists()
 
     def read(self, name: str) -> bytes:
         """Return a file's bytes."""
         with self._translate_errors(name):
-            return (self._folder / name).read_bytes()
+            return (self.folder / name).read_bytes()
 
     def read_record(self, name: str) -> bytes:
         """Return the payload of a file of one record; anything else is damage."""
@@ -135,7 +135,7 @@
         The order is what holds: the new file is synced before it takes the name, and the folder is
         synced before anything is promised.
         """
-        temporary = self._folder / f"{name}.new"
+        temporary = self.folder / f"{name}.new"
         with self._translate_errors(name):
             descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
             try:
@@ -143,15 +143,15 @@
                 self._sync(descriptor)
             finally:
                 os.close(descriptor)
-            os.replace(temporary, self._folder / name)
-            self._sync_folder(self._folder)
+            os.replace(temporary, self.folder / name)
+            self._sync_folder(self.folder)
 
     def open_append(self, name: str) -> None:
         """Begin to append to a file."""
         with self._translate_errors(name):
             if self._appending is not None:
                 os.close(self._appending)
-            self._appending = os.open(self._folder / name, os.O_WRONLY | os.O_APPEND)
+            self._appending = os.open(self.folder / name, os.O_WRONLY | os.O_APPEND)
 
     def append(self, content: bytes) -> None:
         """Add to the file opened last; durable on return."""
@@ -164,20 +164,18 @@
         """Move everything but the lock to a folder beside this one, and return its path."""
         with self._translate_errors("folder"):
             number = 1
-            while (
-                aside := self._folder.with_name(f"{self._folder.name}.{label}-{number}")
-            ).exists():
+            while (aside := self.folder.with_name(f"{self.folder.name}.{label}-{number}")).exists():
                 number += 1
             aside.mkdir()
-            for path in self._folder.iterdir():
+            for path in self.folder.iterdir():
                 if path.name != LOCK_FILE:
                     path.rename(aside / path.name)
-            self._sync_folder(self._folder)
-            self._sync_folder(self._folder.parent)
+            self._sync_folder(self.folder)
+            self._sync_folder(self.folder.parent)
             return aside
 
     def _name_aside(self, label: str, number: int) -> Path:
-        return self._folder.with_name(f"{self._folder.name}.{label}-{number}")
+        return self.folder.with_name(f"{self.folder.name}.{label}-{number}")
 
     def _write(self, descriptor: int, content: bytes) -> None:
         view = memoryview(content)
@@ -200,4 +198,4 @@
             yield
         except OSError as error:
             code = ErrorCode.STORAGE_FULL if error.errno in FULL else ErrorCode.UNAVAILABLE
-            raise StorageError(code, f"{self._folder / name}: {error.strerror}") from error
+            raise StorageError(code, f"{self.folder / name}: {error.strerror}") from error
--- a/packages/node/tests/test_keeper_fleet.py
+++ b/packages/node/tests/test_keeper_fleet.py
@@ -2,17 +2,22 @@
 
 loop.install()
 
+import errno  # noqa: E402
 import json  # noqa: E402
+import os  # noqa: E402
+import shutil  # noqa: E402
 import socket  # noqa: E402
 import tempfile  # noqa: E402
 import time  # noqa: E402
 import unittest  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 from pathlib import Path  # noqa: E402
+from unittest import mock  # noqa: E402
 
 import eventlet  # noqa: E402
 from grpclib.server import Server  # noqa: E402
 
+from persimmonusher_agreement.configuration import Configuration  # noqa: E402
 from persimmonusher_agreement.configuration_objects import (  # noqa: E402
     Accepted,
     Change,
@@ -23,9 +28,11 @@
 )
 from persimmonusher_model.errors import ErrorCode, UsherError  # noqa: E402
 from persimmonusher_model.identifiers import Revision, ServiceName  # noqa: E402
+from persimmonusher_node import configuration_client, keeper  # noqa: E402
 from persimmonusher_node.clock import SystemClock  # noqa: E402
 from persimmonusher_node.configuration_client import ConfigurationClient  # noqa: E402
 from persimmonusher_node.keeper import KeeperRole  # noqa: E402
+from persimmonusher_node.keeper_files import KeeperFiles  # noqa: E402
 from persimmonusher_node.peers import ChannelPool, require_token  # noqa: E402
 from persimmonusher_node.settings import Keeper, Listeners, Settings  # noqa: E402
 
@@ -108,6 +115,8 @@
 
     def stop(self, name: str) -> None:
         self.nodes.pop(name).stop()
+        for node in self.nodes.values():
+            node.channels.forget(self.addresses[name])
 
     def wait_until(self, holds: Callable[[], bool], seconds: float = 12.0) -> None:
         deadline = time.monotonic() + seconds
@@ -139,7 +148,7 @@
             profile = node.client.find_profile(ServiceName("entries"))
             assert profile is not None
             self.assertEqual(profile.health_floor_percent, 75)
-        (leader,) = [n for n, x in self.nodes.items() if x.role and x.role.keeper.replica.is_leader]
+        leader = self.get_leader()
         self.stop(leader)
         change = make_change("c4", ObjectKind.PROFILE, "lookups", 1, {"ramp_ms": 1})
         self.assertEqual(self.nodes["e1"].propose(change), Accepted(Revision(4)))
@@ -174,6 +183,81 @@
         history = loop.run_coroutine(self.nodes["k1"].client.keepers.read_history(key))
         self.assertEqual([record.revision for record in history], [1])
 
+    def get_leader(self) -> str:
+        (leader,) = [n for n, x in self.nodes.items() if x.role and x.role.keeper.replica.is_leader]
+        return leader
+
+    def test_a_wiped_keeper_rejoins_and_a_second_is_lost(self) -> None:
+        """A keeper's disk is replaced by an empty one; once it is back, another keeper dies.
+
+        The repaired keeper must come back as another identity, become a voter, and then be half
+        of the majority that accepts the next change.
+        """
+        for name in ("k1", "k2", "k3"):
+            self.start(name)
+        self.make_service(self.nodes["k2"])
+        old = self.nodes["k1"].role.identity  # type: ignore[union-attr]
+        self.stop("k1")
+        shutil.rmtree(Path(self.folder.name) / "k1")
+        repaired = self.start("k1").role
+        assert repaired is not None
+        self.assertNotEqual(repaired.identity, old)
+        self.wait_until(
+            lambda: repaired.identity in repaired.keeper.replica.log.members.list_voters()
+            and old not in repaired.keeper.replica.log.members.list_voters()
+        )
+        self.stop("k2")
+        change = make_change("c4", ObjectKind.PROFILE, "lookups", 1, {"ramp_ms": 1})
+        self.assertEqual(self.nodes["k3"].propose(change), Accepted(Revision(4)))
+
+    def test_a_full_disk_stops_a_keeper_until_there_is_space(self) -> None:
+        """The leader's disk is full. It must say so and promise nothing; the others go on.
+
+        When there is space again it comes back by itself, with all that was accepted meanwhile.
+        """
+        for name in ("k1", "k2", "k3"):
+            self.start(name)
+        self.make_service(self.nodes["k2"])
+        leader = self.get_leader()
+        role = self.nodes[leader].role
+        assert role is not None
+        other = next(name for name in self.nodes if name != leader)
+        folder = role.folder
+        full = OSError(errno.ENOSPC, "no space left")
+
+        def write(files: KeeperFiles, descriptor: int, content: bytes) -> None:
+            if files.folder == folder:
+                raise full
+            os.write(descriptor, content)
+
+        with (
+            mock.patch.object(KeeperFiles, "_write", write),
+            mock.patch.object(keeper, "REOPEN_SECONDS", 0.5),
+        ):
+            change = make_change("c4", ObjectKind.PROFILE, "lookups", 1, {"ramp_ms": 1})
+            self.assertEqual(self.nodes[other].propose(change), Accepted(Revision(4)))
+            self.assertIn("storage-full", role.failure)
+            access = self.nodes[other].client.keepers
+            failures = {r.address: r.failure for r in loop.run_coroutine(access.list_keepers())}
+            self.assertIn("storage-full", failures[self.addresses[leader]])
+        self.wait_until(lambda: not role.failure and role.keeper.configuration.revision == 4)
+
+    def test_news_travels_between_entries_without_keepers(self) -> None:
+        """All keepers are down for hours; one entry has a newer configuration than its neighbour.
+
+        The neighbour hears of it and pulls at once, not at its next turn.
+        """
+        first, second = self.start("e1"), self.start("e2")
+        configuration = Configuration("fleet")
+        configuration.apply(make_change("c1", ObjectKind.PROFILE, "lookups", 0, {}))
+        with mock.patch.object(configuration_client, "PULL_INTERVAL_SECONDS", 1_000.0):
+            first.client.take(configuration.collect_since(Revision(0)))
+            self.wait_until(lambda: second.client.revision() == 1)
+            eventlet.sleep(0.3)
+            configuration.apply(make_change("c2", ObjectKind.PROFILE, "other", 0, {}))
+            first.client.take(configuration.collect_since(Revision(1)))
+            self.wait_until(lambda: second.client.revision() == 2, seconds=1.0)
+
     def test_one_keeper_is_a_fleet_of_its_own(self) -> None:
         self.start("k1", keepers=1)
         self.make_service(self.nodes["k1"])
