--- a/packages/lab/src/persimmonusher_lab/fleet.py
+++ b/packages/lab/src/persimmonusher_lab/fleet.py
@@ -57,6 +57,8 @@
     failure_domain: str
     service_ms: float = 20.0
     slots: int = 4
+    listens_at: str = ""
+    """Its own address where it announces a relay's."""
 
 
 def choose_network() -> str:
@@ -153,9 +155,14 @@
         )
 
     def start_server(self, plan: ServerPlan) -> None:
-        """Start a stand-in that announces itself to the whole fleet's announcement addresses."""
+        """Start a stand-in that announces itself to the whole fleet's announcement addresses.
+
+        Where `listens_at` differs from the announced address, a relay stands between.
+        """
         announce_to = ",".join(item.at(ANNOUNCEMENTS_PORT) for item in self.instances)
         arguments = [plan.server_id, plan.service, plan.address]
+        if plan.listens_at:
+            arguments += ["--listen", plan.listens_at]
         options = {
             "ledger": str(self.ledgers / f"{plan.server_id}.jsonl"),
             "announce-to": announce_to,
@@ -170,6 +177,24 @@
             plan.server_id, ["persimmonusher_lab", "backend-server", *arguments]
         )
 
+    def start_load(
+        self, number: int, host: str, seconds: float, rate: float, deadline_ms: int = 5_000
+    ) -> tuple[LabProcess, Path]:
+        """Start a load over all instances; its number seeds it. Return it with its report."""
+        report = self.folder / f"load-{number}.jsonl"
+        options = {
+            "report": report,
+            "seconds": seconds,
+            "rate": rate,
+            "seed": number,
+            "deadline-ms": deadline_ms,
+        }
+        arguments = [",".join(self.list_caller_addresses()), host]
+        for name, value in options.items():
+            arguments += [f"--{name}", str(value)]
+        process = self.runner.start(f"load-{number}", ["persimmonusher_lab", "load", *arguments])
+        return process, report
+
     def start_all(self) -> None:
         """Start every instance and every server."""
         for instance in self.instances:
@@ -197,13 +222,19 @@
 
     def _control(self, server_id: str, path: str, body: str) -> None:
         plan = next(item for item in self.servers if item.server_id == server_id)
-        request = urllib.request.Request(f"http://{plan.address}{path}", body.encode())
+        address = plan.listens_at or plan.address
+        request = urllib.request.Request(f"http://{address}{path}", body.encode())
         with urllib.request.urlopen(request, timeout=5.0):
             pass
 
 
-def wait_for(what: str, find: Callable[[], Found | None], seconds: float) -> Found:
-    """Poll until something is found; raise TimeoutError that names it."""
+def wait_for(
+    what: str, find: Callable[[], Found | None], seconds: float, runner: ProcessRunner | None = None
+) -> Found:
+    """Poll until something is found; raise TimeoutError that names it.
+
+    With a runner, a child that crashed ends the wait at once.
+    """
     give_up = time.monotonic() + seconds
     problem = ""
     while time.monotonic() < give_up:
@@ -214,5 +245,7 @@
             found = None
         if found is not None and found is not False:
             return found
+        if runner is not None and (crashed := runner.list_crashed()):
+            raise RuntimeError(f"{crashed[0].name} crashed while waiting for {what}")
         time.sleep(POLL_SECONDS)
     raise TimeoutError(f"waited {seconds} s for {what}{problem}")
