--- a/packages/agreement/src/persimmonusher_agreement/configuration_keeper.py
+++ b/packages/agreement/src/persimmonusher_agreement/configuration_keeper.py
@@ -71,9 +71,11 @@
         timing: LogTiming = LogTiming(),  # noqa: B008 - frozen
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         configuration: Configuration | None = None,
+        compacts_itself: bool = True,
     ) -> None:
         self._replica = LogReplica(keeper, storage, timing, random, now)
         self._snapshot_entries = snapshot_entries
+        self._compacts_itself = compacts_itself
         self.configuration = configuration or Configuration()
         self._applied = 0
         self._verdicts: dict[str, Verdict] = {}
@@ -160,7 +162,9 @@
             self._applied = entry.index
             if isinstance(entry.command, Change):
                 self._verdicts[entry.command.change_id] = self.configuration.apply(entry.command)
-        self._compact()
+        snapshot = self.capture_if_due() if self._compacts_itself else None
+        if snapshot is not None:
+            self.compact(snapshot)
         verdicts, self._verdicts = self._verdicts, {}
         return KeeperOutput(self._replica.log.members.lineage, messages, verdicts)
 
@@ -191,15 +195,20 @@
             self.configuration.restore(snapshot.state)
             self._applied = snapshot.index
 
-    def _compact(self) -> None:
+    def capture_if_due(self) -> Snapshot | None:
+        """Capture a snapshot of all that is applied, once enough entries stand before it."""
         log = self._replica.log
         if self._applied - log.base_index < self._snapshot_entries:
-            return
+            return None
         term = log.find_term(self._applied)
         assert term is not None
         members = log.find_members_at(self._applied)
-        state = self.configuration.capture()
-        self._replica.compact(Snapshot(self._applied, term, members, state))
+        return Snapshot(self._applied, term, members, self.configuration.capture())
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Let a captured snapshot stand for the log, unless a later one does already."""
+        if snapshot.index > self._replica.log.base_index:
+            self._replica.compact(snapshot)
 
 
 def form_first_snapshot(members: Members) -> Snapshot:
--- a/packages/lab/src/persimmonusher_lab/configuration_measure.py
+++ b/packages/lab/src/persimmonusher_lab/configuration_measure.py
@@ -105,8 +105,9 @@
         print(f"bytes encoded per {kind.value}: {size:.0f}")
     state = sources[routes].capture()
     members = Members("fleet", ())
-    with measure_time("snapshot, capture and encode per object", len(state.records)):
+    with measure_time("snapshot, capture in one turn per object", len(state.records)):
         state = sources[routes].capture()
+    with measure_time("snapshot, encode in slices per object", len(state.records)):
         wire = encode_snapshot(Snapshot(1, 1, members, state)).SerializeToString()
     print(f"snapshot, bytes per object with its verdict: {len(wire) / len(state.records):.0f}")
 
--- a/packages/node/src/persimmonusher_node/configuration_client.py
+++ b/packages/node/src/persimmonusher_node/configuration_client.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Any, Final
 
+import structlog
 from grpclib._typing import IServable
 from grpclib.server import Stream
 
@@ -36,6 +37,8 @@
 from persimmonusher_protocol import keeper_pb2 as pb
 from persimmonusher_protocol.keeper_grpc import ConfigurationBase, ConfigurationStub
 
+logger = structlog.get_logger(__name__)
+
 PULL_INTERVAL_SECONDS: Final = 1.0
 """Mean time between pulls that nobody asked for; they mend lost announcements."""
 
@@ -195,12 +198,20 @@
         return True
 
     async def _pull(self, address: str) -> None:
+        """Pull once from an instance.
+
+        A batch with a kind of object that this version doesn't know is refused as a whole: taken
+        without that object it would be passed on without it, and be lost to the peers too.
+        """
         try:
             batch = await self._fetch(address)
         except CALL_ERRORS as error:
             self._sources.report(address, False, self._clock.monotonic())
             if isinstance(error, asyncio.TimeoutError):
                 self._channels.forget(address)
+        except (KeyError, ValueError) as error:
+            self._sources.report(address, False, self._clock.monotonic())
+            logger.error("unreadable-configuration", source=address, error=repr(error))
         else:
             self._sources.report(address, True, self._clock.monotonic())
             self.take(batch)
--- a/packages/node/src/persimmonusher_node/keeper.py
+++ b/packages/node/src/persimmonusher_node/keeper.py
@@ -14,7 +14,11 @@
 import structlog
 from grpclib._typing import IServable
 
-from persimmonusher_agreement.configuration_keeper import ConfigurationKeeper, KeeperOutput
+from persimmonusher_agreement.configuration_keeper import (
+    SNAPSHOT_ENTRIES,
+    ConfigurationKeeper,
+    KeeperOutput,
+)
 from persimmonusher_agreement.configuration_objects import Change, Verdict
 from persimmonusher_agreement.log_messages import KeeperId, Members
 from persimmonusher_agreement.log_storage import StorageError
@@ -49,6 +53,7 @@
 FORMATION_SECONDS: Final = 0.3
 """Time between a keeper's questions while it holds no log."""
 
+SNAPSHOT_CHECK_SECONDS: Final = 0.5
 JOIN_SECONDS: Final = 1.0
 
 
@@ -93,7 +98,8 @@
     def start(self) -> None:
         """Open the disk and begin to take part."""
         self._open()
-        self._main = [start_coroutine(self._run()), start_coroutine(self._run_formation())]
+        loops = (self._run(), self._run_formation(), self._run_snapshots())
+        self._main = [start_coroutine(loop) for loop in loops]
 
     def stop(self) -> None:
         """End all work and release the disk."""
@@ -173,7 +179,12 @@
             self._files = files
             self._storage = KeeperStorage(files, InstanceId(self._settings.instance_id))
             self._keeper = ConfigurationKeeper(
-                self._storage.keeper, self._storage, self._random, self._clock.monotonic()
+                self._storage.keeper,
+                self._storage,
+                self._random,
+                self._clock.monotonic(),
+                snapshot_entries=SNAPSHOT_ENTRIES,
+                compacts_itself=False,
             )
         except UsherError as error:
             self._close(str(error))
@@ -215,6 +226,11 @@
     # Turns
 
     async def _run(self) -> None:
+        """Take turns until cancelled.
+
+        An error that nobody foresaw ends the keeper like a failed disk. A keeper whose loop died
+        would go on to answer calls from a state that no longer moves.
+        """
         while True:
             if self._keeper is None:
                 await asyncio.sleep(REOPEN_SECONDS)
@@ -224,10 +240,14 @@
             try:
                 self._keeper.advance(self._clock.monotonic())
                 output = self._keeper.flush()
+                self._hand_out(self._keeper, output)
             except StorageError as error:
                 self._fail(error)
                 continue
-            self._hand_out(self._keeper, output)
+            except Exception as error:
+                logger.exception("keeper-broke")
+                self._close(f"internal error: {error!r}")
+                continue
             try:
                 await asyncio.wait_for(self._wake.wait(), TURN_SECONDS)
             except TimeoutError:
@@ -241,12 +261,37 @@
         if keeper.configuration.revision > self._client.revision():
             self._client.take(keeper.configuration.collect_since(self._client.revision()))
 
+    async def _run_snapshots(self) -> None:
+        while True:
+            await asyncio.sleep(SNAPSHOT_CHECK_SECONDS)
+            try:
+                await self._take_snapshot_if_due()
+            except UsherError as error:
+                logger.error("snapshot-failed", error=str(error))
+
+    async def _take_snapshot_if_due(self) -> None:
+        """Write a snapshot between turns; the log is compacted once it is durable."""
+        keeper, storage = self._keeper, self._storage
+        snapshot = keeper.capture_if_due() if keeper else None
+        if keeper is None or storage is None or snapshot is None:
+            return
+        with self._guard():
+            for _ in storage.prepare_snapshot(snapshot):
+                await asyncio.sleep(0)
+                if self._keeper is not keeper:
+                    return
+            keeper.compact(snapshot)
+        logger.info("log-compacted", index=snapshot.index, revision=snapshot.state.revision)
+
     # Finding a place without a log
 
     async def _run_formation(self) -> None:
         while True:
-            if self._keeper is not None and self._is_empty(self._keeper):
-                await self._take_formation_step()
+            try:
+                if self._keeper is not None and self._is_empty(self._keeper):
+                    await self._take_formation_step()
+            except UsherError as error:
+                logger.error("formation-failed", error=str(error))
             await asyncio.sleep(FORMATION_SECONDS)
 
     def _is_empty(self, keeper: ConfigurationKeeper) -> bool:
--- a/packages/node/src/persimmonusher_node/keeper_access.py
+++ b/packages/node/src/persimmonusher_node/keeper_access.py
@@ -4,6 +4,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeVar
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
 from persimmonusher_agreement.configuration_objects import Change, ObjectKey, Record, Verdict
 from persimmonusher_agreement.log_messages import KeeperId
 from persimmonusher_model.clock import Clock
@@ -31,6 +34,9 @@
 
 RETRY_SECONDS: Final = 0.1
 
+NO_KEEPER: Final = "no keeper"
+"""The role of an instance that serves no Keeper interface, such as a seed."""
+
 
 class KeeperAccess:
     """Calls to the keepers.
@@ -94,8 +100,8 @@
 
     async def list_keepers(self) -> tuple[KeeperReport, ...]:
         """Ask every known keeper for its state; one that doesn't answer is reported so."""
-        addresses = self._sources.keepers
-        return tuple(await asyncio.gather(*map(self.ask_state, addresses)))
+        reports = await asyncio.gather(*map(self.ask_state, self._sources.keepers))
+        return tuple(report for report in reports if report.role != NO_KEEPER)
 
     async def ask_state(self, address: str) -> KeeperReport:
         """Ask one instance for its state as a keeper."""
@@ -103,6 +109,8 @@
         try:
             state = await stub.Introduce(pb.IntroduceRequest(), timeout=1.0)
         except CALL_ERRORS as error:
+            if isinstance(error, GRPCError) and error.status is Status.UNIMPLEMENTED:
+                return decode_report(address, pb.KeeperState(role=NO_KEEPER, failure=NO_KEEPER))
             return KeeperReport.unreachable(address, str(error) or type(error).__name__)
         self._sources.learn_keepers([member.address for member in state.members.members])
         return decode_report(address, state)
@@ -125,6 +133,7 @@
                     failures[address] = str(error) or type(error).__name__
                     continue
                 if answer is not None:
+                    self._leader_address = address
                     return answer
                 failures[address] = "does not lead"
                 if self._leader_address not in ("", address):
@@ -135,5 +144,9 @@
         raise UsherError(ErrorCode.NO_QUORUM, message)
 
     def _order_keepers(self) -> list[str]:
+        """List the keepers to ask, the leader that was named or that answered last first.
+
+        So a keeper that hangs, and costs a whole call's time, is passed by while the leader stays.
+        """
         first, self._leader_address = self._leader_address, ""
         return list(dict.fromkeys(filter(None, (first, *self._sources.keepers))))
--- a/packages/node/src/persimmonusher_node/keeper_files.py
+++ b/packages/node/src/persimmonusher_node/keeper_files.py
@@ -27,6 +27,9 @@
 FULL: Final = frozenset({errno.ENOSPC, errno.EDQUOT})
 LOCK_FILE: Final = "lock"
 
+SLICE_BYTES: Final = 1_048_576
+"""Written and synced at a time: about ten milliseconds of a disk."""
+
 
 def frame(payload: bytes) -> bytes:
     """Return the payload with its header."""
@@ -146,6 +149,28 @@
             os.replace(temporary, self.folder / name)
             self._sync_folder(self.folder)
 
+    def write_in_slices(self, name: str, content: bytes) -> Iterator[None]:
+        """Write and sync a new file slice by slice, so that the loop goes on between them.
+
+        Guards against a keeper whose loop stands still while tens of megabytes reach the disk: it
+        would miss its heartbeats and lose the lead.
+        """
+        with self._translate_errors(name):
+            descriptor = os.open(self.folder / name, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+            try:
+                for start in range(0, len(content), SLICE_BYTES):
+                    self._write(descriptor, content[start : start + SLICE_BYTES])
+                    self._sync(descriptor)
+                    yield
+            finally:
+                os.close(descriptor)
+
+    def rename(self, written: str, name: str) -> None:
+        """Let a written and synced file take a name; durable on return."""
+        with self._translate_errors(name):
+            os.replace(self.folder / written, self.folder / name)
+            self._sync_folder(self.folder)
+
     def open_append(self, name: str) -> None:
         """Begin to append to a file."""
         with self._translate_errors(name):
--- a/packages/node/src/persimmonusher_node/keeper_storage.py
+++ b/packages/node/src/persimmonusher_node/keeper_storage.py
@@ -6,7 +6,7 @@
 """
 
 import secrets
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
@@ -23,6 +23,7 @@
     decode_snapshot,
     encode_entry,
     encode_snapshot,
+    encode_snapshot_parts,
 )
 from persimmonusher_protocol import keeper_pb2 as pb
 
@@ -30,6 +31,7 @@
 VOTE: Final = "vote"
 SNAPSHOT: Final = "snapshot"
 LOG: Final = "log"
+PREPARED: Final = "snapshot.prepared"
 DISK_ID_BYTES: Final = 8
 
 
@@ -68,6 +70,7 @@
         self._truncate_from = 0
         self._waiting: list[Entry] = []
         self._torn_bytes = 0
+        self._prepared: Snapshot | None = None
         set_aside, damage = None, ""
         try:
             is_new = not files.exists(IDENTITY)
@@ -157,10 +160,26 @@
         wire = pb.Vote(term=vote.term, voted_for=vote.voted_for)
         self._files.replace(VOTE, frame(wire.SerializeToString()))
 
+    def prepare_snapshot(self, snapshot: Snapshot) -> Iterator[None]:
+        """Encode and write a snapshot in slices; `save_snapshot` of it is then quick.
+
+        Nothing refers to the file until then, so a crash between leaves the former snapshot.
+        """
+        parts = []
+        for part in encode_snapshot_parts(snapshot):
+            parts.append(part.SerializeToString())
+            yield
+        yield from self._files.write_in_slices(PREPARED, frame(b"".join(parts)))
+        self._prepared = snapshot
+
     def save_snapshot(self, snapshot: Snapshot, kept: Sequence[Entry]) -> None:
         """Replace the snapshot and then the log; a crash between is mended by `match_snapshot`."""
-        wire = encode_snapshot(snapshot)
-        self._files.replace(SNAPSHOT, frame(wire.SerializeToString()))
+        if self._prepared is snapshot:
+            self._files.rename(PREPARED, SNAPSHOT)
+        else:
+            content = frame(encode_snapshot(snapshot).SerializeToString())
+            self._files.replace(SNAPSHOT, content)
+        self._prepared = None
         self._rewrite_log(snapshot.index, snapshot.term, kept)
         self._waiting.clear()
         self._truncate_from = 0
--- a/packages/node/src/persimmonusher_node/keeper_wire.py
+++ b/packages/node/src/persimmonusher_node/keeper_wire.py
@@ -1,6 +1,7 @@
 """Conversion between the log's typed values and their protobuf messages."""
 
 import sys
+from collections.abc import Iterator
 from typing import Final
 
 from persimmonusher_agreement.configuration_objects import (
@@ -28,6 +29,9 @@
 from persimmonusher_model.identifiers import Revision
 from persimmonusher_protocol import keeper_pb2 as pb
 
+PART_ITEMS: Final = 1_000
+"""Records encoded at a time: about ten milliseconds."""
+
 KINDS_TO_WIRE: Final = {
     ObjectKind.PROFILE: pb.PROFILE,
     ObjectKind.SERVICE: pb.SERVICE,
@@ -168,18 +172,34 @@
 
 def encode_snapshot(snapshot: Snapshot) -> pb.Snapshot:
     """Return the wire form of a snapshot."""
+    wire = pb.Snapshot()
+    for part in encode_snapshot_parts(snapshot):
+        wire.MergeFrom(part)
+    return wire
+
+
+def encode_snapshot_parts(snapshot: Snapshot) -> Iterator[pb.Snapshot]:
+    """Return the wire form in parts that are each quick to encode.
+
+    Their encoded bytes, put together, are those of the whole: protobuf appends what repeats.
+    """
     state = snapshot.state
-    return pb.Snapshot(
+    yield pb.Snapshot(
         index=snapshot.index,
         term=snapshot.term,
         members=encode_members(snapshot.members),
         lineage=state.lineage,
         revision=state.revision,
         tombstone_floor=state.tombstone_floor,
-        records=map(encode_record, state.records),
-        histories=map(encode_record, state.histories),
-        verdicts=map(_encode_stored, state.verdicts),
     )
+    for start in range(0, len(state.records), PART_ITEMS):
+        yield pb.Snapshot(records=map(encode_record, state.records[start : start + PART_ITEMS]))
+    for start in range(0, len(state.histories), PART_ITEMS):
+        items = state.histories[start : start + PART_ITEMS]
+        yield pb.Snapshot(histories=map(encode_record, items))
+    for start in range(0, len(state.verdicts), PART_ITEMS):
+        verdicts = state.verdicts[start : start + PART_ITEMS]
+        yield pb.Snapshot(verdicts=map(_encode_stored, verdicts))
 
 
 def decode_snapshot(wire: pb.Snapshot) -> Snapshot:
--- a/packages/node/tests/test_keeper_fleet.py
+++ b/packages/node/tests/test_keeper_fleet.py
@@ -258,6 +258,34 @@
             first.client.take(configuration.collect_since(Revision(1)))
             self.wait_until(lambda: second.client.revision() == 2, seconds=1.0)
 
+    def test_the_log_is_compacted_between_turns_and_a_late_keeper_takes_the_snapshot(self) -> None:
+        """Many changes are made while a keeper is down; the entries it lacks are compacted away.
+
+        It must come back by the snapshot, and all must restart from theirs.
+        """
+        with mock.patch.object(keeper, "SNAPSHOT_ENTRIES", 6):
+            for name in ("k1", "k2", "k3"):
+                self.start(name)
+            self.make_service(self.nodes["k2"])
+            self.stop("k3")
+            for number in range(12):
+                body = {"ramp_ms": number}
+                change = make_change(f"n{number}", ObjectKind.PROFILE, f"p{number}", 0, body)
+                self.assertIsInstance(self.nodes["k2"].propose(change), Accepted)
+            self.wait_until(lambda: self.get_base("k1") > 6 and self.get_base("k2") > 6)
+            self.start("k3")
+            self.wait_until(lambda: self.get_base("k3") > 6)
+            for name in ("k1", "k2", "k3"):
+                self.stop(name)
+            for name in ("k1", "k2", "k3"):
+                self.start(name)
+            self.wait_until(lambda: {n.client.revision() for n in self.nodes.values()} == {15})
+
+    def get_base(self, name: str) -> int:
+        role = self.nodes[name].role
+        assert role is not None
+        return role.keeper.replica.log.base_index
+
     def test_one_keeper_is_a_fleet_of_its_own(self) -> None:
         self.start("k1", keepers=1)
         self.make_service(self.nodes["k1"])
--- a/packages/node/tests/test_keeper_storage.py
+++ b/packages/node/tests/test_keeper_storage.py
@@ -38,6 +38,7 @@
 from persimmonusher_agreement.log_storage import StorageError
 from persimmonusher_model.errors import ErrorCode, Finding
 from persimmonusher_model.identifiers import InstanceId, Revision
+from persimmonusher_node import keeper_files
 from persimmonusher_node.keeper_files import KeeperFiles, frame
 from persimmonusher_node.keeper_message_wire import decode_message, encode_message
 from persimmonusher_node.keeper_storage import KeeperStorage
@@ -116,6 +117,21 @@
         self.assertEqual(stored.snapshot, make_snapshot(2))
         self.assertEqual([entry.index for entry in stored.entries], [3, 4])
 
+    def test_a_snapshot_written_in_slices_counts_only_once_it_is_saved(self) -> None:
+        storage = self.fill()
+        with mock.patch.object(keeper_files, "SLICE_BYTES", 16):
+            slices = list(storage.prepare_snapshot(make_snapshot(2)))
+        self.assertGreater(len(slices), 10)
+        self.assertIsNone(self.open().load().snapshot)
+        storage = self.open()
+        storage.load()
+        snapshot = make_snapshot(2)
+        for _ in storage.prepare_snapshot(snapshot):
+            pass
+        storage.save_snapshot(snapshot, [make_entry(3)])
+        stored = self.open().load()
+        self.assertEqual((stored.snapshot, len(stored.entries)), (snapshot, 1))
+
     def test_a_crash_between_snapshot_and_log_is_mended(self) -> None:
         """The keeper takes a snapshot and dies before its log is rewritten.
 
