Mend what the directory's fault tests found

Cause and change, each found by a named test on virtual time: - A broken balancer removed every server: a watcher has too few servers to see a common cause. Lost servers are now listed while they outnumber the others. - Two watchers took each other's answers for signs of life, so that under loss a dead server stayed for 15 s to over a minute: answers now carry their age. - A server stopped behind a cut came back after its tombstone: an instance in a minority, or paused, for a third of the retention doubts its directory. - A restarted entry learned 166 of 300 servers in 4 s, as it passed on all it learned: repairs are passed on little, copies from others count as sends, and exchanges go on while they bring much.

--- a/packages/agreement/src/persimmonusher_agreement/anti_entropy.py
+++ b/packages/agreement/src/persimmonusher_agreement/anti_entropy.py
@@ -25,7 +25,7 @@
 ENTRY_BYTES: Final = 16
 """Hash and fingerprint of one record in a summary."""
 BUCKET_BYTES: Final = 2
-MAX_GROUPS: Final = 4
+MAX_GROUPS: Final = 8
 MAX_SUMMARIES: Final = 4
 REPAIR_BYTES: Final = 1100
 MAX_REPAIRS: Final = 8
@@ -121,11 +121,11 @@
     piece: list[Record] = []
     room = limit_bytes
     for record in records:
-        if piece and record.size() > room:
+        if piece and record.size > room:
             pieces.append(tuple(piece))
             piece, room = [], limit_bytes
         piece.append(record)
-        room -= record.size()
+        room -= record.size
     if piece:
         pieces.append(tuple(piece))
     return pieces
--- a/packages/agreement/src/persimmonusher_agreement/directory.py
+++ b/packages/agreement/src/persimmonusher_agreement/directory.py
@@ -13,7 +13,7 @@
 from persimmonusher_agreement.membership_limits import MembershipLimits
 from persimmonusher_agreement.record import hash_key
 from persimmonusher_agreement.record_store import RecordStore
-from persimmonusher_agreement.server_record import ServerRecord
+from persimmonusher_agreement.server_record import ServerRecord, ServerState
 from persimmonusher_model.identifiers import ServerId, ServiceName
 
 SHARDS: Final = 256
@@ -21,6 +21,8 @@
 within milliseconds, 110,000 can't. Each instance watches 256 x 3 / 2,500 shards of 430 servers."""
 EMPTY: Final[Mapping[ServerId, ServerRecord]] = MappingProxyType({})
 
+Group = dict[ServerId, ServerRecord]
+
 
 @dataclass(frozen=True)
 class Announced:
@@ -33,17 +35,24 @@
 
 
 class Directory:
-    """Merges records of backend servers and lists those that are not stopped and not lost."""
+    """Merges records of backend servers and lists those that may take work or are draining."""
 
     def __init__(self, store: RecordStore, limits: MembershipLimits) -> None:
         self._store = store
         self._limits = limits
-        self._by_service: dict[ServiceName, dict[ServerId, ServerRecord]] = {}
-        self._by_shard: dict[int, dict[ServerId, ServerRecord]] = {}
+        self._live: dict[ServiceName, Group] = {}
+        self._lost: dict[ServiceName, Group] = {}
+        self._doubted: dict[ServiceName, Group] = {}
+        self._by_shard: dict[int, Group] = {}
         self._versions: dict[ServiceName, int] = {}
         self._buried: deque[tuple[float, ServerRecord]] = deque()
+        self._recently_lost: deque[tuple[float, ServerRecord]] = deque()
+        self.changes = 0
+        """Rises with every change of any service's servers."""
+        self.may_confirm = True
+        """Records from others confirm doubted ones; False on the smaller side of a cut."""
         self.live_count = 0
-        """Servers that are not stopped and not lost."""
+        """Servers that are not stopped, not lost and not doubted."""
 
     def announce(self, record: ServerRecord, active: float) -> Announced:
         """Take what a backend server says of itself."""
@@ -57,7 +66,7 @@
     def apply(self, record: ServerRecord, active: float) -> bool:
         """Merge a record; tell whether it was newer."""
         held = self.find(record.server_id)
-        if not self._store.put(record):
+        if self._is_doubtful(record) or not self._store.put(record):
             return False
         if held is not None:
             self._take_out(held)
@@ -66,12 +75,23 @@
 
     def find(self, server_id: ServerId) -> ServerRecord | None:
         """Return what is known of a server, also when it is stopped or lost."""
-        held = self._store.get(make_key_hash(server_id))
+        held = self._store.get(hash_key(f"s/{server_id}"))
         return held if isinstance(held, ServerRecord) else None
 
-    def list_servers(self, service: ServiceName) -> Collection[ServerRecord]:
-        """List the servers of a service that are not stopped and not lost."""
-        return self._by_service.get(service, EMPTY).values()
+    def list_servers(self, service: ServiceName) -> tuple[ServerRecord, ...]:
+        """List the servers of a service that are not stopped, and in general not lost.
+
+        Load: the way that announcements take breaks (the balancer, a network between servers and
+        entries), while callers' requests pass, and most of a service's servers are lost within
+        seconds. Harm: the few that are left are overrun, or every request is refused. Limit: when
+        more of them are lost than left, the lost are listed too, and detection by real work tells
+        which answer. `lost_listing` seconds later the loss is believed, unless none would be left.
+        """
+        live = self._live.get(service, EMPTY)
+        doubted = self._doubted.get(service, EMPTY)
+        lost = self._lost.get(service, EMPTY)
+        listed = (*live.values(), *doubted.values())
+        return (*listed, *lost.values()) if len(lost) > len(listed) else listed
 
     def list_services(self) -> Collection[ServiceName]:
         """List the services that have, or had, a server."""
@@ -85,53 +105,95 @@
         """Return a number that rises whenever `list_servers` changes."""
         return self._versions.get(service, 0)
 
-    def expire(self, active: float) -> None:
-        """Forget tombstones that are older than the retention."""
+    def expire(self, active: float) -> list[ServiceName]:
+        """Forget what is older than its retention; return the services whose list may differ."""
         kept_since = active - self._limits.stopped_retention
         while self._buried and self._buried[0][0] < kept_since:
-            _, record = self._buried.popleft()
-            if self._store.get(record.key_hash) is record:
-                self._store.remove(record)
-
-    def forget_all(self) -> None:
-        """Forget every server, after a pause longer than tombstones are kept.
-
-        Failure: a process that was paused for days still holds servers as ready whose tombstones
-        all others have forgotten, and would bring them back. It shows as work sent to servers that
-        stopped long ago. Forgetting first holds because the others' records then all come anew.
+            self._forget(self._buried.popleft()[1])
+        listed_since = active - self._limits.lost_listing
+        believed: list[ServiceName] = []
+        while self._recently_lost and self._recently_lost[0][0] < listed_since:
+            _, record = self._recently_lost.popleft()
+            if self._live.get(record.service) and self._drop(self._lost, record):
+                believed.append(record.service)
+        return believed
+
+    def doubt_all(self) -> None:
+        """Take every record out of what is exchanged, and go on listing the servers.
+
+        Failure: an instance that was cut off, or paused, for longer than tombstones are kept still
+        holds servers as ready that stopped meanwhile, and would bring them back. It shows as work
+        sent to servers that stopped long ago. The guard holds because this is done before the
+        first tombstone expires, and nothing but a record from others, or an announcement, makes a
+        doubted server an exchanged one again.
         """
-        for services in list(self._by_service.values()):
-            for record in list(services.values()):
+        for group in list(self._live.values()):
+            for record in list(group.values()):
                 self._take_out(record)
                 self._store.remove(record)
+                self._doubted.setdefault(record.service, {})[record.server_id] = record
         for _, record in self._buried:
-            self._store.remove(record)
+            self._forget(record)
         self._buried.clear()
 
+    def drop_doubted(self) -> list[ServiceName]:
+        """Forget the doubted servers that nobody has confirmed; return their services."""
+        services = [service for service, group in self._doubted.items() if group]
+        self._doubted.clear()
+        for service in services:
+            self._raise_version(service)
+        return services
+
     def _put_in(self, record: ServerRecord, active: float) -> None:
-        self._versions[record.service] = self._versions.get(record.service, 0) + 1
+        self._raise_version(record.service)
+        self._drop(self._doubted, record)
         if record.is_tombstone:
             self._buried.append((active, record))
+            if record.state <= ServerState.READY:
+                self._lost.setdefault(record.service, {})[record.server_id] = record
+                self._recently_lost.append((active, record))
             return
         self.live_count += 1
-        self._by_service.setdefault(record.service, {})[record.server_id] = record
+        self._live.setdefault(record.service, {})[record.server_id] = record
         shard = find_shard(record.server_id)
         self._by_shard.setdefault(shard, {})[record.server_id] = record
 
     def _take_out(self, record: ServerRecord) -> None:
-        self._versions[record.service] = self._versions.get(record.service, 0) + 1
+        self._raise_version(record.service)
         if record.is_tombstone:
+            self._drop(self._lost, record)
             return
         self.live_count -= 1
-        del self._by_service[record.service][record.server_id]
+        del self._live[record.service][record.server_id]
         del self._by_shard[find_shard(record.server_id)][record.server_id]
 
+    def _is_doubtful(self, record: ServerRecord) -> bool:
+        """Tell whether the record is one that instances cut off with us still pass around.
+
+        Failure: of two cut-off instances, one doubts its directory a moment before the other,
+        learns it back, passes it on as news, and so on for hours, until the cut heals and the
+        others learn it too.
+        """
+        doubted = self._doubted.get(record.service, EMPTY).get(record.server_id)
+        return doubted is not None and not self.may_confirm and not record.supersedes(doubted)
+
+    def _forget(self, record: ServerRecord) -> None:
+        if self._store.get(record.key_hash) is record:
+            self._take_out(record)
+            self._store.remove(record)
+
+    def _drop(self, groups: dict[ServiceName, Group], record: ServerRecord) -> bool:
+        """Take a server out of a group, and its service's version up, if it is in it."""
+        dropped = groups.get(record.service, {}).pop(record.server_id, None) is not None
+        if dropped:
+            self._raise_version(record.service)
+        return dropped
 
-def make_key_hash(server_id: ServerId) -> int:
-    """Return the hash that the store knows a server by."""
-    return hash_key(f"s/{server_id}")
+    def _raise_version(self, service: ServiceName) -> None:
+        self._versions[service] = self._versions.get(service, 0) + 1
+        self.changes += 1
 
 
 def find_shard(server_id: ServerId) -> int:
     """Return the shard whose watchers listen for this server."""
-    return make_key_hash(server_id) % SHARDS
+    return hash_key(f"s/{server_id}") % SHARDS
--- a/packages/agreement/src/persimmonusher_agreement/gossip.py
+++ b/packages/agreement/src/persimmonusher_agreement/gossip.py
@@ -37,21 +37,38 @@
     """The changes that this instance still passes on; at most one for each key."""
 
     def __init__(self) -> None:
-        self._rumours: dict[str, _Rumour] = {}
+        self._rumours: dict[int, _Rumour] = {}
 
     def __len__(self) -> int:
         return len(self._rumours)
 
     def add(self, record: Record, transmissions: int) -> None:
         """Queue a change; it takes the place of an older one of the same key."""
-        self._rumours[record.key] = _Rumour(record, 0, transmissions)
+        self._rumours.pop(record.key_hash, None)
+        if transmissions > 0:
+            self._rumours[record.key_hash] = _Rumour(record, 0, transmissions)
+
+    def note_duplicate(self, record: Record) -> None:
+        """Count a copy that came from another instance as if it had been sent from here.
+
+        Load: hundreds of changes at once, as at a cold start. Harm: every instance sends each of
+        them ten times, most to instances that know it. Limit: what comes in from others shows how
+        far a change has spread; with losses fewer copies come in, and more are sent.
+        """
+        rumour = self._rumours.get(record.key_hash)
+        if rumour is not None and rumour.record.version == record.version:
+            self._count(rumour)
+
+    def clear(self) -> None:
+        """Pass nothing on that was learned up to now."""
+        self._rumours.clear()
 
     def take(self, limit_bytes: int) -> tuple[Record, ...]:
         """Take what fits, urgent and least sent first, and count one transmission of each."""
         taken: list[Record] = []
         room = limit_bytes
         for rumour in sorted(self._rumours.values(), key=_order):
-            size = rumour.record.size()
+            size = rumour.record.size
             if size > room:
                 continue
             room -= size
@@ -63,7 +80,7 @@
         rumour.sent += 1
         rumour.remaining -= 1
         if rumour.remaining <= 0:
-            del self._rumours[rumour.record.key]
+            del self._rumours[rumour.record.key_hash]
 
 
 def _order(rumour: _Rumour) -> tuple[bool, int]:
--- a/packages/agreement/src/persimmonusher_agreement/member_record.py
+++ b/packages/agreement/src/persimmonusher_agreement/member_record.py
@@ -66,7 +66,7 @@
         roles = ",".join(self.roles)
         return f"{self.key}|{self.failure_domain}|{self.peer_address}|{roles}|{self.incarnation}"
 
-    def size(self) -> int:
+    def count_bytes(self) -> int:
         """Return an upper bound of the encoded bytes."""
         texts = (self.instance_id, self.failure_domain, self.peer_address, *self.roles)
         return FIXED_BYTES + sum(len(text.encode()) + FIELD_OVERHEAD_BYTES for text in texts)
--- a/packages/agreement/src/persimmonusher_agreement/member_table.py
+++ b/packages/agreement/src/persimmonusher_agreement/member_table.py
@@ -29,8 +29,13 @@
 
     @property
     def sees_majority(self) -> bool:
-        """Tell whether more than half of the known fleet, without those that left, is live."""
-        return 2 * len(self.live) > len(self.live) + len(self.dead)
+        """Tell whether more than half of the known fleet, without those that left, is live.
+
+        Of two equal halves, the one with the first name counts as the majority.
+        """
+        if len(self.live) != len(self.dead):
+            return len(self.live) > len(self.dead)
+        return min(self.live) < min(self.dead)
 
     def list_peers(self) -> list[MemberRecord]:
         """List the live instances but this one; not to be changed by the caller."""
@@ -65,7 +70,9 @@
         late = [name for name, due in self._suspicions.items() if active >= due]
         died = [replace(self.live[name], state=MemberState.DEAD) for name in late]
         passed_on = [record for record in died if self.apply(record, active) is not None]
-        kept_since = active - self._limits.dead_retention
+        limits = self._limits
+        retention = limits.dead_retention if self.sees_majority else limits.minority_retention
+        kept_since = active - retention
         for name in [name for name, since in self._buried_at.items() if since < kept_since]:
             self._forget(name)
         return passed_on
--- a/packages/agreement/src/persimmonusher_agreement/membership.py
+++ b/packages/agreement/src/persimmonusher_agreement/membership.py
@@ -56,6 +56,12 @@
 from persimmonusher_model.identifiers import Revision
 
 SEEDS_AT_ONCE: Final = 3
+MANY_REPAIRS: Final = 5
+"""Records in one answer from which on this instance takes itself to be behind the others."""
+REPAIR_SENDS: Final = 3
+DOUBT_SHARE: Final = 1 / 3
+"""Of the retention of tombstones: on the smaller side of a cut, no record in the store is older
+than twice that, so none outlives the tombstones on the larger side."""
 LEAVE_FANOUT: Final = 8
 """A leaving instance tells so many at once; one of them hears of it at 20% loss in all but 3 of
 10^6 cases, and the rest find out by probes."""
@@ -89,6 +95,10 @@
         self.heartbeats = ServerHeartbeats(self.members, self.directory, self._limits)
         self._due: dict[Callable[[float], None], float] = {}
         self._next_exchange = 0.0
+        self._is_behind = False
+        self._deaf_until = 0.0
+        self._doubted_at = 0.0
+        self._majority_lost = 0.0
         self._handlers: dict[type[Any], Callable[[Any, Envelope, str, float], None]] = {
             Ping: self._take_ping,
             PingRequest: self._take_ping_request,
@@ -125,29 +135,36 @@
         self._every(1.0 if alone else limits.seed_interval, self._join, active)
         for record in self.members.expire(active):
             self._note_change(record, active)
-        self.directory.expire(active)
+        self._catch_up(active)
+        self._judge_own_view(active)
+        for service in self.directory.expire(active):
+            self._outbox.add(ServersChanged(service))
         return self._outbox.drain()
 
     def receive(self, envelope: Envelope, source: str, now: float) -> list[Effect]:
         """Take a datagram that came from the `ip:port` in `source`."""
         active = self._advance(now)
-        if envelope.sender == self.members.own.instance_id:
+        if envelope.sender == self.members.own.instance_id or active < self._deaf_until:
             return []
         if envelope.revision > self._outbox.revision:
             self._outbox.add(NewerRevision(envelope.sender, envelope.revision))
-        stale = [record for record in envelope.updates if not self._apply(record, active)]
-        if stale and isinstance(envelope.body, Repair):
-            self._answer_stale(stale, envelope, source)
+        is_repair = isinstance(envelope.body, Repair)
+        sends = self._count_sends(envelope, is_repair)
+        stale = [record for record in envelope.updates if not self._apply(record, active, sends)]
+        if stale and is_repair:
+            self._answer_stale(stale, source)
         self._handlers[type(envelope.body)](envelope.body, envelope, source, active)
         return self._outbox.drain()
 
     def announce(self, record: ServerRecord, now: float) -> tuple[Announced, list[Effect]]:
         """Take what a backend server told this instance, at about one announcement a second."""
         active = self._advance(now)
+        if active < self._deaf_until:
+            return Announced(accepted=False, changed=False), []
         announced = self.directory.announce(record, active)
         if announced.changed:
             self._note_change(record, active)
-            self._outbox.spread(active)
+            self._outbox.push(record, active)
         if announced.accepted:
             for outgoing in self.heartbeats.forward(record, active):
                 self._outbox.send(outgoing)
@@ -169,16 +186,61 @@
         pause = self._time.take_pause()
         if pause:
             self.prober.abandon_round()
-        if pause > self._limits.stopped_retention / 2:
-            self.directory.forget_all()
+        if pause > self._limits.stopped_retention * DOUBT_SHARE:
+            self._doubt(active)
+            self._deaf_until = active + self._limits.deaf_seconds
         return active
 
+    def _doubt(self, active: float) -> None:
+        """Pass on nothing that was known of servers until now; nothing of it may come back."""
+        self.directory.doubt_all()
+        self._queue.clear()
+        self._doubted_at = active
+        self._majority_lost = active
+
+    def _judge_own_view(self, active: float) -> None:
+        """Doubt the directory before others forget their tombstones; settle that once rejoined."""
+        limits = self._limits
+        self.directory.may_confirm = self.members.sees_majority
+        if not self.members.sees_majority:
+            self._majority_lost = active
+            if active - self._doubted_at > limits.stopped_retention * DOUBT_SHARE:
+                self._doubt(active)
+            return
+        self._doubted_at = active
+        if active - self._majority_lost > limits.confirm_seconds:
+            for service in self.directory.drop_doubted():
+                self._outbox.add(ServersChanged(service))
+
+    def _catch_up(self, active: float) -> None:
+        """Go on with another peer when the last exchange brought many records."""
+        peers = self.members.list_peers()
+        if not self._is_behind or not peers or active < self._next_exchange:
+            return
+        self._is_behind = False
+        self._next_exchange = active + self._limits.catch_up_interval
+        peer = self._random.choice(peers)
+        start = self._exchange.start()
+        self._outbox.send(Outgoing(peer.peer_address, peer.instance_id, start))
+
     def _every(self, interval: float, action: Callable[[float], None], active: float) -> None:
         if active >= self._due.get(action, 0.0):
             self._due[action] = active + interval
             action(active)
 
-    def _apply(self, record: Record, active: float) -> bool:
+    def _count_sends(self, envelope: Envelope, is_repair: bool) -> int | None:
+        """Return how often news of this envelope is passed on; None for the usual.
+
+        Load: an instance that joins learns up to 112,500 records by exchanges. Harm: passing each
+        on ten times costs more than the fleet's changes of a day, and its own exchanges wait for
+        the budget. Limit: single repairs are passed on a little, for the case that rumours don't
+        get through, and many at once not at all.
+        """
+        if not is_repair:
+            return None
+        return REPAIR_SENDS if len(envelope.updates) < MANY_REPAIRS else 0
+
+    def _apply(self, record: Record, active: float, sends: int | None = None) -> bool:
         """Merge a record; False where ours is newer."""
         if isinstance(record, MemberRecord):
             passed_on: Record | None = self.members.apply(record, active)
@@ -187,14 +249,17 @@
         else:
             return True
         if passed_on is None:
+            self._queue.note_duplicate(record)
             held = self._store.get(record.key_hash)
             return held is None or held.version == record.version
-        self._note_change(passed_on, active)
+        refuted = passed_on is not record
+        self._note_change(passed_on, active, None if refuted else sends)
         return True
 
-    def _note_change(self, record: Record, active: float) -> None:
+    def _note_change(self, record: Record, active: float, sends: int | None = None) -> None:
         """Queue a change for the others and report it here."""
-        self._queue.add(record, count_transmissions(len(self.members.live)))
+        usual = count_transmissions(len(self.members.live))
+        self._queue.add(record, usual if sends is None else sends)
         if isinstance(record, MemberRecord):
             self._outbox.add(MembersChanged())
             return
@@ -258,7 +323,7 @@
             if piece or body.wanted:
                 self._outbox.send(Outgoing(peer, None, body), piece)
 
-    def _answer_stale(self, stale: Sequence[Record], envelope: Envelope, source: str) -> None:
+    def _answer_stale(self, stale: Sequence[Record], source: str) -> None:
         """Answer records that ours supersede with ours, tombstones included."""
         held = [self._store.get(record.key_hash) for record in stale]
         newer = [record for record in held if record is not None]
@@ -310,7 +375,8 @@
     def _take_repair(self, repair: Repair, envelope: Envelope, source: str, active: float) -> None:
         if repair.wanted:
             self._repair(source, self._exchange.answer_wanted(repair.wanted), ())
-        if envelope.updates:
+        if len(envelope.updates) >= MANY_REPAIRS:
+            self._is_behind = True
             soon = active + self._limits.catch_up_interval
             self._next_exchange = min(self._next_exchange, soon)
 
--- a/packages/agreement/src/persimmonusher_agreement/membership_limits.py
+++ b/packages/agreement/src/persimmonusher_agreement/membership_limits.py
@@ -23,8 +23,17 @@
     dead_retention: float = 12 * 3600.0
     """A dead instance is probed now and then for so long, and counted in the fleet's size, so
     that the smaller side of a cut knows that it is the smaller side."""
+    minority_retention: float = 7 * 86400.0
+    """The same on the smaller side, which must not forget the larger one while cut off."""
     stopped_retention: float = 24 * 3600.0
-    """Longer than `dead_retention`: see `persimmonusher_agreement.watch`."""
+    """Tombstones of servers. An instance that is cut off or paused for a third of it no longer
+    passes on what it knows of servers: `Directory.doubt_all`."""
+    confirm_seconds: float = 10.0
+    """For doubted servers to be confirmed once a majority is seen again: ten announcements."""
+    deaf_seconds: float = 1.0
+    """After a pause of a third of it, what waits in the sockets is as old; it is dropped."""
+    lost_listing: float = 3600.0
+    """Lost servers count for so long as a sign of a common cause: `Directory.list_servers`."""
     reconnect_interval: float = 2.0
     seed_interval: float = 10.0
     small_sync_interval: float = 0.25
--- a/packages/agreement/src/persimmonusher_agreement/membership_messages.py
+++ b/packages/agreement/src/persimmonusher_agreement/membership_messages.py
@@ -104,6 +104,9 @@
     """The sender watches the server and has heard nothing for the timeout."""
     heard: bool
     """The sender has heard the server within the timeout."""
+    age_milliseconds: int = 0
+    """How long ago it was heard. Were it left out, two watchers would take each other's answers for
+    signs of life, and a server that is gone would be lost never."""
 
 
 Body: TypeAlias = (
--- a/packages/agreement/src/persimmonusher_agreement/outbox.py
+++ b/packages/agreement/src/persimmonusher_agreement/outbox.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from persimmonusher_agreement.gossip import ByteBudget, GossipQueue
-from persimmonusher_agreement.member_record import MemberState
+from persimmonusher_agreement.member_record import MemberRecord, MemberState
 from persimmonusher_agreement.member_table import MemberTable
 from persimmonusher_agreement.membership_limits import MembershipLimits
 from persimmonusher_agreement.membership_messages import (
@@ -25,6 +25,8 @@
 """Headers of IP and UDP (28), tag (16), sender, revision, digest and a small body, as encoded."""
 UPDATES_BYTES: Final = 1100
 """Room for updates in a datagram of 1,400 bytes."""
+RUMOUR_RESERVE: Final = 0.25
+"""Of the burst, left to exchanges: under a flood of rumours they repair more for fewer bytes."""
 SMALL_BODIES: Final = (Ping, Ack, Rumour)
 """Bodies that leave room for piggybacked updates."""
 
@@ -67,10 +69,11 @@
     def send(self, outgoing: Outgoing, updates: tuple[Record, ...] = ()) -> None:
         """Send a message with the given updates and, where there is room, queued ones."""
         urgent = (*self._tell_subject(outgoing), *updates)
-        if isinstance(outgoing.body, SMALL_BODIES):
-            room = UPDATES_BYTES - sum(record.size() for record in urgent)
+        is_push = isinstance(outgoing.body, Rumour) and len(updates) > 0
+        if isinstance(outgoing.body, SMALL_BODIES) and not is_push:
+            room = UPDATES_BYTES - sum(record.size for record in urgent)
             urgent = (*urgent, *self._queue.take(room))
-        self._budget.spend(HEADER_BYTES + sum(record.size() for record in urgent))
+        self._budget.spend(HEADER_BYTES + sum(record.size for record in urgent))
         envelope = Envelope(
             self._table.own.instance_id, self.revision, self._store.digest, outgoing.body, urgent
         )
@@ -78,13 +81,28 @@
 
     def spread(self, active: float) -> None:
         """Send queued rumours to a few random peers, within the budget."""
-        if not len(self._queue) or not self.has_budget(active):
+        if not self._may_spread(active):
             return
-        peers = self._table.list_peers()
-        for peer in self._random.sample(peers, min(self._limits.gossip_fanout, len(peers))):
+        for peer in self._choose_peers():
             if len(self._queue):
                 self.send(Outgoing(peer.peer_address, peer.instance_id, Rumour()))
 
+    def push(self, record: Record, active: float) -> None:
+        """Send one change to a few random peers at once, before its turn in the queue."""
+        if not self._may_spread(active):
+            return
+        for peer in self._choose_peers():
+            self.send(Outgoing(peer.peer_address, peer.instance_id, Rumour()), (record,))
+            self._queue.note_duplicate(record)
+
+    def _may_spread(self, active: float) -> bool:
+        reserve = self._limits.budget_burst * RUMOUR_RESERVE
+        return len(self._queue) > 0 and self._budget.available(active) > reserve
+
+    def _choose_peers(self) -> list[MemberRecord]:
+        peers = self._table.list_peers()
+        return self._random.sample(peers, min(self._limits.gossip_fanout, len(peers)))
+
     def _tell_subject(self, outgoing: Outgoing) -> tuple[Record, ...]:
         """Tell an instance first that it is suspected or held for dead, so that it can refute.
 
--- a/packages/agreement/src/persimmonusher_agreement/record.py
+++ b/packages/agreement/src/persimmonusher_agreement/record.py
@@ -42,9 +42,14 @@
         """Return all that replicas must agree on, as one string."""
 
     @abstractmethod
-    def size(self) -> int:
+    def count_bytes(self) -> int:
         """Return an upper bound of the record's bytes as encoded."""
 
+    @cached_property
+    def size(self) -> int:
+        """Return what `count_bytes` does, counted once."""
+        return self.count_bytes()
+
     def supersedes(self, other: "Record | None") -> bool:
         """Tell whether this record is newer than another of the same key."""
         return other is None or self.version > other.version
--- a/packages/agreement/src/persimmonusher_agreement/server_heartbeats.py
+++ b/packages/agreement/src/persimmonusher_agreement/server_heartbeats.py
@@ -31,7 +31,7 @@
         """
         self._refresh()
         leaving = record.state >= ServerState.DRAINING
-        if not leaving and record.sequence % self.watch.stride:
+        if not leaving and (record.sequence + record.key_hash) % self.watch.stride:
             return []
         heartbeat = Heartbeat(record.server_id, record.boot_id, record.sequence, record.state)
         own = self._table.own.instance_id
--- a/packages/agreement/src/persimmonusher_agreement/server_record.py
+++ b/packages/agreement/src/persimmonusher_agreement/server_record.py
@@ -78,7 +78,7 @@
             f"|{self.connection_limit}|{self.boot_id}|{int(self.state)}|{self.lost}"
         )
 
-    def size(self) -> int:
+    def count_bytes(self) -> int:
         """Return an upper bound of the encoded bytes."""
         texts = (self.server_id, self.service, self.address, self.failure_domain)
         return FIXED_BYTES + sum(len(text.encode()) + FIELD_OVERHEAD_BYTES for text in texts)
--- a/packages/agreement/src/persimmonusher_agreement/watch.py
+++ b/packages/agreement/src/persimmonusher_agreement/watch.py
@@ -7,14 +7,11 @@
   that hears the server is a veto.
 - A watcher that was paused finds every server silent. Silence counts in active time, so each
   server has the whole timeout again to be heard.
-- The way that announcements take is broken (the balancer, a network between servers and all
-  entries): most servers fall silent at once. A watcher that finds more than half of its servers
-  silent therefore says nothing; a few servers it would rather list for too long, since detection
-  by real work stops sending to those that don't answer.
 - The smaller side of a cut fleet sees only itself as watchers. Without a majority of the known
-  fleet live, nothing is lost. That ends after `dead_retention`, before others forget tombstones
-  (`stopped_retention`), so a server that stopped behind the cut is lost here before its record
-  could bring it back there.
+  fleet live, nothing is lost; detection by real work stops sending to servers that don't answer.
+
+That most servers fall silent at once, because the way that announcements take is broken, can't be
+seen by one watcher, which has few servers: `Directory.list_servers` guards against that.
 """
 
 from dataclasses import dataclass, field, replace
@@ -27,8 +24,6 @@
 from persimmonusher_agreement.watchers import WatcherChoice
 from persimmonusher_model.identifiers import InstanceId, ServerId
 
-COMMON_CAUSE_SERVERS: Final = 4
-"""Fewer watched servers than this are too few to tell a common cause from a coincidence."""
 HEARTBEATS_IN_TIMEOUT: Final = 5
 """At 20% loss, five in a row are lost once in 3,000 timeouts, and at two watchers once in 10^7."""
 
@@ -113,8 +108,7 @@
         silent = [
             record for record in watched if active - self._heard[record.server_id].at > self.timeout
         ]
-        common_cause = len(watched) >= COMMON_CAUSE_SERVERS and 2 * len(silent) > len(watched)
-        self._holding = common_cause or not sees_majority
+        self._holding = not sees_majority
         step = SilenceStep()
         if not self._holding:
             for record in silent:
@@ -128,7 +122,8 @@
             return SilenceReply(query.server_id, query.boot_id, 0, silent=False, heard=False)
         recent = active - heard.at <= self.timeout
         silent = not recent and not self._holding
-        return SilenceReply(query.server_id, heard.boot_id, heard.sequence, silent, recent)
+        age = int((active - heard.at) * 1000)
+        return SilenceReply(query.server_id, heard.boot_id, heard.sequence, silent, recent, age)
 
     def take_reply(self, reply: SilenceReply, sender: InstanceId, active: float) -> None:
         """Count another watcher's answer; one that heard the server is a veto."""
@@ -136,7 +131,8 @@
         if inquiry is None:
             return
         if reply.heard:
-            self._note(reply.server_id, reply.boot_id, reply.sequence, active)
+            heard_at = active - reply.age_milliseconds / 1000
+            self._note(reply.server_id, reply.boot_id, reply.sequence, heard_at)
         elif reply.silent:
             inquiry.silent.add(sender)
             inquiry.sequence = max(inquiry.sequence, reply.sequence)
@@ -157,11 +153,12 @@
             del self._inquiries[server_id]
         return watched
 
-    def _note(self, server_id: ServerId, boot_id: int, sequence: int, active: float) -> None:
+    def _note(self, server_id: ServerId, boot_id: int, sequence: int, at: float) -> None:
         heard = self._heard.get(server_id)
         if heard is not None and (boot_id, sequence) < (heard.boot_id, heard.sequence):
             return
-        self._heard[server_id] = _Heard(boot_id, sequence, active)
+        latest = at if heard is None else max(at, heard.at)
+        self._heard[server_id] = _Heard(boot_id, sequence, latest)
         self._inquiries.pop(server_id, None)
 
     def _consider(self, record: ServerRecord, active: float, step: SilenceStep) -> None:
--- a/packages/agreement/src/persimmonusher_agreement/watchers.py
+++ b/packages/agreement/src/persimmonusher_agreement/watchers.py
@@ -49,16 +49,17 @@
 
     def list_watchers(self, server_id: ServerId) -> tuple[InstanceId, ...]:
         """List the watchers of a server, in rank order."""
-        return self._choose(find_shard(server_id))
+        return self.list_shard_watchers(find_shard(server_id))
 
     def list_own_shards(self) -> list[int]:
         """List the shards that this instance watches, choosing some of the stale ones anew."""
         step = max(MIN_SHARDS_PER_STEP, HASHES_PER_STEP // max(1, len(self._domains)))
         for shard in sorted(self._stale)[:step]:
-            self._choose(shard)
+            self.list_shard_watchers(shard)
         return list(self._own_shards)
 
-    def _choose(self, shard: int) -> tuple[InstanceId, ...]:
+    def list_shard_watchers(self, shard: int) -> tuple[InstanceId, ...]:
+        """List the watchers of a shard, chosen anew if it is stale."""
         if shard in self._stale:
             names = choose_spread(self._domains, _make_key(shard), self._count)
             self._chosen[shard] = tuple(InstanceId(name) for name in names)
--- a/packages/lab/src/persimmonusher_lab/membership_checks.py
+++ b/packages/lab/src/persimmonusher_lab/membership_checks.py
@@ -5,9 +5,11 @@
 from typing import Final
 
 from persimmonusher_agreement.server_record import ServerRecord, ServerState
-from persimmonusher_lab.virtual_fleet import VirtualFleet, VirtualInstance
+from persimmonusher_lab.virtual_fleet import GAP_SECONDS, VirtualFleet, VirtualInstance
 from persimmonusher_model.identifiers import ServerId
 
+HEARD_SECONDS: Final = 12.0
+"""Twice the heartbeat timeout: a server that entries heard for so long may be lost nowhere."""
 MAX_VIOLATIONS: Final = 20
 """One broken mechanism shows at every later step; the first few say it all."""
 
@@ -31,6 +33,7 @@
     def __init__(self, fleet: VirtualFleet) -> None:
         self._fleet = fleet
         self._newest: dict[tuple[int, int, ServerId], tuple[int, ...]] = {}
+        self._checked: dict[int, tuple[int, int]] = {}
         self.steps = 0
         self.violations: list[Violation] = []
         fleet.on_step = self.check_step
@@ -38,12 +41,18 @@
     def check_step(self, instance: VirtualInstance) -> None:
         """Check that no freshness went back and that no announcing server is lost."""
         self.steps += 1
+        changes = (instance.life, instance.fleet.directory.changes)
+        if self._checked.get(instance.number) == changes:
+            return
+        self._checked[instance.number] = changes
         for server_id, server in self._fleet.servers.items():
             record = instance.fleet.directory.find(server_id)
             if record is None:
                 continue
             self._check_freshness(instance, record)
-            if record.lost and server.announcing:
+            heard_long = self._fleet.now - server.heard_since > HEARD_SECONDS
+            heard_lately = self._fleet.now - server.heard_last < GAP_SECONDS
+            if record.lost and heard_long and heard_lately:
                 self._report("an announcing server is lost", instance.name, repr(record.version))
 
     def check_members(self) -> None:
@@ -70,9 +79,10 @@
     def check_gone(self, server_id: ServerId) -> None:
         """Check that no running instance lists the server."""
         for instance in self._fleet.list_running():
-            record = instance.fleet.directory.find(server_id)
-            if record is not None and not record.is_tombstone:
-                self._report("a server that is gone is listed", instance.name, repr(record))
+            for service in instance.fleet.directory.list_services():
+                listed = instance.fleet.directory.list_servers(service)
+                if any(record.server_id == server_id for record in listed):
+                    self._report("a server that is gone is listed", instance.name, server_id)
 
     def check_agreement(self) -> None:
         """Check that all running instances hold the same live records."""
--- a/packages/lab/src/persimmonusher_lab/virtual_fleet.py
+++ b/packages/lab/src/persimmonusher_lab/virtual_fleet.py
@@ -20,6 +20,8 @@
 
 TICK_SECONDS: Final = 0.1
 ANNOUNCE_SECONDS: Final = 1.0
+GAP_SECONDS: Final = 2.5
+"""Two announcements in a row that no running entry took."""
 MIN_LATENCY: Final = 0.001
 MAX_LATENCY: Final = 0.003
 SOCKET_DATAGRAMS: Final = 256
@@ -55,6 +57,16 @@
 
     record: ServerRecord
     announcing: bool = True
+    heard_last: float = 0.0
+    """When a running entry last took an announcement of it."""
+    heard_since: float = 0.0
+    """Since when it was heard without a gap of more than `GAP_SECONDS`."""
+
+    def note_heard(self, now: float) -> None:
+        """Note that a running entry took an announcement."""
+        if now - self.heard_last > GAP_SECONDS:
+            self.heard_since = now
+        self.heard_last = now
 
 
 class VirtualFleet:
@@ -277,6 +289,9 @@
             self.deliver(server.record, self.random.choice(reachable).number)
 
     def _take_announcement(self, instance: VirtualInstance, record: ServerRecord) -> None:
+        server = self.servers.get(record.server_id)
+        if server is not None:
+            server.note_heard(self.now)
         _, effects = instance.fleet.announce(record, self.now)
         self._carry_out(instance, effects)
 
--- a/packages/node/src/persimmonusher_node/membership_wire.py
+++ b/packages/node/src/persimmonusher_node/membership_wire.py
@@ -201,6 +201,6 @@
     "heartbeat": _decode_heartbeat,
     "silence_query": lambda m: messages.SilenceQuery(ServerId(m.server_id), m.boot_id),
     "silence_reply": lambda m: messages.SilenceReply(
-        ServerId(m.server_id), m.boot_id, m.sequence, m.silent, m.heard
+        ServerId(m.server_id), m.boot_id, m.sequence, m.silent, m.heard, m.age_milliseconds
     ),
 }
