--- a/packages/node/src/persimmonusher_node/answers.py
+++ b/packages/node/src/persimmonusher_node/answers.py
@@ -42,9 +42,7 @@
     RETRIES_EXHAUSTED = "retries-exhausted"
     ANSWER_TIMEOUT = "answer-timeout"
     ANSWER_BROKEN = "answer-broken"
-    ANSWER_CUT_OFF = "answer-cut-off"
     CALLER_LEFT = "caller-left"
-    STOPPING = "stopping"
     INTERNAL = "internal"
 
 
@@ -82,9 +80,7 @@
     AnswerCode.RETRIES_EXHAUSTED: ErrorForm(502, _UNKNOWN, 1.0),
     AnswerCode.ANSWER_TIMEOUT: ErrorForm(504, _UNKNOWN, 1.0),
     AnswerCode.ANSWER_BROKEN: ErrorForm(502, _UNKNOWN, 1.0),
-    AnswerCode.ANSWER_CUT_OFF: ErrorForm(502, _UNKNOWN, 1.0),
     AnswerCode.CALLER_LEFT: ErrorForm(499, _UNKNOWN),
-    AnswerCode.STOPPING: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.INTERNAL: ErrorForm(500, _UNKNOWN, 1.0),
 }
 
