Be ready only with a configuration; answer HEAD without a body

Cause: found by reading: a restarted instance answered 'no route' until it had pulled its configuration; an error to HEAD carried a body, which the next answer's reader would trip over; a fault in one tick ended all ticks; the deadline was judged at the time of arrival and not of now. Change: health path and callers get 503 (no-configuration, not run) before the first revision; each of the others mended; a refusal closes the connection only where a body is left unread.

--- a/packages/node/src/persimmonusher_node/answers.py
+++ b/packages/node/src/persimmonusher_node/answers.py
@@ -23,6 +23,7 @@
     """Codes of the errors that the entry answers itself; stable for programs."""
 
     BAD_REQUEST = "bad-request"
+    NO_CONFIGURATION = "no-configuration"
     NO_ROUTE = "no-route"
     BODY_TOO_LARGE = "body-too-large"
     BODY_INCOMPLETE = "body-incomplete"
@@ -61,6 +62,7 @@
 
 FORMS: Final = {
     AnswerCode.BAD_REQUEST: ErrorForm(400, _NOT_RUN, 1.0),
+    AnswerCode.NO_CONFIGURATION: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.NO_ROUTE: ErrorForm(404, _NOT_RUN, 5.0),
     AnswerCode.BODY_TOO_LARGE: ErrorForm(413, _NOT_RUN, 1.0),
     AnswerCode.BODY_INCOMPLETE: ErrorForm(400, _NOT_RUN, 1.0),
--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -26,7 +26,8 @@
 from persimmonusher_node.services import LiveService
 
 HEALTH_PATH: Final = "/.persimmonusher/health"
-"""The platform's balancer checks this path; 503 tells it to send no more callers here."""
+"""The platform's balancer checks this path; 503 tells it to send no more callers here: while the
+instance stops, and until it has its first configuration after a start."""
 UNNAMED: Final = "unnamed"
 """The caller and class of a request that names none."""
 LONGEST_DEADLINE_MS: Final = 600_000
@@ -88,15 +89,17 @@
             answer = self._answer(environ, request_id)
         except BadCall as refused:
             answer = refused.answer
-            protocol.close_unread()
+            if has_unread_body(environ["wsgi.input"]):
+                protocol.close_unread()
         except Exception:
             _log.exception("request failed inside the entry", request_id=request_id)
             answer = make_error(AnswerCode.INTERNAL, "a fault inside the entry", request_id)
         return write_answer(answer, environ["REQUEST_METHOD"], protocol, start_response)
 
     def _answer_health(self, start_response: Callable[..., Any]) -> Iterable[bytes]:
-        status = 503 if self.stopping else 200
-        body = b'{"status": "stopping"}\n' if self.stopping else b'{"status": "ok"}\n'
+        state = "stopping" if self.stopping else "ok" if self._entry.is_ready() else "starting"
+        status = 200 if state == "ok" else 503
+        body = f'{{"status": "{state}"}}\n'.encode()
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         start_response(_PHRASES[status], headers)
         return [body]
@@ -112,6 +115,9 @@
         host = environ.get("HTTP_HOST", "").lower()
         path = read_path(environ, request_id)
         live = self._entry.find(host.partition(":")[0], path)
+        if live is None and not self._entry.is_ready():
+            message = "this instance has no configuration yet"
+            raise BadCall(make_error(AnswerCode.NO_CONFIGURATION, message, request_id))
         if live is None:
             message = f"no route for host {host!r} and path {path!r}"
             raise BadCall(make_error(AnswerCode.NO_ROUTE, message, request_id))
@@ -145,6 +151,11 @@
             raise BadCall(make_error(code, str(error), request_id)) from error
 
 
+def has_unread_body(source: Any) -> bool:
+    """Tell whether a part of the request's body may still come."""
+    return bool(source.chunked_input or source.position < (source.content_length or 0))
+
+
 def read_path(environ: dict[str, Any], request_id: RequestId) -> str:
     """Return the decoded path for matching.
 
@@ -190,12 +201,13 @@
 ) -> Iterable[bytes]:
     """Begin the answer and return its body, as WSGI wants it."""
     headers = list(answer.headers)
-    if answer.stream is None and method != "HEAD" and answer.status not in _BODYLESS:
+    bodyless = method == "HEAD" or answer.status in _BODYLESS
+    if answer.stream is None and not bodyless:
         headers = [pair for pair in headers if pair[0].lower() != "content-length"]
         headers.append(("Content-Length", str(len(answer.body))))
     start_response(_PHRASES.get(answer.status, f"{answer.status} Unknown"), headers)
     if answer.stream is None:
-        return [answer.body]
+        return [b"" if bodyless else answer.body]
     return StreamedBody(answer.body, answer.stream, protocol)
 
 
--- a/packages/node/src/persimmonusher_node/entry.py
+++ b/packages/node/src/persimmonusher_node/entry.py
@@ -20,6 +20,14 @@
         self._forwarder = forwarder
         self._keyed = keyed
 
+    def is_ready(self) -> bool:
+        """Tell whether a configuration is in force here.
+
+        Guards against a restarted instance that would answer every caller with `no route` until
+        it has pulled the configuration from a keeper or a peer.
+        """
+        return self._services.revision() > 0
+
     def find(self, host: str, path: str) -> LiveService | None:
         """Return the service that a request is for, or None."""
         return self._services.find(host, path)
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -71,7 +71,7 @@
         run = self._start(call, live)
         answer: Answer | None = None
         try:
-            answer = self._follow(run, live.traffic.offer(run.request, call.arrived))
+            answer = self._follow(run, live.traffic.offer(run.request, self._clock.monotonic()))
             return answer
         finally:
             if answer is None or answer.stream is None:
--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -24,10 +24,13 @@
 """How long a connection accepted just before the stop may take to send its first request."""
 STOP_POLL_SECONDS: Final = 0.02
 
+FULL_BODY: Final = (
+    b'{"code": "overload", "message": "too many connections", "outcome": "not-run"}\n'
+)
 FULL_ANSWER: Final = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\n"
-    b"Persimmonusher-Outcome: not-run\r\nConnection: close\r\nContent-Length: 79\r\n\r\n"
-    b'{"code": "overload", "message": "too many connections", "outcome": "not-run"} \n'
+    b"Persimmonusher-Outcome: not-run\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s"
+    % (len(FULL_BODY), FULL_BODY)
 )
 
 
--- a/packages/node/src/persimmonusher_node/runs.py
+++ b/packages/node/src/persimmonusher_node/runs.py
@@ -48,6 +48,7 @@
     def wait(self) -> Decision | None:
         """Wait for the release of a queued request; None when it was stopped meanwhile."""
         if self.stopped is not None:
+            self.live.traffic.withdraw(self.request)
             return None
         self._release = Event()
         decision: Decision | None = self._release.wait()
--- a/packages/node/src/persimmonusher_node/watch.py
+++ b/packages/node/src/persimmonusher_node/watch.py
@@ -8,6 +8,7 @@
 
 from eventlet import sleep, spawn
 from eventlet.greenthread import GreenThread
+from structlog import get_logger
 
 from persimmonusher_decisions.work import OutcomeKind
 from persimmonusher_model.clock import Clock
@@ -23,6 +24,8 @@
 """A caller that left is noticed within 0.1 s; each check is one system call a request."""
 HOUSEKEEPING_TICKS: Final = 20
 
+_log = get_logger(__name__)
+
 
 class Watch(Component):
     """Drives `ServiceBook` and ends requests whose deadline passed or whose caller left."""
@@ -51,7 +54,12 @@
         ticks = 0
         while True:
             sleep(TICK_SECONDS)
-            self.tick(ticks)
+            try:
+                self.tick(ticks)
+            except Exception:
+                # Without its ticks the instance would hold late requests for ever, so one fault
+                # must not end them.
+                _log.exception("tick failed")
             ticks += 1
 
     def tick(self, ticks: int) -> None:
--- a/packages/node/tests/test_callers_bounds.py
+++ b/packages/node/tests/test_callers_bounds.py
@@ -9,6 +9,7 @@
 import eventlet
 from entry_harness import HOST, PROFILE, EntryTestCase
 
+from persimmonusher_node.callers import HEALTH_PATH
 from persimmonusher_node.settings import Limits
 
 GET = f"GET /x HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
@@ -118,6 +119,32 @@
                     connection.sendall(head.encode())
                     self.assertEqual(connection.recv(65_536).split()[1], expected)
 
+    def test_answers_to_head_have_no_body(self) -> None:
+        """A body after an answer to HEAD would be read as the start of the next answer."""
+        connection = self.connect()
+        for host, status in ((HOST, 200), ("other.example", 404)):
+            connection.request("HEAD", "/x", headers={"Host": host})
+            response = connection.getresponse()
+            self.assertEqual((response.status, response.read()), (status, b""))
+        raw = GET.replace("GET", "HEAD").replace(HOST, "other.example") + "\r\n"
+        self.assertTrue(self.send_raw(raw.encode()).endswith(b"\r\n\r\n"))
+
+    def test_a_refusal_keeps_the_connection_where_nothing_is_left_to_read(self) -> None:
+        connection = self.connect()
+        told = self.call(headers={"Host": "other.example"}, connection=connection)
+        self.assertEqual((told.status, told.headers.get("connection")), (404, None))
+        self.assertEqual(self.call(connection=connection).status, 200)
+
+    def test_an_instance_without_configuration_is_not_ready_and_says_not_run(self) -> None:
+        """An instance restarts; a caller must not be told that its service doesn't exist."""
+        self.view.number, self.view.routes = 0, {}
+        self.assertEqual(self.call().status, 503)
+        self.assertIn(b"no-configuration", self.call().body)
+        self.assertEqual(self.call(target=HEALTH_PATH).status, 503)
+        self.view.number = 1
+        self.assertEqual(self.call(target=HEALTH_PATH).status, 200)
+        self.assertEqual(self.call().status, 404)
+
     def test_hop_by_hop_headers_and_forged_ones_are_dropped(self) -> None:
         self.servers[0].default = self.servers[1].default = forged
         told = self.call(
