Take a server as detected only after four quiet windows in a row

Cause: the demo printed a detection time of 0.03 s: one half-second window in which the gray server got nothing was enough, which chance alone can give at 12 requests/s. Change: four windows in a row.

--- a/packages/lab/src/persimmonusher_lab/promises.py
+++ b/packages/lab/src/persimmonusher_lab/promises.py
@@ -9,6 +9,8 @@
 from persimmonusher_lab.load import Told, Try
 
 DETECTION_WINDOW_SECONDS: Final = 0.5
+QUIET_WINDOWS: Final = 4
+"""Windows in a row that must be quiet: in one alone a server may get nothing by chance."""
 DETECTED_SHARE: Final = 0.2
 """Below this share of its peers' mean a server counts as no longer receiving work; readmission
 probes stay below it."""
@@ -100,18 +102,21 @@
 ) -> float | None:
     """Return the time until the server stopped receiving its share; None when it never did.
 
-    Time is cut into windows; the answer is the end of the last window, in the first stretch, in
-    which the server received at least `DETECTED_SHARE` of its peers' mean.
+    Time is cut into windows; the answer is the server's last arrival before, or in, the first of
+    `QUIET_WINDOWS` in a row in which it received less than `DETECTED_SHARE` of its peers' mean.
     """
     arrivals: dict[int, Counter[str]] = defaultdict(Counter)
     for record in records:
         if record.at >= failed_at and record.phase in _ARRIVALS:
             arrivals[int((record.at - failed_at) / DETECTION_WINDOW_SECONDS)][record.server] += 1
     last = max(arrivals, default=-1)
+    quiet = 0
     for number in range(last + 1):
         mean = sum(arrivals[number][peer] for peer in peers) / len(peers)
-        if mean and arrivals[number][server] < DETECTED_SHARE * mean:
-            return _find_last_arrival(records, server, failed_at, number)
+        quiet = quiet + 1 if mean and arrivals[number][server] < DETECTED_SHARE * mean else 0
+        if quiet == QUIET_WINDOWS:
+            first = number - QUIET_WINDOWS + 1
+            return _find_last_arrival(records, server, failed_at, first)
     return None
 
 
