Measure throughput and added latency through 1, 3 and 6 instances

Change: a lean raw client, the stand-ins answering directly as the baseline, processor time of the instances from the kernel, and the cost of an idle instance. For the data plane: the profile of the hot path is to be looked at.

--- a/packages/lab/src/persimmonusher_lab/__main__.py
+++ b/packages/lab/src/persimmonusher_lab/__main__.py
@@ -4,7 +4,7 @@
 import warnings
 from typing import Final
 
-GREEN_COMMANDS: Final = frozenset({"backend-server", "load", "relay"})
+GREEN_COMMANDS: Final = frozenset({"backend-server", "load", "measure-client"})
 """Commands that serve many connections at once; the others only start processes and wait."""
 
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
--- a/packages/lab/src/persimmonusher_lab/fleet.py
+++ b/packages/lab/src/persimmonusher_lab/fleet.py
@@ -25,6 +25,8 @@
 METRICS_PORT: Final = 9100
 BACKEND_PORT: Final = 8100
 FIRST_BACKEND_HOST: Final = 100
+FOUNDING_INSTANCES: Final = 5
+"""As in the default settings; smaller fleets can't wait for as many."""
 PEER_TOKEN: Final = "lab-peers"
 OPERATOR_NAME: Final = "lab"
 OPERATOR_TOKEN: Final = "lab-operator"
@@ -119,6 +121,7 @@
         "peer_token": PEER_TOKEN,
         "operator_tokens": {OPERATOR_NAME: OPERATOR_TOKEN},
         "log_level": "info",
+        "claims": {"founding_instances": min(len(fleet), FOUNDING_INSTANCES)},
     }
     if plan.is_keeper:
         document["data_folder"] = str(folder / f"{plan.instance_id}-data")
--- a/packages/lab/src/persimmonusher_lab/main.py
+++ b/packages/lab/src/persimmonusher_lab/main.py
@@ -80,6 +80,45 @@
     sys.exit(run_demo(keep))
 
 
+@app.command("measure-client")
+def measure_client(
+    addresses: Annotated[str, typer.Argument(help="Addresses, comma-separated.")],
+    host: str,
+    report: Annotated[Path, typer.Option(help="File to write the figures to.")],
+    seconds: Annotated[float, typer.Option(max=120.0)] = 3.0,
+    rate: Annotated[float, typer.Option(max=5_000.0, help="0 for a closed loop.")] = 100.0,
+    name: str = "m",
+    entry: bool = False,
+) -> None:
+    """Send one bounded measuring load and write its figures."""
+    from persimmonusher_lab.throughput_client import (
+        ClientOptions,
+        MeasuringClient,
+        write_figures,
+    )
+
+    options = ClientOptions(
+        addresses=tuple(addresses.split(",")),
+        host=host,
+        seconds=seconds,
+        rate=rate,
+        is_entry=entry,
+        name=name,
+    )
+    write_figures(MeasuringClient(options).run(), report)
+
+
+@app.command()
+def throughput(
+    output: Annotated[Path, typer.Option(help="JSON file to write.")] = Path("throughput.json"),
+    seconds: Annotated[float, typer.Option(max=120.0, help="Of each load.")] = 4.0,
+) -> None:
+    """Measure requests a second on one core and the latency added by 1, 3 and 6 instances."""
+    from persimmonusher_lab.throughput import run_throughput
+
+    run_throughput(output, seconds)
+
+
 @app.command()
 def record(
     folder: Annotated[Path, typer.Argument(help="Folder to write the traces to.")],
--- a/packages/lab/src/persimmonusher_lab/trace_machines.py
+++ b/packages/lab/src/persimmonusher_lab/trace_machines.py
@@ -100,7 +100,7 @@
 
     def receive(self, message: LogMessage, now: float) -> tuple[LogMessage, ...]:
         """Take a message."""
-        self._keeper.receive(message, LINEAGE, now)
+        self._keeper.receive(message, lineage=LINEAGE, now=now)
         return self._flush()
 
     def advance(self, now: float) -> tuple[LogMessage, ...]:
