--- a/packages/ctl/src/persimmonusher_ctl/objects.py
+++ b/packages/ctl/src/persimmonusher_ctl/objects.py
@@ -33,6 +33,29 @@
     return document
 
 
+def find_base(
+    client: OperatorClient, kind: pb.ObjectKind, name: str, based_on: int | None
+) -> pb.ObjectRecord:
+    """Return the record that a change starts from: the live one, or an earlier one by revision.
+
+    The failure: an accepted change whose answer was lost is sent again by hand, with its id and
+    `--based-on`. Made from the live object it would be another change under the same id, which is
+    refused. An earlier record that isn't kept any more leaves the live one, and a conflict.
+    """
+    if based_on:
+        for record in client.read_history(kind, name).objects:
+            if record.revision == based_on and record.HasField("body"):
+                return record
+    return require_object(client, kind, name)
+
+
+def find_base_revision(
+    client: OperatorClient, kind: pb.ObjectKind, name: str, based_on: int | None
+) -> int:
+    """Return the revision to retire: the one given, so that a resend works when it is gone."""
+    return require_object(client, kind, name).revision if based_on is None else based_on
+
+
 def make_change(kind: pb.ObjectKind, name: str, based_on: int, document: Any) -> pb.Change:
     """Return the change that makes the object's body this document; None retires it."""
     change = pb.Change(kind=kind, name=name, based_on=based_on)
--- a/packages/ctl/src/persimmonusher_ctl/profiles.py
+++ b/packages/ctl/src/persimmonusher_ctl/profiles.py
@@ -14,6 +14,8 @@
     make_change_options,
 )
 from persimmonusher_ctl.objects import (
+    find_base,
+    find_base_revision,
     make_change,
     read_body,
     read_document,
@@ -69,7 +71,7 @@
     """Change fields of a profile; with --file, replace it as a whole."""
     with ending_with_code():
         common = get_context(context)
-        found = require_object(common.client, pb.PROFILE, name)
+        found = find_base(common.client, pb.PROFILE, name, based_on)
         given = read_document(file, assignments)
         document = given if file else {**read_body(found), **given}
         parse_profile(document)
@@ -89,8 +91,8 @@
     """Retire a profile that no service uses."""
     with ending_with_code():
         common = get_context(context)
-        found = require_object(common.client, pb.PROFILE, name)
-        proposal = make_change(pb.PROFILE, name, found.revision, None)
+        revision = find_base_revision(common.client, pb.PROFILE, name, based_on)
+        proposal = make_change(pb.PROFILE, name, revision, None)
         options = make_change_options(change_id, based_on, wait)
         propose(common.client, common.output, proposal, options)
 
--- a/packages/ctl/src/persimmonusher_ctl/services.py
+++ b/packages/ctl/src/persimmonusher_ctl/services.py
@@ -13,9 +13,9 @@
     make_change_options,
 )
 from persimmonusher_ctl.objects import (
+    find_base_revision,
     find_object,
     make_change,
-    require_object,
     show_history,
     show_objects,
 )
@@ -47,8 +47,8 @@
 ) -> None:
     with ending_with_code():
         common = get_context(context)
-        found = require_object(common.client, kind, name)
-        proposal = make_change(kind, name, found.revision, None)
+        revision = find_base_revision(common.client, kind, name, options[1])
+        proposal = make_change(kind, name, revision, None)
         propose(common.client, common.output, proposal, make_change_options(*options))
 
 
--- a/packages/ctl/tests/fake_operators.py
+++ b/packages/ctl/tests/fake_operators.py
@@ -22,6 +22,7 @@
     def __init__(self) -> None:
         self.revision = 0
         self.objects: dict[tuple[int, str], pb.ObjectRecord] = {}
+        self.records: list[pb.ObjectRecord] = []
         self.verdicts: dict[str, pb.ProposeReply] = {}
         self.proposals: list[pb.Change] = []
         self.lost_answers = 0
@@ -51,11 +52,14 @@
             kind=change.kind,
             name=change.name,
             revision=self.revision,
-            body=change.body,
+            body=change.body if change.HasField("body") else None,
             change_id=change.change_id,
             operator_name="ann",
         )
+        self.records.append(record)
         self.objects[key] = record
+        if not change.HasField("body"):
+            del self.objects[key]
         return pb.ProposeReply(verdict=pb.ACCEPTED, revision=self.revision)
 
     async def ReadObjects(self, stream: Any) -> None:  # noqa: N802
@@ -69,9 +73,10 @@
         await stream.send_message(pb.ObjectList(revision=self.revision, objects=found))
 
     async def ReadHistory(self, stream: Any) -> None:  # noqa: N802
-        """Send the latest record alone."""
+        """Send every record of one object."""
         request = await self._receive(stream)
-        found = [self.objects[(request.kind, request.name)]]
+        key = (request.kind, request.name)
+        found = [record for record in self.records if (record.kind, record.name) == key]
         await stream.send_message(pb.ObjectList(revision=self.revision, objects=found))
 
     async def ListServers(self, stream: Any) -> None:  # noqa: N802
--- a/packages/ctl/tests/test_commands.py
+++ b/packages/ctl/tests/test_commands.py
@@ -54,6 +54,24 @@
         self.assertEqual(len(self.fake.proposals), 3)
         self.assertEqual(len({change.change_id for change in self.fake.proposals}), 1)
 
+    def test_resend_by_hand_is_the_same_change(self) -> None:
+        # The answer to an accepted change is lost and the operator gives up waiting. Meanwhile the
+        # profile was changed again, or is retired. The command sent again with the id and base
+        # that it printed must be the very same change, else the id is refused as used before.
+        self.run_ctl(*CREATE)
+        resend = ("--change-id", "x", "--based-on", "1")
+        change = ("profiles", "change", "shows", "--set", "ramp_ms=5")
+        self.assert_exit(self.run_ctl(*change, *resend), Exit.DONE)
+        self.run_ctl("profiles", "change", "shows", "--set", "drain_ms=9")
+        self.assert_exit(self.run_ctl(*change, *resend), Exit.DONE)
+        retire = ("profiles", "retire", "shows", "--change-id", "y", "--based-on", "3")
+        self.assert_exit(self.run_ctl(*retire), Exit.DONE)
+        self.assert_exit(self.run_ctl(*retire), Exit.DONE)
+        first, again = (c for c in self.fake.proposals if c.change_id == "x")
+        self.assertEqual(first, again)
+        first, again = (c for c in self.fake.proposals if c.change_id == "y")
+        self.assertEqual(first, again)
+
     def test_race_shows_the_winner(self) -> None:
         # Two operators decide on revision 1. The first one's change is accepted as revision 2; the
         # second must not overwrite it unseen, so it ends in a conflict that shows the first.
