Bound changes and catch a commit by counting an earlier term's entry

Names and bodies were unbounded, and each is held by every instance. Change: a scripted history for it; checks of a change in a module of their own, with lengths; at most 1,000 calls wait at a keeper; entries leave keepers alone where they have partners.

--- a/packages/agreement/src/persimmonusher_agreement/configuration.py
+++ b/packages/agreement/src/persimmonusher_agreement/configuration.py
@@ -2,15 +2,15 @@
 
 Every keeper applies the same changes in the same order and so reaches the same verdicts. Checks
 that may differ between versions of the program, such as a profile's fields, are made by the
-leader before it appends a change (`check_change`); `apply` relies only on the state itself, so
+leader before it appends a change (`change_check`); `apply` relies only on the state itself, so
 that keepers of two versions can't part during an upgrade.
 """
 
-import json
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 from typing import Final
 
+from persimmonusher_agreement.change_check import REFERENCES, find_reference
 from persimmonusher_agreement.configuration_objects import (
     Accepted,
     Batch,
@@ -19,16 +19,13 @@
     Conflict,
     Invalid,
     ObjectKey,
-    ObjectKind,
     Record,
     StoredVerdict,
     Verdict,
 )
 from persimmonusher_agreement.configuration_store import TOMBSTONES_KEPT, ConfigurationStore
-from persimmonusher_agreement.roster_document import check_roster
-from persimmonusher_model.errors import ErrorCode, Finding, UsherError
+from persimmonusher_model.errors import ErrorCode, Finding
 from persimmonusher_model.identifiers import Revision
-from persimmonusher_model.profile import parse_profile
 
 VERDICTS_KEPT: Final = 65_536
 """More than a day of the target's 47,000 changes: an operator resends within minutes. After that a
@@ -38,78 +35,6 @@
 HISTORY_KEPT: Final = 20
 """Earlier records per object, for operators who ask what changed."""
 
-ROUTE_FORM: Final = "HOST/PREFIX or */PREFIX, the host in lower case and without a port"
-
-REFERENCES: Final = {ObjectKind.SERVICE: "profile", ObjectKind.ROUTE: "service"}
-"""The key of the body that names another object."""
-
-REFERRED_KINDS: Final = {
-    ObjectKind.SERVICE: ObjectKind.PROFILE,
-    ObjectKind.ROUTE: ObjectKind.SERVICE,
-}
-
-
-def find_reference(key: ObjectKey, body: str | None) -> ObjectKey | None:
-    """Return the object that a service or route names, or None."""
-    if body is None or key.kind not in REFERENCES:
-        return None
-    return ObjectKey(REFERRED_KINDS[key.kind], json.loads(body)[REFERENCES[key.kind]])
-
-
-def check_change(change: Change) -> tuple[Finding, ...]:
-    """Check a change on its own, before it is appended, and return all findings."""
-    findings = _check_names(change)
-    if change.body is None:
-        return tuple(findings)
-    try:
-        document = json.loads(change.body)
-    except ValueError as error:
-        return (*findings, Finding(ErrorCode.BAD_JSON, "body", str(error)))
-    if not isinstance(document, dict):
-        return (*findings, Finding(ErrorCode.BAD_VALUE, "body", "must be a JSON object"))
-    if change.key.kind is ObjectKind.ROSTER:
-        return (*findings, *check_roster(change.key.name, document))
-    if change.key.kind is not ObjectKind.PROFILE:
-        return (*findings, *_check_reference(change.key.kind, document))
-    try:
-        parse_profile(document)
-    except UsherError as error:
-        findings.extend(error.findings)
-    return tuple(findings)
-
-
-def _check_names(change: Change) -> list[Finding]:
-    findings = []
-    if not change.change_id:
-        findings.append(Finding(ErrorCode.MISSING_KEY, "change_id", "is required"))
-    if not change.key.name or change.key.name.strip() != change.key.name:
-        message = f"{change.key.name!r} is empty or begins or ends with a space"
-        findings.append(Finding(ErrorCode.BAD_VALUE, "name", message))
-    if change.key.kind is ObjectKind.ROUTE and not _is_route_name(change.key.name):
-        message = f"{change.key.name!r} is not {ROUTE_FORM}"
-        findings.append(Finding(ErrorCode.BAD_VALUE, "name", message))
-    return findings
-
-
-def _is_route_name(name: str) -> bool:
-    host, separator, rest = name.partition("/")
-    if not host or not separator or host != host.lower() or ":" in host:
-        return False
-    return not rest.endswith("/")
-
-
-def _check_reference(kind: ObjectKind, document: dict[str, object]) -> list[Finding]:
-    wanted = REFERENCES[kind]
-    findings = [
-        Finding(ErrorCode.UNKNOWN_KEY, key, f"unknown key; a {kind.value} has only {wanted!r}")
-        for key in document
-        if key != wanted
-    ]
-    value = document.get(wanted)
-    if not isinstance(value, str) or not value:
-        findings.append(Finding(ErrorCode.MISSING_KEY, wanted, "must name an object"))
-    return findings
-
 
 class Configuration:
     """Objects, their histories, and the verdicts on recent change ids."""
--- a/packages/agreement/src/persimmonusher_agreement/configuration_keeper.py
+++ b/packages/agreement/src/persimmonusher_agreement/configuration_keeper.py
@@ -9,7 +9,8 @@
 from random import Random
 from typing import Final
 
-from persimmonusher_agreement.configuration import Configuration, check_change
+from persimmonusher_agreement.change_check import check_change
+from persimmonusher_agreement.configuration import Configuration
 from persimmonusher_agreement.configuration_objects import Change, Invalid, Verdict
 from persimmonusher_agreement.keeper_members import add_learner, plan_promotion, remove_keeper
 from persimmonusher_agreement.log_leadership import LogTiming
--- a/packages/agreement/tests/test_configuration.py
+++ b/packages/agreement/tests/test_configuration.py
@@ -1,7 +1,8 @@
 import json
 import unittest
 
-from persimmonusher_agreement.configuration import Configuration, check_change
+from persimmonusher_agreement.change_check import check_change
+from persimmonusher_agreement.configuration import Configuration
 from persimmonusher_agreement.configuration_objects import (
     Accepted,
     Batch,
@@ -119,6 +120,7 @@
             (make("c", "route", "*/x/", 0, {"service": "s"}), 1),
             (make("c", "route", "*/", 0, {"service": "s"}), 0),
             (make("c", "profile", "p", 0, [1]), 1),
+            (make("c" * 600, "route", "*/" + "x" * 600, 0, {"service": "s" * 2_000}), 3),
             (make("c", "profile", "p", 0, {"preset": "ejection-averse"}), 0),
         ]
         for number, (change, count) in enumerate(cases):
--- /dev/null
+++ b/packages/agreement/tests/test_log_script.py
@@ -0,0 +1,99 @@
+import unittest
+from unittest import mock
+
+from persimmonusher_agreement import log_leadership
+from persimmonusher_agreement.log_messages import AppendReply, LogMessage, find_instance
+from persimmonusher_lab.log_cluster import LogCluster
+
+
+class LogScriptTest(unittest.TestCase):
+    """Histories that need an exact order, so the test decides on every delivery."""
+
+    def setUp(self) -> None:
+        self.cluster = LogCluster(seed=3, snapshot_entries=100)
+        self.now = 0.0
+        self.bag: list[LogMessage] = []
+
+    def flush(self, name: str) -> None:
+        self.bag.extend(self.cluster.flush(name).messages)
+
+    def wait(self, name: str, seconds: float) -> None:
+        """Let one keeper's time pass."""
+        for _ in range(int(seconds / 0.2)):
+            self.now += 0.2
+            self.cluster.advance(name, self.now)
+            self.flush(name)
+
+    def deliver(self, names: set[str], stop_after: type | None = None) -> LogMessage | None:
+        """Deliver what these keepers send each other, lose the rest, until one of a type came."""
+        while self.bag:
+            message = self.bag.pop(0)
+            if not {find_instance(message.source), find_instance(message.target)} <= names:
+                continue
+            self.cluster.deliver(message, "fleet1", self.now)
+            self.flush(find_instance(message.target))
+            if stop_after is not None and isinstance(message, stop_after):
+                return message
+        return None
+
+    def is_leader(self, name: str) -> bool:
+        running = self.cluster.keepers[name].running
+        return running is not None and running.replica.is_leader
+
+    def elect(self, name: str, voter: str) -> None:
+        """Let a keeper win an election by one other vote; its first entries stay in the bag."""
+        self.wait(voter, 1.4)
+        for _ in range(100):
+            self.bag.clear()
+            self.wait(name, 0.2)
+            while self.bag and not self.is_leader(name):
+                message = self.bag.pop(0)
+                if find_instance(message.target) in (name, voter):
+                    self.cluster.deliver(message, "fleet1", self.now)
+                    self.flush(find_instance(message.target))
+            if self.is_leader(name):
+                return
+        self.fail(f"{name} was not elected")
+
+    def test_an_entry_of_an_earlier_term_is_not_committed_by_counting(self) -> None:
+        """A change reaches only its leader, which crashes; another leads and crashes too.
+
+        The first leads again and copies the old entry to a second keeper: a majority holds it. The
+        other leader may still win and overwrite it, so the operator must not be told yet.
+        """
+        everyone = set(self.cluster.keepers)
+        self.elect("k1", "k2")
+        self.deliver(everyone)
+        for _ in range(5):
+            self.wait("k1", 0.2)
+            self.deliver(everyone)
+        change = self.cluster.make_change(1, "clerk", "p")
+        self.cluster.propose("k1", change, self.now)
+        self.cluster.flush("k1")
+        self.cluster.crash("k1")
+        self.elect("k3", "k2")
+        self.cluster.crash("k3")
+        self.bag.clear()
+        self.cluster.start("k1", self.now)
+        with mock.patch.object(log_leadership, "BATCH_ENTRIES", 1):
+            self.elect("k1", "k2")
+            reply = None
+            while not (isinstance(reply, AppendReply) and reply.success):
+                reply = self.deliver({"k1", "k2"}, AppendReply)
+                self.assertIsNotNone(reply)
+        self.assertEqual(self.cluster.invariants.verdicts, {})
+        self.cluster.crash("k1")
+        self.bag.clear()
+        self.cluster.start("k3", self.now)
+        self.elect("k3", "k2")
+        self.deliver({"k2", "k3"})
+        self.cluster.start("k1", self.now)
+        for _ in range(10):
+            self.wait("k3", 0.2)
+            self.deliver(everyone)
+        revisions = [keeper.configuration.revision for keeper in self.cluster.list_running()]
+        self.assertEqual(revisions, [0, 0, 0])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/node/src/persimmonusher_node/applied_configuration.py
+++ b/packages/node/src/persimmonusher_node/applied_configuration.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from persimmonusher_agreement.configuration import find_reference
+from persimmonusher_agreement.change_check import find_reference
 from persimmonusher_agreement.configuration_objects import Batch, ObjectKey, ObjectKind
 from persimmonusher_agreement.configuration_store import ConfigurationStore
 from persimmonusher_model.errors import UsherError
--- a/packages/node/src/persimmonusher_node/configuration_sources.py
+++ b/packages/node/src/persimmonusher_node/configuration_sources.py
@@ -14,6 +14,10 @@
 AVOID_SECONDS: Final = 5.0
 """A source that failed is passed over for this long, while there is another."""
 
+KEEPER_SHARE: Final = 0.2
+"""Share of pulls that may go to keepers and seeds where there are partners. Thousands of entries
+pulling once a second would otherwise take a keeper's loop from the log."""
+
 REFRESH_SECONDS: Final = 10.0
 """Time between choices of partners; ranking thousands of names at each pull would cost more."""
 
@@ -55,7 +59,9 @@
 
     def choose(self, now: float) -> str | None:
         """Choose a source to pull from, or None when there is no other instance."""
-        known = dict.fromkeys((*self._keepers, *self.list_partners(now)))
+        partners = self.list_partners(now)
+        ask_partner = partners and self._random.random() >= KEEPER_SHARE
+        known = dict.fromkeys(partners if ask_partner else (*self._keepers, *partners))
         known.pop(self._own, None)
         well = [address for address in known if self._avoid_until.get(address, now) <= now]
         choices = well or list(known)
--- a/packages/node/src/persimmonusher_node/keeper.py
+++ b/packages/node/src/persimmonusher_node/keeper.py
@@ -140,6 +140,7 @@
 
     async def propose(self, change: Change) -> Verdict:
         """Have a change decided; raise NOT_LEADER, or UNAVAILABLE with its outcome unknown."""
+        self._calls.check_limit()
         with self._guard():
             verdict = self.keeper.propose(change, self._clock.monotonic())
         if verdict is not None:
@@ -150,6 +151,7 @@
 
     async def confirm(self) -> Revision:
         """Return a revision that holds all changes accepted before the call; as leader only."""
+        self._calls.check_limit()
         with self._guard():
             ticket = self.keeper.start_read(self._clock.monotonic())
         answer = self._calls.wait_for_read(ticket)
--- a/packages/node/src/persimmonusher_node/keeper_waiting.py
+++ b/packages/node/src/persimmonusher_node/keeper_waiting.py
@@ -15,6 +15,11 @@
 """Time that a call waits for a majority before its outcome is reported as unknown."""
 
 
+WAITING_LIMIT: Final = 1_000
+"""Calls that wait at once: half an hour of the target's changes within three seconds. Beyond that
+a script runs wild, and refusing it keeps the log for the others."""
+
+
 class WaitingCalls:
     """Futures of calls, answered once by a turn of the keeper or failed together."""
 
@@ -22,6 +27,12 @@
         self._changes: dict[str, list[asyncio.Future[Verdict]]] = {}
         self._reads: list[tuple[ReadTicket, asyncio.Future[Revision]]] = []
 
+    def check_limit(self) -> None:
+        """Raise UNAVAILABLE while too many calls wait already; nothing was appended then."""
+        if len(self._changes) + len(self._reads) >= WAITING_LIMIT:
+            message = f"{WAITING_LIMIT} calls wait for a majority already"
+            raise UsherError(ErrorCode.UNAVAILABLE, message)
+
     def wait_for_verdict(self, change_id: str) -> Awaitable[Verdict]:
         """Wait for the verdict on a change; raises UNAVAILABLE with its outcome unknown."""
         future: asyncio.Future[Verdict] = asyncio.get_event_loop().create_future()
