--- a/packages/lab/src/persimmonusher_lab/log_matrix.py
+++ b/packages/lab/src/persimmonusher_lab/log_matrix.py
@@ -31,6 +31,9 @@
 """Where in the scenario a step is struck: early, in the middle, late."""
 
 SETTLE_SECONDS: Final = 12.0
+MOST_WAITS: Final = 100
+"""Steps that a run waits for its faults to end: a few times the longest fault."""
+
 TRACE_LINES: Final = 60
 
 
@@ -94,19 +97,23 @@
             name = leader.replica.keeper.partition("#")[0]
             others = [other for other in schedule.cluster.keepers if other != name]
             schedule.stop(name if second == 4 else others[0], 2.0 + second / 5)
-    while not schedule.is_quiet():
+    for _ in range(MOST_WAITS):
+        if schedule.is_quiet():
+            return
         number += 1
         schedule.change(number, "operator0")
         schedule.run(HOURS / 20)
         schedule.pull(number % 2)
+    raise InvariantError("the faults have ended, but a keeper goes on failing")
 
 
 def _check_recovery(schedule: LogSchedule) -> None:
     """Let the faults end; then a change must be accepted and all must agree."""
     schedule.disarm()
     schedule.run(SETTLE_SECONDS)
-    while not schedule.is_quiet():
-        schedule.run(SETTLE_SECONDS)
+    for _ in range(MOST_WAITS):
+        if not schedule.is_quiet():
+            schedule.run(SETTLE_SECONDS)
     cluster = schedule.cluster
     for change_id in cluster.changes:
         schedule.ask(change_id)
