--- a/packages/agreement/src/persimmonusher_agreement/directory.py
+++ b/packages/agreement/src/persimmonusher_agreement/directory.py
@@ -32,6 +32,13 @@
     """False when a newer one is known."""
     changed: bool
     """It says something new, and is to be passed on."""
+    relayed: bool = True
+    """False when this instance is cut off, so that nobody else may hear of it.
+
+    Failure: an entry that is cut off from the others, but not from the balancer, swallows
+    announcements; five in a row look like a lost server, and a drain told to it stays unknown. The
+    server should then announce itself again at once, through another entry.
+    """
 
 
 class Directory:
@@ -61,17 +68,18 @@
             return Announced(accepted=False, changed=False)
         if held is not None and record.describe_content() == held.describe_content():
             return Announced(accepted=True, changed=False)
-        return Announced(accepted=True, changed=self.apply(record, active))
+        return Announced(accepted=True, changed=self.apply(record, active) is not None)
 
-    def apply(self, record: ServerRecord, active: float) -> bool:
-        """Merge a record; tell whether it was newer."""
+    def apply(self, record: ServerRecord, active: float) -> ServerRecord | None:
+        """Merge a record; return the one to pass on, or None where nothing is new."""
         held = self.find(record.server_id)
-        if self._is_doubtful(record) or not self._store.put(record):
-            return False
+        newest = self._confirm(record)
+        if newest is None or not self._store.put(newest):
+            return None
         if held is not None:
             self._take_out(held)
-        self._put_in(record, active)
-        return True
+        self._put_in(newest, active)
+        return newest
 
     def find(self, server_id: ServerId) -> ServerRecord | None:
         """Return what is known of a server, also when it is stopped or lost."""
@@ -167,15 +175,17 @@
         del self._live[record.service][record.server_id]
         del self._by_shard[find_shard(record.server_id)][record.server_id]
 
-    def _is_doubtful(self, record: ServerRecord) -> bool:
-        """Tell whether the record is one that instances cut off with us still pass around.
+    def _confirm(self, record: ServerRecord) -> ServerRecord | None:
+        """Return the newer of the record and the doubted one, None if it confirms nothing.
 
         Failure: of two cut-off instances, one doubts its directory a moment before the other,
         learns it back, passes it on as news, and so on for hours, until the cut heals and the
-        others learn it too.
+        others learn it too. So on the smaller side only newer records count.
         """
         doubted = self._doubted.get(record.service, EMPTY).get(record.server_id)
-        return doubted is not None and not self.may_confirm and not record.supersedes(doubted)
+        if doubted is None or record.supersedes(doubted):
+            return record
+        return doubted if self.may_confirm else None
 
     def _forget(self, record: ServerRecord) -> None:
         if self._store.get(record.key_hash) is record:
--- a/packages/agreement/src/persimmonusher_agreement/membership_limits.py
+++ b/packages/agreement/src/persimmonusher_agreement/membership_limits.py
@@ -16,6 +16,9 @@
     direct_timeout: float = 0.3
     """A hundred times the round trip within a region."""
     probe_helpers: int = 3
+    unheard_seconds: float = 4.0
+    """Without an answer to any probe for four intervals, an instance takes itself for cut off; at
+    20% loss with helpers that happens once in a million."""
     suspicion_seconds: float = 3.0
     """Times log10 of the fleet's size, at least once: time for a refutation to travel."""
     cut_rounds: int = 3
--- a/packages/agreement/src/persimmonusher_agreement/probing.py
+++ b/packages/agreement/src/persimmonusher_agreement/probing.py
@@ -79,6 +79,7 @@
         self._next_round = 0.0
         self._relays: dict[int, _Relay] = {}
         self._indirect_rounds: dict[InstanceId, int] = {}
+        self._last_answer = -limits.unheard_seconds
 
     @property
     def cut_paths(self) -> frozenset[InstanceId]:
@@ -86,6 +87,10 @@
         limit = self._limits.cut_rounds
         return frozenset(name for name, count in self._indirect_rounds.items() if count >= limit)
 
+    def is_answered(self, active: float) -> bool:
+        """Tell whether any probe of the last few intervals was answered."""
+        return active - self._last_answer < self._limits.unheard_seconds
+
     def next_sequence(self) -> int:
         """Return a number that no earlier message of this instance carried."""
         self._sequence += 1
@@ -122,7 +127,7 @@
         self._relays[sequence] = _Relay(source, request.sequence, active)
         return [Outgoing(request.target_address, request.target, Ping(sequence))]
 
-    def take_ack(self, ack: Ack, sender: InstanceId) -> list[Outgoing]:
+    def take_ack(self, ack: Ack, sender: InstanceId, active: float) -> list[Outgoing]:
         """Count an answer, or relay it to the instance that asked for the probe."""
         relay = self._relays.pop(ack.sequence, None)
         if relay is not None:
@@ -132,6 +137,7 @@
             return []
         if ack.subject != running.target.instance_id:
             return []
+        self._last_answer = active
         if sender == ack.subject:
             running.direct = True
         else:
--- a/packages/lab/src/persimmonusher_lab/membership_checks.py
+++ b/packages/lab/src/persimmonusher_lab/membership_checks.py
@@ -84,6 +84,14 @@
                 if any(record.server_id == server_id for record in listed):
                     self._report("a server that is gone is listed", instance.name, server_id)
 
+    def check_listed(self, server_id: ServerId) -> None:
+        """Check that every running instance lists the server."""
+        service = self._fleet.servers[server_id].record.service
+        for instance in self._fleet.list_running():
+            listed = instance.fleet.directory.list_servers(service)
+            if all(record.server_id != server_id for record in listed):
+                self._report("a live server is not listed", instance.name, server_id)
+
     def check_agreement(self) -> None:
         """Check that all running instances hold the same live records."""
         digests = {one.fleet.digest for one in self._fleet.list_running()}
--- a/packages/node/src/persimmonusher_node/directory.py
+++ b/packages/node/src/persimmonusher_node/directory.py
@@ -27,6 +27,10 @@
         """Take an announcement; False when a newer one is known already."""
         return self._membership.announce(make_record(server)).accepted
 
+    def relays_announcements(self) -> bool:
+        """Tell whether any other instance has answered this one lately."""
+        return self._membership.is_heard()
+
     def list_servers(self, service: ServiceName) -> tuple[BackendServer, ...]:
         """List the service's servers that are not stopped and not lost."""
         directory = self._membership.fleet.directory
--- a/packages/node/src/persimmonusher_node/membership.py
+++ b/packages/node/src/persimmonusher_node/membership.py
@@ -91,6 +91,10 @@
         """List the live instances that answer through others only, for operators."""
         return self.fleet.prober.cut_paths
 
+    def is_heard(self) -> bool:
+        """Tell whether any other instance has answered this one lately, or there is none."""
+        return self.fleet.is_heard
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call back whenever `list_live` changes."""
         self._on_change.append(callback)
--- a/packages/node/src/persimmonusher_node/ports.py
+++ b/packages/node/src/persimmonusher_node/ports.py
@@ -43,6 +43,14 @@
     def announce(self, server: BackendServer) -> bool:
         """Take an announcement; False when a newer one is known already."""
 
+    def relays_announcements(self) -> bool:
+        """Tell whether others hear of what is announced here.
+
+        While False, answer an announcement with 503, so that the server announces itself again at
+        once through another entry; the announcement counts here all the same.
+        """
+        return True
+
     @abstractmethod
     def list_servers(self, service: ServiceName) -> Sequence[BackendServer]:
         """List the service's servers that are not stopped and not lost."""
