--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/exchanges.py
@@ -0,0 +1,128 @@
+"""When this instance exchanges records with others, and how it answers their exchanges."""
+
+from collections.abc import Sequence
+from random import Random
+from typing import Final
+
+from persimmonusher_agreement.anti_entropy import (
+    MAX_REPAIRS,
+    REPAIR_BYTES,
+    AntiEntropy,
+    split_records,
+)
+from persimmonusher_agreement.member_table import MemberTable
+from persimmonusher_agreement.membership_limits import MembershipLimits
+from persimmonusher_agreement.membership_messages import (
+    BucketDigests,
+    Envelope,
+    GroupDigests,
+    Repair,
+    Summary,
+)
+from persimmonusher_agreement.outbox import Outbox
+from persimmonusher_agreement.probing import Outgoing
+from persimmonusher_agreement.record import Record
+from persimmonusher_agreement.record_store import RecordStore
+
+MANY_REPAIRS: Final = 5
+"""Records in one answer from which on this instance takes itself to be behind the others."""
+REPAIR_SENDS: Final = 3
+
+
+class Exchanges:
+    """Starts exchanges where digests differ, within an interval and the byte budget."""
+
+    def __init__(
+        self,
+        store: RecordStore,
+        table: MemberTable,
+        outbox: Outbox,
+        limits: MembershipLimits,
+        random: Random,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._outbox = outbox
+        self._limits = limits
+        self._random = random
+        self._steps = AntiEntropy(store, limits, random)
+        self._next_start = 0.0
+        self._is_behind = False
+
+    def start(self, digest: int, peer: str, active: float) -> None:
+        """Start an exchange with a peer whose digest differs."""
+        if digest == self._store.digest or active < self._next_start:
+            return
+        if not self._outbox.has_budget(active):
+            return
+        limits = self._limits
+        is_small = self._steps.is_small
+        interval = limits.small_sync_interval if is_small else limits.large_sync_interval
+        self._next_start = active + interval
+        self._outbox.send(Outgoing(peer, None, self._steps.start()))
+
+    def catch_up(self, active: float) -> None:
+        """Go on with another peer when the last exchange brought many records."""
+        peers = self._table.list_peers()
+        if not self._is_behind or not peers or active < self._next_start:
+            return
+        self._is_behind = False
+        self._next_start = active + self._limits.catch_up_interval
+        peer = self._random.choice(peers)
+        self._outbox.send(Outgoing(peer.peer_address, peer.instance_id, self._steps.start()))
+
+    def count_sends(self, envelope: Envelope) -> int | None:
+        """Return how often news of this envelope is passed on; None for the usual.
+
+        Load: an instance that joins learns up to 112,500 records by exchanges. Harm: passing each
+        on ten times costs more than the fleet's changes of a day, and its own exchanges wait for
+        the budget. Limit: single repairs are passed on a little, for the case that rumours don't
+        get through, and many at once not at all.
+        """
+        if not isinstance(envelope.body, Repair):
+            return None
+        return REPAIR_SENDS if len(envelope.updates) < MANY_REPAIRS else 0
+
+    def repair(self, peer: str, records: Sequence[Record], wanted: tuple[int, ...] = ()) -> None:
+        """Send records to a peer, in a bounded number of pieces."""
+        pieces = split_records(records, REPAIR_BYTES)[:MAX_REPAIRS] or [()]
+        for place, piece in enumerate(pieces):
+            body = Repair(wanted if place == 0 else ())
+            if piece or body.wanted:
+                self._outbox.send(Outgoing(peer, None, body), piece)
+
+    def answer_stale(self, stale: Sequence[Record], peer: str) -> None:
+        """Answer records that ours supersede with ours, tombstones included."""
+        held = [self._store.get(record.key_hash) for record in stale]
+        self.repair(peer, [record for record in held if record is not None])
+
+    def take_groups(
+        self, message: GroupDigests, envelope: Envelope, source: str, active: float
+    ) -> None:
+        """Answer with the digests of the buckets of some groups that differ."""
+        for answer in self._steps.answer_groups(message):
+            self._outbox.send(Outgoing(source, envelope.sender, answer))
+
+    def take_buckets(
+        self, message: BucketDigests, envelope: Envelope, source: str, active: float
+    ) -> None:
+        """Answer with summaries of the buckets that differ."""
+        for summary in self._steps.answer_buckets(message):
+            self._outbox.send(Outgoing(source, envelope.sender, summary))
+
+    def take_summary(
+        self, summary: Summary, envelope: Envelope, source: str, active: float
+    ) -> None:
+        """Answer with what the sender lacks, and ask for what we lack, within the budget."""
+        if self._outbox.has_budget(active):
+            difference = self._steps.answer_summary(summary)
+            self.repair(source, difference.records, difference.wanted)
+
+    def take_repair(self, repair: Repair, envelope: Envelope, source: str, active: float) -> None:
+        """Answer what the sender wants; its updates are merged already."""
+        if repair.wanted:
+            self.repair(source, self._steps.answer_wanted(repair.wanted))
+        if len(envelope.updates) >= MANY_REPAIRS:
+            self._is_behind = True
+            soon = active + self._limits.catch_up_interval
+            self._next_start = min(self._next_start, soon)
--- a/packages/agreement/src/persimmonusher_agreement/membership.py
+++ b/packages/agreement/src/persimmonusher_agreement/membership.py
@@ -17,13 +17,9 @@
 from typing import Any, Final
 
 from persimmonusher_agreement.active_time import ActiveTime
-from persimmonusher_agreement.anti_entropy import (
-    MAX_REPAIRS,
-    REPAIR_BYTES,
-    AntiEntropy,
-    split_records,
-)
+from persimmonusher_agreement.anti_entropy import REPAIR_BYTES, split_records
 from persimmonusher_agreement.directory import Announced, Directory
+from persimmonusher_agreement.exchanges import Exchanges
 from persimmonusher_agreement.gossip import GossipQueue, count_transmissions
 from persimmonusher_agreement.member_record import MemberRecord
 from persimmonusher_agreement.member_table import MemberTable
@@ -57,9 +53,6 @@
 from persimmonusher_model.identifiers import Revision
 
 SEEDS_AT_ONCE: Final = 3
-MANY_REPAIRS: Final = 5
-"""Records in one answer from which on this instance takes itself to be behind the others."""
-REPAIR_SENDS: Final = 3
 DOUBT_SHARE: Final = 1 / 3
 """Of the retention of tombstones: on the smaller side of a cut, no record in the store is older
 than twice that, so none outlives the tombstones on the larger side."""
@@ -92,11 +85,9 @@
         self.directory = Directory(self._store, self._limits)
         self.prober = Prober(self.members, self._limits, random)
         self._outbox = Outbox(self.members, self._store, self._queue, self._limits, random)
-        self._exchange = AntiEntropy(self._store, self._limits, random)
+        self._exchanges = Exchanges(self._store, self.members, self._outbox, self._limits, random)
         self.heartbeats = ServerHeartbeats(self.members, self.directory, self._limits)
         self._due: dict[Callable[[float], None], float] = {}
-        self._next_exchange = 0.0
-        self._is_behind = False
         self._deaf_until = 0.0
         self._doubted_at = 0.0
         self._majority_lost = 0.0
@@ -106,10 +97,10 @@
             Ack: self._take_ack,
             Join: self._take_join,
             Rumour: self._take_rumour,
-            GroupDigests: self._take_groups,
-            BucketDigests: self._take_buckets,
-            Summary: self._take_summary,
-            Repair: self._take_repair,
+            GroupDigests: self._exchanges.take_groups,
+            BucketDigests: self._exchanges.take_buckets,
+            Summary: self._exchanges.take_summary,
+            Repair: self._exchanges.take_repair,
             Heartbeat: self._take_heartbeat,
             SilenceQuery: self._take_silence_query,
             SilenceReply: self._take_silence_reply,
@@ -141,7 +132,7 @@
         self._every(1.0 if alone else limits.seed_interval, self._join, active)
         for record in self.members.expire(active):
             self._note_change(record, active)
-        self._catch_up(active)
+        self._exchanges.catch_up(active)
         self._judge_own_view(active)
         for service in self.directory.expire(active):
             self._outbox.add(ServersChanged(service))
@@ -154,11 +145,10 @@
             return []
         if envelope.revision > self._outbox.revision:
             self._outbox.add(NewerRevision(envelope.sender, envelope.revision))
-        is_repair = isinstance(envelope.body, Repair)
-        sends = self._count_sends(envelope, is_repair)
+        sends = self._exchanges.count_sends(envelope)
         stale = [record for record in envelope.updates if not self._apply(record, active, sends)]
-        if stale and is_repair:
-            self._answer_stale(stale, source)
+        if stale and isinstance(envelope.body, Repair):
+            self._exchanges.answer_stale(stale, source)
         self._handlers[type(envelope.body)](envelope.body, envelope, source, active)
         return self._outbox.drain()
 
@@ -218,34 +208,11 @@
             for service in self.directory.drop_doubted():
                 self._outbox.add(ServersChanged(service))
 
-    def _catch_up(self, active: float) -> None:
-        """Go on with another peer when the last exchange brought many records."""
-        peers = self.members.list_peers()
-        if not self._is_behind or not peers or active < self._next_exchange:
-            return
-        self._is_behind = False
-        self._next_exchange = active + self._limits.catch_up_interval
-        peer = self._random.choice(peers)
-        start = self._exchange.start()
-        self._outbox.send(Outgoing(peer.peer_address, peer.instance_id, start))
-
     def _every(self, interval: float, action: Callable[[float], None], active: float) -> None:
         if active >= self._due.get(action, 0.0):
             self._due[action] = active + interval
             action(active)
 
-    def _count_sends(self, envelope: Envelope, is_repair: bool) -> int | None:
-        """Return how often news of this envelope is passed on; None for the usual.
-
-        Load: an instance that joins learns up to 112,500 records by exchanges. Harm: passing each
-        on ten times costs more than the fleet's changes of a day, and its own exchanges wait for
-        the budget. Limit: single repairs are passed on a little, for the case that rumours don't
-        get through, and many at once not at all.
-        """
-        if not is_repair:
-            return None
-        return REPAIR_SENDS if len(envelope.updates) < MANY_REPAIRS else 0
-
     def _apply(self, record: Record, active: float, sends: int | None = None) -> bool:
         """Merge a record; False where ours is newer."""
         if isinstance(record, MemberRecord):
@@ -311,34 +278,10 @@
         ping = Ping(self.prober.next_sequence())
         self._outbox.send(Outgoing(address, member.instance_id, ping))
 
-    def _start_exchange(self, digest: int, peer: str, active: float) -> None:
-        """Start an exchange where the digests differ, within the interval and the budget."""
-        if digest == self._store.digest or active < self._next_exchange:
-            return
-        if not self._outbox.has_budget(active):
-            return
-        small = self._exchange.is_small
-        interval = self._limits.small_sync_interval if small else self._limits.large_sync_interval
-        self._next_exchange = active + interval
-        self._outbox.send(Outgoing(peer, None, self._exchange.start()))
-
-    def _repair(self, peer: str, records: Sequence[Record], wanted: tuple[int, ...]) -> None:
-        pieces = split_records(records, REPAIR_BYTES)[:MAX_REPAIRS] or [()]
-        for place, piece in enumerate(pieces):
-            body = Repair(wanted if place == 0 else ())
-            if piece or body.wanted:
-                self._outbox.send(Outgoing(peer, None, body), piece)
-
-    def _answer_stale(self, stale: Sequence[Record], source: str) -> None:
-        """Answer records that ours supersede with ours, tombstones included."""
-        held = [self._store.get(record.key_hash) for record in stale]
-        newer = [record for record in held if record is not None]
-        self._repair(source, newer, ())
-
     def _take_ping(self, ping: Ping, envelope: Envelope, source: str, active: float) -> None:
         own = self.members.own.instance_id
         self._outbox.send(Outgoing(source, envelope.sender, Ack(ping.sequence, own)))
-        self._start_exchange(envelope.digest, source, active)
+        self._exchanges.start(envelope.digest, source, active)
 
     def _take_ping_request(
         self, request: PingRequest, envelope: Envelope, source: str, active: float
@@ -349,7 +292,7 @@
     def _take_ack(self, ack: Ack, envelope: Envelope, source: str, active: float) -> None:
         for outgoing in self.prober.take_ack(ack, envelope.sender, active):
             self._outbox.send(outgoing)
-        self._start_exchange(envelope.digest, source, active)
+        self._exchanges.start(envelope.digest, source, active)
 
     def _take_join(self, join: Join, envelope: Envelope, source: str, active: float) -> None:
         """Answer with our record and some of the dead, which no exchange carries.
@@ -365,33 +308,6 @@
     def _take_rumour(self, body: Body, envelope: Envelope, source: str, active: float) -> None:
         """Nothing to do: the updates are merged already."""
 
-    def _take_groups(
-        self, message: GroupDigests, envelope: Envelope, source: str, active: float
-    ) -> None:
-        for answer in self._exchange.answer_groups(message):
-            self._outbox.send(Outgoing(source, envelope.sender, answer))
-
-    def _take_buckets(
-        self, message: BucketDigests, envelope: Envelope, source: str, active: float
-    ) -> None:
-        for summary in self._exchange.answer_buckets(message):
-            self._outbox.send(Outgoing(source, envelope.sender, summary))
-
-    def _take_summary(
-        self, summary: Summary, envelope: Envelope, source: str, active: float
-    ) -> None:
-        if self._outbox.has_budget(active):
-            difference = self._exchange.answer_summary(summary)
-            self._repair(source, difference.records, difference.wanted)
-
-    def _take_repair(self, repair: Repair, envelope: Envelope, source: str, active: float) -> None:
-        if repair.wanted:
-            self._repair(source, self._exchange.answer_wanted(repair.wanted), ())
-        if len(envelope.updates) >= MANY_REPAIRS:
-            self._is_behind = True
-            soon = active + self._limits.catch_up_interval
-            self._next_exchange = min(self._next_exchange, soon)
-
     def _take_heartbeat(
         self, heartbeat: Heartbeat, envelope: Envelope, source: str, active: float
     ) -> None:
