Refuse at the listener what could not be written to a backend server

Cause: a target with control characters, or a header name that is no token, failed in urllib3 before the first byte and was counted as the server's refusal: a caller could have servers avoided. Change: method, target, header names and values are checked with the head; folded lines are refused.

--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 from a caller: eventlet's protocol with bounds in time and strict framing."""
 
 import json
+import re
 import socket
 import struct
 from contextlib import suppress
@@ -15,6 +16,9 @@
 """Where the WSGI application finds the protocol of its connection."""
 LINGER_BYTES: Final = 262_144
 LINGER_SECONDS: Final = 1.0
+_TOKEN: Final = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
+_VISIBLE: Final = re.compile(r"[!-~]+")
+_BREAKS: Final = re.compile(r"[\r\n\0]")
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
@@ -77,7 +81,7 @@
         """Read the head; refuse one whose framing could be read in two ways."""
         if not super().parse_request():
             return False
-        problem = find_framing_problem(self.headers)
+        problem = find_line_problem(self.command, self.path) or find_framing_problem(self.headers)
         if problem is None:
             return True
         self.send_error(HTTPStatus.BAD_REQUEST, problem)
@@ -156,12 +160,29 @@
             timer.cancel()
 
 
+def _is_plain(name: str, value: str) -> bool:
+    return _TOKEN.fullmatch(name) is not None and _BREAKS.search(value) is None
+
+
+def find_line_problem(method: str, target: str) -> str | None:
+    """Tell why a request line is refused, or return None.
+
+    What can't be written to a backend server must be refused here: failing there would be held
+    against the server.
+    """
+    if _TOKEN.fullmatch(method) is None:
+        return "the method is no token"
+    if _VISIBLE.fullmatch(target) is None:
+        return "the target may hold visible ASCII characters only"
+    return None
+
+
 def find_framing_problem(headers: Any) -> str | None:
     """Tell why a head's framing is refused, or return None.
 
     Two readings of where a request ends would let one caller's bytes become another request.
     """
-    if headers.defects:
+    if headers.defects or not all(_is_plain(name, value) for name, value in headers.raw_items()):
         return "a header line is malformed"
     encoding = headers.get("transfer-encoding")
     if encoding is not None and encoding.strip().lower() != "chunked":
--- a/packages/node/tests/test_callers_bounds.py
+++ b/packages/node/tests/test_callers_bounds.py
@@ -28,6 +28,12 @@
     Refused("not HTTP", "hello\r\n\r\n", 400),
     Refused("a version that nobody speaks", "GET / HTTP/9.1\r\n\r\n", 505),
     Refused("a header line without a colon", GET + "nonsense\r\n\r\n", 400),
+    Refused("a folded header", GET + "X: a\r\n b\r\n\r\n", 400),
+    Refused("a header name with a space", GET + "X Y: a\r\n\r\n", 400),
+    Refused("a header with a zero", GET + "X: a\0b\r\n\r\n", 400),
+    Refused("a method that is no token", GET.replace("GET", "G(T") + "\r\n", 400),
+    Refused("a target with a letter of another script", GET.replace("/x", "/\xe9") + "\r\n", 400),
+    Refused("a target with a control character", GET.replace("/x", "/\x01") + "\r\n", 400),
     Refused("two lengths", POST + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400),
     Refused("a length with a sign", POST + "Content-Length: +1\r\n\r\na", 400),
     Refused("a length with an underscore", POST + "Content-Length: 1_0\r\n\r\n", 400),
@@ -73,6 +79,10 @@
                     self.assertEqual(document["outcome"], "not-run")
                     self.assertIn("Retry-After: ", received)
         self.assertEqual(self.ran, [])
+        live = self.plane.services.find(HOST, "/")
+        self.assertEqual([track.reason for track in live.traffic.describe(0.0)], ["ready"] * 2)
+        self.assertEqual(self.plane.forwarder.in_flight, 0)
+        self.assertEqual(sum(server.connections for server in self.servers), 0)
 
     def test_slow_senders_are_bounded_and_others_are_served_meanwhile(self) -> None:
         """Someone holds connections open and sends a byte now and then."""
