--- a/packages/node/tests/entry_harness.py
+++ b/packages/node/tests/entry_harness.py
@@ -105,7 +105,9 @@
     cut_on_accept: int = 0
     """How many connections it closes before it reads anything."""
     cut_in_request: int = 0
-    """How many connections it resets after the request's first byte."""
+    """How many connections it closes in the middle of a request."""
+    cut_after: int = 1
+    """After how many bytes of it."""
 
     def __post_init__(self) -> None:
         self._socket = socket.create_server(("127.0.0.1", 0))
@@ -152,7 +154,7 @@
         reader = connection.makefile("rb")
         while True:
             if self.cut_in_request:
-                reader.read(1)
+                reader.read(self.cut_after)
                 self.cut_in_request -= 1
                 return
             heard = read_request(reader)
--- /dev/null
+++ b/packages/node/tests/test_every_byte.py
@@ -0,0 +1,86 @@
+"""An exchange with a backend server, cut at each of its bytes."""
+
+import socket
+import struct
+import unittest
+
+from entry_harness import PROFILE, EntryTestCase, Heard, send
+
+BODY = b"rank 17 of 230"
+RESET = struct.pack("ii", 1, 0)
+WITH_LENGTH = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 14\r\n\r\n" + BODY
+WITHOUT_BODY = b"HTTP/1.1 204 No Content\r\nLocation: /rank/17\r\n\r\n"
+IN_CHUNKS = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"5\r\nrank \r\n9\r\n17 of 230\r\n0\r\n\r\n"
+)
+
+
+def cut_by_reset(raw: bytes):  # type: ignore[no-untyped-def]
+    """Send these bytes and reset the connection."""
+
+    def act(connection: socket.socket, heard: Heard) -> bool:
+        connection.sendall(raw)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        return False
+
+    return act
+
+
+class EveryByteTest(EntryTestCase):
+    server_names = ("s1",)
+    profile = PROFILE.model_copy(update={"retry_budget_percent": 50})
+
+    def test_an_entry_whose_answer_is_cut_anywhere_is_unknown_and_ran_once(self) -> None:
+        """The server runs the entry, and its answer ends early, in good order or by a reset.
+
+        Its caller must hear `unknown`, or get the whole answer; never a part, never `not run`.
+        """
+        (server,) = self.servers
+        for raw in (WITH_LENGTH, WITHOUT_BODY, IN_CHUNKS):
+            for cut in (send, cut_by_reset):
+                for size in range(len(raw) + 1):
+                    with self.subTest(raw[17:30], cut=cut.__name__, size=size):
+                        server.script[:] = [cut(raw[:size])]
+                        server.ran.clear()
+                        told = self.call("POST", f"/e/{size}", raw[:size] + cut.__name__.encode())
+                        if told.status < 300:
+                            whole = b"" if told.status == 204 else BODY
+                            self.assertEqual((told.body, told.outcome), (whole, "ran"))
+                            self.assertEqual(size, len(raw))
+                        else:
+                            self.assertEqual((told.status, told.outcome), (502, "unknown"))
+                            self.assertTrue(size < len(raw) or cut is cut_by_reset)
+                        self.assertEqual(len(server.ran), 1)
+
+    def test_a_lookup_whose_answer_is_cut_anywhere_is_never_answered_in_part(self) -> None:
+        self.servers.append(self.add_server("s2"))
+        self.servers[1].default = send(WITH_LENGTH, go_on=True)
+        whole = 0
+        for raw in (WITH_LENGTH, IN_CHUNKS):
+            for size in range(len(raw)):
+                with self.subTest(raw[17:30], size=size):
+                    self.servers[0].default = send(raw[:size])
+                    told = self.call(target=f"/l/{raw[17]}/{size}")
+                    if told.status == 200:
+                        whole += 1
+                        self.assertEqual((told.body, told.outcome), (BODY, "ran"))
+                    else:
+                        self.assertEqual((told.status, told.outcome), (502, "unknown"))
+        self.assertGreater(whole, 90, "most are answered by the other server")
+
+    def test_a_request_cut_anywhere_is_unknown_once_a_byte_has_left(self) -> None:
+        """The server's machine resets the connection when some bytes of the entry have arrived."""
+        (server,) = self.servers
+        for size in range(1, 200, 7):
+            with self.subTest(size=size):
+                server.ran.clear()
+                server.cut_in_request = 1
+                server.cut_after = size
+                told = self.call("POST", f"/c/{size}", b"x" * 40)
+                self.assertEqual((told.status, told.outcome), (502, "unknown"))
+                self.assertEqual(server.ran, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
