Hold slow work over the demo's graceful stop; state the registers' votes in the claims trace

Cause: breaking mechanisms on a scratch copy showed two checks that couldn't fail: a restarted register that grants at once, and a taken key granted again, both passed the claims trace, since only the rounds' results were stated and their votes came from the recording. Change: the votes' kinds are stated; the demo holds four slow requests over its SIGTERM. The demo with slow work isn't run yet at this commit.

--- a/packages/lab/src/persimmonusher_lab/demo.py
+++ b/packages/lab/src/persimmonusher_lab/demo.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from signal import SIGKILL, SIGTERM
+from signal import SIGKILL
 from typing import Final
 
 from persimmonusher_lab import demo_steps as steps
@@ -132,11 +132,12 @@
 
 
 def _stop_instance(run: DemoRun) -> None:
-    process = run.fleet.processes[steps.STOPPED_INSTANCE]
-    process.send(SIGTERM)
-    run.exit_code = process.wait(20.0)
-    plan = next(i for i in run.fleet.instances if i.instance_id == steps.STOPPED_INSTANCE)
-    write_marks(run.fleet.folder, plan.at(CALLERS_PORT), run.marks["stop"], run.exit_code)
+    report = run.fleet.folder / "slow.jsonl"
+    run.reports.append(report)
+    run.exit_code, result = steps.stop_under_work(run.fleet, report)
+    run.results.append(result)
+    address = steps.find_plan(run.fleet, steps.STOPPED_INSTANCE).at(CALLERS_PORT)
+    write_marks(run.fleet.folder, address, run.marks["stop"], run.exit_code)
 
 
 def _print_crashes(run: DemoRun) -> None:
--- a/packages/lab/src/persimmonusher_lab/demo_steps.py
+++ b/packages/lab/src/persimmonusher_lab/demo_steps.py
@@ -5,10 +5,12 @@
 import os
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Mapping, Sequence
 from itertools import pairwise
 from pathlib import Path
+from signal import SIGTERM
 from typing import Any, Final
 
 from persimmonusher_lab import promises
@@ -18,6 +20,7 @@
     OPERATOR_TOKEN,
     OPERATORS_PORT,
     Fleet,
+    InstancePlan,
     wait_for,
 )
 from persimmonusher_lab.ledger import LedgerRecord
@@ -36,6 +39,9 @@
 GRAY_FAULTS: Final = Faults(fail_percent=80)
 DRAINED_SERVER: Final = "housing-3"
 STOPPED_INSTANCE: Final = "i5"
+SLOW_WORK: Final = 4
+SLOW_WORK_MS: Final = 1_500.0
+"""Longer than the stop's delay, so that a stop which doesn't wait cuts it off."""
 START_SECONDS: Final = 15.0
 IN_FORCE_LIMIT_SECONDS: Final = 8.0
 DRAIN_LIMIT_SECONDS: Final = 3.0
@@ -187,6 +193,40 @@
     return PromiseResult("a resend gets the first run's answer", held, figure)
 
 
+def stop_under_work(fleet: Fleet, report: Path) -> tuple[int | None, PromiseResult]:
+    """Stop an instance by SIGTERM while it holds slow work; return its exit code and a check."""
+    plan = find_plan(fleet, STOPPED_INSTANCE)
+    options = LoadOptions(
+        (plan.at(CALLERS_PORT),), HOSTS["housing"], 1.0, 1.0, work_ms=SLOW_WORK_MS, seed=97
+    )
+    told: list[Told] = []
+    with Caller(options, report) as caller:
+
+        def send(number: int) -> None:
+            started = time.monotonic()
+            is_entry = bool(number % 2)
+            address = options.entries[0]
+            told.append(caller.send(f"slow-{number}", is_entry, address, 1, started).told)
+
+        threads = [threading.Thread(target=send, args=(number,)) for number in range(SLOW_WORK)]
+        for thread in threads:
+            thread.start()
+        time.sleep(SLOW_WORK_MS / 4000)
+        process = fleet.processes[STOPPED_INSTANCE]
+        process.send(SIGTERM)
+        for thread in threads:
+            thread.join()
+        code = process.wait(20.0)
+    ran = told.count(Told.RAN)
+    figure = f"{ran} of {SLOW_WORK} slow requests in flight were answered"
+    return code, PromiseResult("slow work outlives the stop", ran == SLOW_WORK, figure)
+
+
+def find_plan(fleet: Fleet, instance_id: str) -> InstancePlan:
+    """Return the plan of an instance."""
+    return next(item for item in fleet.instances if item.instance_id == instance_id)
+
+
 def check_all(
     tries: Sequence[Try],
     records: Sequence[LedgerRecord],
@@ -236,8 +276,7 @@
     exit_code: int | None,
 ) -> PromiseResult:
     """Check the graceful stop of one instance."""
-    plan = next(item for item in fleet.instances if item.instance_id == STOPPED_INSTANCE)
-    address = plan.at(CALLERS_PORT)
+    address = find_plan(fleet, STOPPED_INSTANCE).at(CALLERS_PORT)
     return promises.check_graceful_stop(tries, records, address, marks["stop"], exit_code)
 
 
--- a/packages/lab/src/persimmonusher_lab/load.py
+++ b/packages/lab/src/persimmonusher_lab/load.py
@@ -53,6 +53,8 @@
     resends: int = 6
     deadline_ms: int = 5_000
     answer_bytes: int = 200
+    work_ms: float | None = None
+    """Service time to ask for; the server's own choice when None."""
     seed: int = 1
 
 
@@ -134,6 +136,8 @@
             headers[wire.IDEMPOTENCY_KEY] = token
         method, path = ("POST", "/entries") if is_entry else ("GET", "/lookup")
         url = f"http://{instance}{path}?token={token}&bytes={options.answer_bytes}"
+        if options.work_ms is not None:
+            url += f"&work_ms={options.work_ms}"
         told, status, server, detail = self._exchange(method, url, headers, token)
         if told is Told.NO_ANSWER:
             self._balancer.note_failure(instance)
--- a/packages/lab/src/persimmonusher_lab/trace_machines.py
+++ b/packages/lab/src/persimmonusher_lab/trace_machines.py
@@ -5,7 +5,8 @@
 from random import Random
 from typing import Any, Final
 
-from persimmonusher_agreement.claims import ClaimRequest, ClaimRound
+from persimmonusher_agreement.claims import ClaimRequest, ClaimRound, Settlement
+from persimmonusher_agreement.claims import Vote as ClaimVote
 from persimmonusher_agreement.configuration import Configuration
 from persimmonusher_agreement.configuration_keeper import ConfigurationKeeper
 from persimmonusher_agreement.configuration_objects import Change, Verdict
@@ -239,10 +240,24 @@
         return found is not None and found.taking_work
 
 
-def _make_register(instance: str, boot: int, window: float, roster: Roster) -> Register:
-    register = Register(InstanceId(instance), boot, window, 0.0)
-    register.replace_roster(roster)
-    return register
+class RegisterMachine:
+    """One register of claims under a fixed roster."""
+
+    def __init__(self, instance: str, boot: int, window: float, roster: Roster) -> None:
+        self._register = Register(InstanceId(instance), boot, window, 0.0)
+        self._register.replace_roster(roster)
+
+    def claim(self, request: ClaimRequest, now: float) -> ClaimVote:
+        """Return the whole vote, for a claim's round."""
+        return self._register.claim(request, now)
+
+    def judge(self, request: ClaimRequest, now: float) -> str:
+        """Return the kind of the vote; asking twice changes nothing."""
+        return self._register.claim(request, now).kind.value
+
+    def settle(self, settlement: Settlement, now: float) -> None:
+        """Take how a request ended."""
+        self._register.settle(settlement, now)
 
 
 def _make_round(request: ClaimRequest, roster: Roster) -> ClaimRound:
@@ -269,9 +284,7 @@
             }
         ),
     ),
-    "register": MachineKind(
-        _make_register, frozenset({"claim", "settle", "export_share", "import_share"})
-    ),
+    "register": MachineKind(RegisterMachine, frozenset({"claim", "judge", "settle"})),
     "run": MachineKind(
         RunJudge,
         frozenset(
--- a/packages/lab/src/persimmonusher_lab/trace_scenarios.py
+++ b/packages/lab/src/persimmonusher_lab/trace_scenarios.py
@@ -83,8 +83,11 @@
     )
     for name in REGISTERS:
         vote = recorder.call(name, "claim", first, 1.0)
+        recorder.call(name, "judge", first, 1.0, states="the free key is granted")
         recorder.call("first", "receive", vote, states="granted from the third vote on")
     for name in ("i1", "i2", "restarted"):
+        states = "no vote without memory" if name == "restarted" else "taken by the first"
+        recorder.call(name, "judge", resend, 2.0, states=states)
         vote = recorder.call(name, "claim", resend, 2.0)
         recorder.call("resend", "receive", vote, states="never granted")
     answer = Settlement(first.key, first.token, RecordState.FINISHED, b"lodged")
