--- a/packages/agreement/src/persimmonusher_agreement/membership_limits.py
+++ b/packages/agreement/src/persimmonusher_agreement/membership_limits.py
@@ -16,6 +16,9 @@
     direct_timeout: float = 0.3
     """A hundred times the round trip within a region."""
     probe_helpers: int = 3
+    unheard_seconds: float = 4.0
+    """Without an answer to any probe for four intervals, an instance takes itself for cut off; at
+    20% loss with helpers that happens once in a million."""
     suspicion_seconds: float = 3.0
     """Times log10 of the fleet's size, at least once: time for a refutation to travel."""
     cut_rounds: int = 3
@@ -36,10 +39,14 @@
     """Lost servers count for so long as a sign of a common cause: `Directory.list_servers`."""
     reconnect_interval: float = 2.0
     seed_interval: float = 10.0
-    small_sync_interval: float = 0.25
-    """Between exchanges while all records fit one summary: at most 4 KB/s."""
-    large_sync_interval: float = 5.0
-    """Between exchanges of larger stores, about 2.5 KB each: 0.5 KB/s."""
+    sync_interval: float = 0.25
+    """Between exchanges while all records fit one summary (at most 4 KB/s), and of larger stores
+    that have been the same for `settle_seconds`."""
+    unsettled_sync_interval: float = 5.0
+    """Between exchanges of larger stores, 2.5 KB each, while changes come in: 0.5 KB/s."""
+    settle_seconds: float = 1.0
+    """What a rumour takes to reach all; a difference that outlives it is one that rumours missed,
+    and a store that hasn't changed meanwhile lacks it or is alone with it."""
     summary_bytes: int = 1000
     """Keeps a summary with its header under the 1,400 bytes of one datagram."""
     catch_up_interval: float = 0.05
