Let operators dismiss a keeper, and show why one makes no promises

Cause: a keeper that never returns counts for the majority until it is removed, and operators had no way to; a damaged keeper showed no reason.

--- a/packages/ctl/src/persimmonusher_ctl/client.py
+++ b/packages/ctl/src/persimmonusher_ctl/client.py
@@ -74,6 +74,10 @@
         reply: pb.KeeperList = self._ask("ListKeepers", pb.ListKeepersRequest())
         return reply
 
+    def dismiss_keeper(self, keeper: str) -> None:
+        """Have a keeper that will never return removed; raise UsherError when it is refused."""
+        self._ask("DismissKeeper", pb.DismissKeeperRequest(keeper=keeper))
+
     def explain(self, request_id: str) -> pb.Explanation:
         """Ask all instances what was decided for a request."""
         reply: pb.Explanation = self._ask("Explain", pb.ExplainRequest(request_id=request_id))
--- a/packages/ctl/src/persimmonusher_ctl/main.py
+++ b/packages/ctl/src/persimmonusher_ctl/main.py
@@ -16,7 +16,7 @@
 app.add_typer(services.routes, name="routes")
 app.command("servers")(reports.list_servers)
 app.command("instances")(reports.list_instances)
-app.command("keepers")(reports.list_keepers)
+app.add_typer(reports.keepers, name="keepers")
 app.command("explain")(reports.explain)
 
 
--- a/packages/ctl/src/persimmonusher_ctl/reports.py
+++ b/packages/ctl/src/persimmonusher_ctl/reports.py
@@ -59,26 +59,45 @@
         common.output.show(found, ["INSTANCE", "DOMAIN", "PEERS", "ROLES", "REVISION"], rows)
 
 
+keepers = typer.Typer(help="List the keepers, or dismiss one.", invoke_without_command=True)
+
+
+@keepers.callback()
 def list_keepers(context: typer.Context) -> None:
     """List the keepers of the configuration log."""
+    if context.invoked_subcommand is not None:
+        return
     with ending_with_code():
         common = get_context(context)
         found = common.client.list_keepers()
         rows = [
             [
-                item.instance_id,
+                item.keeper or item.instance_id or "-",
                 item.peer_address,
                 item.role,
                 str(item.term),
                 str(item.last_index),
                 str(item.committed_index),
+                item.failure or "-",
             ]
             for item in found.keepers
         ]
-        header = ["KEEPER", "ADDRESS", "ROLE", "TERM", "LAST", "COMMITTED"]
+        header = ["KEEPER", "ADDRESS", "ROLE", "TERM", "LAST", "COMMITTED", "FAILURE"]
         common.output.show(found, header, rows)
 
 
+@keepers.command()
+def dismiss(
+    context: typer.Context,
+    keeper: Annotated[str, typer.Argument(help="INSTANCE#DISK, as `keepers` shows it.")],
+) -> None:
+    """Remove a keeper that will never return, so that it no longer counts for a majority."""
+    with ending_with_code():
+        common = get_context(context)
+        common.client.dismiss_keeper(keeper)
+        common.output.note(f"{keeper} is dismissed")
+
+
 def explain(context: typer.Context, request_id: str) -> None:
     """Show what was decided for a request, where, and why."""
     with ending_with_code():
--- a/packages/ctl/tests/fake_operators.py
+++ b/packages/ctl/tests/fake_operators.py
@@ -95,6 +95,13 @@
         keeper = pb.KeeperEntry(instance_id="i1", role="leader", term=3)
         await stream.send_message(pb.KeeperList(keepers=[keeper]))
 
+    async def DismissKeeper(self, stream: Any) -> None:  # noqa: N802
+        """Refuse any but the one that is lost."""
+        request = await self._receive(stream)
+        if request.keeper != "k3#lost":
+            raise GRPCError(Status.INVALID_ARGUMENT, f"{request.keeper} is no keeper")
+        await stream.send_message(pb.DismissKeeperReply())
+
     async def Explain(self, stream: Any) -> None:  # noqa: N802
         """Send the scripted explanation."""
         await self._receive(stream)
--- a/packages/ctl/tests/test_commands.py
+++ b/packages/ctl/tests/test_commands.py
@@ -112,6 +112,9 @@
             (("profiles", "show", "none"), TOKEN, Exit.NOT_FOUND),
             (("profiles", "list"), "wrong", Exit.UNAUTHENTICATED),
             (("explain", "r-1"), TOKEN, Exit.NOT_FOUND),
+            (("keepers",), TOKEN, Exit.DONE),
+            (("keepers", "dismiss", "k3#lost"), TOKEN, Exit.DONE),
+            (("keepers", "dismiss", "k9#x"), TOKEN, Exit.REFUSED),
             (("profiles", "create"), TOKEN, Exit.USAGE),
         )
         for arguments, token, code in cases:
--- a/packages/node/src/persimmonusher_node/operators.py
+++ b/packages/node/src/persimmonusher_node/operators.py
@@ -8,6 +8,7 @@
 from grpclib.server import Stream
 
 from persimmonusher_agreement.configuration_objects import Invalid, ObjectKind, Record, Verdict
+from persimmonusher_agreement.log_messages import KeeperId
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.errors import ErrorCode, Finding, UsherError
 from persimmonusher_node import operators_wire as wire
@@ -125,6 +126,18 @@
         keepers.sort(key=lambda keeper: keeper.peer_address)
         await stream.send_message(pb.KeeperList(keepers=keepers))
 
+    async def DismissKeeper(  # noqa: N802
+        self, stream: "Stream[pb.DismissKeeperRequest, pb.DismissKeeperReply]"
+    ) -> None:
+        """Have a lost keeper removed for good."""
+        request = await stream.recv_message()
+        assert request is not None
+        try:
+            await self._configuration.keepers.dismiss(KeeperId(request.keeper))
+        except UsherError as error:
+            raise _translate(error) from error
+        await stream.send_message(pb.DismissKeeperReply())
+
     async def Explain(  # noqa: N802
         self, stream: "Stream[pb.ExplainRequest, pb.Explanation]"
     ) -> None:
--- a/packages/node/src/persimmonusher_node/operators_wire.py
+++ b/packages/node/src/persimmonusher_node/operators_wire.py
@@ -128,6 +128,8 @@
         term=report.term,
         last_index=report.last_index,
         committed_index=report.commit_index,
+        keeper=report.keeper,
+        failure=report.failure,
     )
 
 
--- a/packages/protocol/src/persimmonusher_protocol/operator_grpc.py
+++ b/packages/protocol/src/persimmonusher_protocol/operator_grpc.py
@@ -38,6 +38,10 @@
     async def ListKeepers(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.operator_pb2.ListKeepersRequest, persimmonusher_protocol.operator_pb2.KeeperList]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def DismissKeeper(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.operator_pb2.DismissKeeperRequest, persimmonusher_protocol.operator_pb2.DismissKeeperReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Explain(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.operator_pb2.ExplainRequest, persimmonusher_protocol.operator_pb2.Explanation]') -> None:
         pass
@@ -80,6 +84,12 @@
                 persimmonusher_protocol.operator_pb2.ListKeepersRequest,
                 persimmonusher_protocol.operator_pb2.KeeperList,
             ),
+            '/persimmonusher.operators.Operators/DismissKeeper': grpclib.const.Handler(
+                self.DismissKeeper,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonusher_protocol.operator_pb2.DismissKeeperRequest,
+                persimmonusher_protocol.operator_pb2.DismissKeeperReply,
+            ),
             '/persimmonusher.operators.Operators/Explain': grpclib.const.Handler(
                 self.Explain,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -128,6 +138,12 @@
             persimmonusher_protocol.operator_pb2.ListKeepersRequest,
             persimmonusher_protocol.operator_pb2.KeeperList,
         )
+        self.DismissKeeper = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonusher.operators.Operators/DismissKeeper',
+            persimmonusher_protocol.operator_pb2.DismissKeeperRequest,
+            persimmonusher_protocol.operator_pb2.DismissKeeperReply,
+        )
         self.Explain = grpclib.client.UnaryUnaryMethod(
             channel,
             '/persimmonusher.operators.Operators/Explain',
