--- a/packages/node/src/persimmonusher_node/ports.py
+++ b/packages/node/src/persimmonusher_node/ports.py
@@ -43,6 +43,14 @@
     def announce(self, server: BackendServer) -> bool:
         """Take an announcement; False when a newer one is known already."""
 
+    def relays_announcements(self) -> bool:
+        """Tell whether others hear of what is announced here.
+
+        While False, answer an announcement with 503, so that the server announces itself again at
+        once through another entry; the announcement counts here all the same.
+        """
+        return True
+
     @abstractmethod
     def list_servers(self, service: ServiceName) -> Sequence[BackendServer]:
         """List the service's servers that are not stopped and not lost."""
@@ -118,8 +126,14 @@
     """Claims on Idempotency-Keys over the entry instances."""
 
     @abstractmethod
-    def claim(self, key: ClaimKey, fingerprint: str, window_seconds: float) -> ClaimResult:
-        """Claim the key for one dispatch; waits for a majority of the key's registers."""
+    def claim(
+        self, key: ClaimKey, fingerprint: str, window_seconds: float, pending_seconds: float
+    ) -> ClaimResult:
+        """Claim the key for one dispatch; waits for a majority of the key's registers.
+
+        The outcome is kept for `window_seconds`; a request that isn't settled after
+        `pending_seconds` is taken as one of unknown outcome.
+        """
 
     @abstractmethod
     def finish(self, key: ClaimKey, answer: StoredAnswer) -> None:
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/process.py
@@ -0,0 +1,25 @@
+"""One process of the daemon: the system's clock and randomness, logs, signals, and the parts."""
+
+from random import SystemRandom
+
+from persimmonusher_node.clock import SystemClock
+from persimmonusher_node.daemon import Daemon
+from persimmonusher_node.fleet import FleetParts
+from persimmonusher_node.logs import LoggingObserver, configure_logs
+from persimmonusher_node.peers import ChannelPool
+from persimmonusher_node.settings import Settings
+from persimmonusher_node.shutdown import StopSignal
+
+
+def run_instance(settings: Settings) -> bool:
+    """Run until a signal; tell whether the stop cut nothing off."""
+    configure_logs(settings)
+    clock = SystemClock()
+    stop = StopSignal()
+    stop.install()
+    with ChannelPool(settings.peer_token) as channels:
+        parts = FleetParts(settings, channels, clock).make()
+        daemon = Daemon(
+            settings, parts, LoggingObserver(clock, settings.log_level), clock, SystemRandom()
+        )
+        return daemon.run(stop)
