Catch keepers that depose a leader which others hear

Change: a test with a keeper that is deaf to the leader alone or to all, and a vote request without a pre-vote.

--- a/packages/agreement/tests/test_log_traps.py
+++ b/packages/agreement/tests/test_log_traps.py
@@ -108,6 +108,37 @@
                 self.assertIs(self.cluster.find_leader(), leader)
                 self.assertEqual(leader.replica.term, term)
 
+    def test_a_keeper_that_hears_no_leader_deposes_none(self) -> None:
+        """A keeper can't hear the leader, or anyone; its log is as good as any.
+
+        It calls for elections. The others hear their leader and must refuse it, also where a vote
+        request of its reaches them without a pre-vote, as a late one can.
+        """
+        for deaf_to_all in (True, False):
+            with self.subTest(deaf_to_all=deaf_to_all):
+                self.check_deaf_keeper(deaf_to_all)
+
+    def check_deaf_keeper(self, deaf_to_all: bool) -> None:
+        self.schedule.run(4.0)
+        leader = self.cluster.find_leader()
+        assert leader is not None
+        term = leader.replica.term
+        name = self.get_follower()
+        unheard = set(self.cluster.keepers) - {name} if deaf_to_all else {self.get_leader()}
+        for other in unheard:
+            self.schedule.cut(other, name, 60.0)
+        self.schedule.run(30.0)
+        deaf = self.cluster.keepers[name].identity
+        for other in set(self.cluster.keepers) - {name}:
+            target = self.cluster.keepers[other].identity
+            request = VoteRequest(deaf, target, term + 1, 999, term)
+            self.cluster.deliver(request, "fleet1", self.schedule.now)
+            self.schedule.flush(other)
+        self.schedule.run(30.0)
+        self.accept()
+        self.assertIs(self.cluster.find_leader(), leader)
+        self.assertEqual(leader.replica.term, term)
+
     def test_an_isolated_leader_accepts_nothing_and_reverts_nothing(self) -> None:
         """The leader is cut off silently, both ways or one way; the rest elects another.
 
