Release the lock of a folder that can't be opened

Cause: each try to open a folder held by another process kept a descriptor; found on reading. Change: the files are known before they are entered, and the error names the other process.

--- a/packages/node/src/persimmonusher_node/keeper.py
+++ b/packages/node/src/persimmonusher_node/keeper.py
@@ -175,10 +175,9 @@
     # The disk
 
     def _open(self) -> None:
-        files = KeeperFiles(self.folder)
+        files = self._files = KeeperFiles(self.folder)
         try:
             files.__enter__()
-            self._files = files
             self._storage = KeeperStorage(files, InstanceId(self._settings.instance_id))
             self._keeper = ConfigurationKeeper(
                 self._storage.keeper,
--- a/packages/node/src/persimmonusher_node/keeper_files.py
+++ b/packages/node/src/persimmonusher_node/keeper_files.py
@@ -98,9 +98,17 @@
             self.folder.mkdir(parents=True, exist_ok=True)
             self._sync_folder(self.folder.parent)
             self._lock = os.open(self.folder / LOCK_FILE, os.O_RDWR | os.O_CREAT)
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self._hold_lock(self._lock)
         return self
 
+    def _hold_lock(self, descriptor: int) -> None:
+        """Keep a second process off the folder: two writers would mix up one keeper's promises."""
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            message = f"{self.folder}: another process holds this folder"
+            raise StorageError(ErrorCode.UNAVAILABLE, message) from error
+
     def __exit__(
         self,
         kind: type[BaseException] | None,
--- a/packages/node/tests/test_keeper_storage.py
+++ b/packages/node/tests/test_keeper_storage.py
@@ -246,8 +246,11 @@
 
     def test_a_folder_is_held_by_one_process_and_belongs_to_one_instance(self) -> None:
         self.open()
-        with self.assertRaises(StorageError):
-            KeeperFiles(self.folder).__enter__()
+        second = KeeperFiles(self.folder)
+        self.addCleanup(second.close)
+        with self.assertRaises(StorageError) as caught:
+            second.__enter__()
+        self.assertIn("another process", caught.exception.message)
         with self.assertRaises(StorageError) as caught:
             KeeperStorage(self.files[-1], InstanceId("k2"))
         self.assertIn("belongs to k1#a", caught.exception.message)
