Vary pauses and the number of keepers in the fault matrix

Cause: with the vote not durable on a scratch copy the matrix failed in no case: a keeper stayed down for two timeouts, so it was never asked twice in one term.

--- a/packages/lab/src/persimmonusher_lab/log_matrix.py
+++ b/packages/lab/src/persimmonusher_lab/log_matrix.py
@@ -43,12 +43,15 @@
 
     seed: int
     faults: tuple[Fault, ...]
+    size: int = 3
+    """Keepers in the run."""
 
     @property
     def command(self) -> str:
         """Return the command that replays the run."""
         faults = " ".join(f"--fault {fault}" for fault in self.faults)
-        return f"python -m persimmonusher_lab.log_matrix --seed {self.seed} {faults}"
+        options = f"--size {self.size} --seed {self.seed} {faults}"
+        return f"python -m persimmonusher_lab.log_matrix {options}"
 
 
 @dataclass(frozen=True)
@@ -65,7 +68,7 @@
 
 def run_case(case: Case) -> CaseResult:
     """Run the scenario under a case's faults and check that it ends well."""
-    schedule = LogSchedule(case.seed, case.faults)
+    schedule = LogSchedule(case.seed, case.faults, size=case.size)
     failure = ""
     try:
         _run_scenario(schedule)
@@ -170,13 +173,14 @@
     seed: Annotated[int, typer.Option(help="Seed of the runs and of the choice of pairs")] = 1,
     fault: Annotated[list[str] | None, typer.Option(help="Replay just these faults")] = None,
     part: Annotated[str, typer.Option(help="Run one part of the cases, such as 1/3")] = "1/1",
+    size: Annotated[int, typer.Option(help="Keepers in each run")] = 3,
     verbose: Annotated[bool, typer.Option(help="Print the trace of a replay")] = False,
 ) -> None:
     """Run the matrix and end with code 1 where an invariant broke."""
     if fault:
-        cases = [Case(seed, tuple(parse_fault(text) for text in fault))]
+        cases = [Case(seed, tuple(parse_fault(text) for text in fault), size)]
     else:
-        cases = _choose_cases(pairs, seed, part)
+        cases = _choose_cases(pairs, seed, part, size)
     started = time.monotonic()
     steps = checks = struck = failed = 0
     for case in cases:
@@ -191,18 +195,18 @@
             print_failure(result)
     singles = sum(len(case.faults) == 1 for case in cases)
     print(
-        f"{singles} single faults, {len(cases) - singles} pairs, seed {seed}, part {part}: "
-        f"{failed} failed; in {struck} cases every fault struck; {steps} messages delivered, "
+        f"{size} keepers, {singles} single faults, {len(cases) - singles} pairs, seed {seed}, "
+        f"part {part}: {failed} failed; in {struck} cases every fault struck; {steps} messages delivered, "
         f"{checks} states checked in {time.monotonic() - started:.0f} s"
     )
     sys.exit(1 if failed else 0)
 
 
-def _choose_cases(pairs: int, seed: int, part: str) -> list[Case]:
+def _choose_cases(pairs: int, seed: int, part: str, size: int) -> list[Case]:
     everything = list_pairs()
     chosen = everything if not pairs else Random(seed).sample(everything, pairs)
-    cases = [Case(seed, (fault,)) for fault in list_single()]
-    cases.extend(Case(seed, pair) for pair in chosen)
+    cases = [Case(seed, (fault,), size) for fault in list_single()]
+    cases.extend(Case(seed, pair, size) for pair in chosen)
     number, _, parts = part.partition("/")
     return cases[int(number) - 1 :: int(parts)]
 
--- a/packages/lab/src/persimmonusher_lab/log_schedule.py
+++ b/packages/lab/src/persimmonusher_lab/log_schedule.py
@@ -26,6 +26,9 @@
 from persimmonusher_model.identifiers import Revision
 
 SHORT: Final = 4.0
+PAUSES: Final = (0.05, 0.5, 2.0)
+"""Times that a crashed keeper is down: shorter than an election, as long, longer."""
+
 HOURS: Final = 100.0
 TICK: Final = 0.1
 LATENCY: Final = (0.001, 0.02)
@@ -103,8 +106,10 @@
 class LogSchedule:
     """Runs a cluster in virtual time and keeps a trace of what happened."""
 
-    def __init__(self, seed: int, faults: tuple[Fault, ...] = (), tick: float = TICK) -> None:
-        self.cluster = LogCluster(seed)
+    def __init__(
+        self, seed: int, faults: tuple[Fault, ...] = (), tick: float = TICK, size: int = 3
+    ) -> None:
+        self.cluster = LogCluster(seed, size)
         self._tick_seconds = tick
         self.now = 0.0
         self.steps = 0
@@ -181,10 +186,10 @@
         self.trace.append(f"{self.now:9.3f} {_show(due.message)}")
         crash = self._crash_on_receipt.pop(id(due.message), None)
         if crash is FaultKind.CRASH_RECEIVER_BEFORE_SYNC:
-            self.stop(name, 2.0)
+            self.stop(name, self._draw_pause())
         elif crash is FaultKind.CRASH_RECEIVER_AFTER_SYNC:
             self.cluster.flush(name)
-            self.stop(name, 2.0)
+            self.stop(name, self._draw_pause())
         else:
             self._send_all(name, before)
 
@@ -193,7 +198,7 @@
         output = self.cluster.flush(name)
         if was_running and self.cluster.keepers[name].running is None:
             self._note(f"{name} stopped: its disk failed")
-            self._down_until[name] = self.now + 2.0
+            self._down_until[name] = self.now + self._draw_pause()
         self._lineage = output.lineage
         for message in output.messages:
             fault = self._find_fault(message)
@@ -233,6 +238,9 @@
         self.cluster.crash(name)
         self._down_until[name] = self.now + seconds
 
+    def _draw_pause(self) -> float:
+        return self.cluster.random.choice(PAUSES)
+
     def freeze(self, name: str, seconds: float) -> None:
         """Stop a keeper's process without ending it; messages to it wait."""
         self._note(f"{name} freezes for {seconds} s")
@@ -263,7 +271,7 @@
         if fault.kind in _SENDER_CRASHES:
             if fault.kind is FaultKind.CRASH_SENDER_BEFORE_SYNC:
                 self.cluster.keepers[source].disk.durable = before  # type: ignore[assignment]
-            self.stop(source, 2.0)
+            self.stop(source, self._draw_pause())
             return False
         if fault.kind is FaultKind.LOST:
             return True
