--- a/packages/lab/src/persimmonusher_lab/log_matrix.py
+++ b/packages/lab/src/persimmonusher_lab/log_matrix.py
@@ -196,7 +196,8 @@
     singles = sum(len(case.faults) == 1 for case in cases)
     print(
         f"{size} keepers, {singles} single faults, {len(cases) - singles} pairs, seed {seed}, "
-        f"part {part}: {failed} failed; in {struck} cases every fault struck; {steps} messages delivered, "
+        f"part {part}: {failed} failed; in {struck} cases every fault struck; "
+        f"{steps} messages delivered, "
         f"{checks} states checked in {time.monotonic() - started:.0f} s"
     )
     sys.exit(1 if failed else 0)
