--- a/packages/node/src/persimmonusher_node/directory.py
+++ b/packages/node/src/persimmonusher_node/directory.py
@@ -51,7 +51,7 @@
         return tuple(self._membership.fleet.directory.list_services())
 
     def on_change(self, callback: Callable[[ServiceName], None]) -> None:
-        """Call back on the loop with the service whose servers changed."""
+        """Call back with the service whose servers changed."""
         self._membership.on_servers_change(callback)
 
 
--- a/packages/node/src/persimmonusher_node/membership.py
+++ b/packages/node/src/persimmonusher_node/membership.py
@@ -48,9 +48,10 @@
     >>> with membership: ...  # doctest: +SKIP
 
     `read_revision` returns the configuration revision in force here, and is called at each tick.
-    `hear_revision(peer_address, revision)` is called on the loop when another instance has a newer
-    one; it must not block. Callbacks added with `on_change` and `on_servers_change` are called on
-    the loop as well. Construction opens nothing; `start` binds the socket and needs the loop.
+    `hear_revision(peer_address, revision)` is called when another instance has a newer one.
+    Callbacks added with `on_change` and `on_servers_change` are called where the change is made: on
+    the loop, or in the green thread that announces. None of them may block. Construction opens
+    nothing; `start` binds the socket and needs the loop.
     """
 
     def __init__(
@@ -68,7 +69,7 @@
         self._read_revision = read_revision
         self._hear_revision = hear_revision
         self._transport: asyncio.DatagramTransport | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.Handle | None = None
         self._on_change: list[Callable[[], None]] = []
         self._on_servers_change: list[Callable[[ServiceName], None]] = []
         self._live: tuple[int, tuple[Instance, ...]] = (-1, ())
@@ -141,7 +142,7 @@
             lambda: _Receiver(self), local_addr=(host, int(port))
         )
         self._transport = transport
-        self._timer = loop.call_soon(self._tick, loop)  # type: ignore[assignment]
+        self._timer = loop.call_soon(self._tick, loop)
 
     def _tick(self, loop: asyncio.AbstractEventLoop) -> None:
         if self._transport is None:
