--- a/packages/decisions/src/persimmonusher_decisions/assessor.py
+++ b/packages/decisions/src/persimmonusher_decisions/assessor.py
@@ -85,6 +85,15 @@
         for place in [place for place in self._waits if place[1] not in self._boots]:
             del self._waits[place]
 
+    def add_domain(self, domain: FailureDomain) -> None:
+        """Take that instances of this failure domain ask for verdicts.
+
+        Without it an instance whose whole domain has had no work for the service yet would be told
+        of no ejection, and its first requests would go to a server that all others keep clear of.
+        """
+        if domain not in self._views:
+            self._views[domain] = View()
+
     def receive(self, digest: EvidenceDigest, now: float) -> None:
         """Add one instance's evidence; a digest seen before is ignored."""
         freshness = (digest.incarnation, digest.sequence)
@@ -92,9 +101,8 @@
             return
         self._digests[digest.instance_id] = freshness
         domain = digest.failure_domain
-        view = self._views.get(domain)
-        if view is None:
-            view = self._views[domain] = View()
+        self.add_domain(domain)
+        view = self._views[domain]
         everywhere = self._views[EVERYWHERE]
         for line in digest.servers:
             if line.server_id not in self._slots:
--- a/packages/node/src/persimmonusher_node/assessors.py
+++ b/packages/node/src/persimmonusher_node/assessors.py
@@ -6,7 +6,7 @@
 from persimmonusher_decisions.assessor import Assessor
 from persimmonusher_decisions.evidence_messages import EjectionSet, EvidenceDigest
 from persimmonusher_model.clock import Clock
-from persimmonusher_model.identifiers import InstanceId, ServiceName
+from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServiceName
 from persimmonusher_model.profile import Profile
 from persimmonusher_node.ports import ConfigurationView, ServerDirectory
 
@@ -52,7 +52,11 @@
         self._held: dict[ServiceName, _Held] = {}
 
     def receive(
-        self, service: ServiceName, reporter: InstanceId, digest: EvidenceDigest | None
+        self,
+        service: ServiceName,
+        reporter: InstanceId,
+        domain: FailureDomain,
+        digest: EvidenceDigest | None,
     ) -> EjectionSet | None:
         """Take an instance's evidence, or only its question; None for an unknown service."""
         profile = self._view.find_profile(service)
@@ -67,6 +71,7 @@
         self._feed(service, held, profile, now)
         held.asked = now
         held.reporters[reporter] = now
+        held.assessor.add_domain(domain)
         if digest is not None:
             held.assessor.receive(digest, now)
         return held.verdict
--- a/packages/node/src/persimmonusher_node/claims.py
+++ b/packages/node/src/persimmonusher_node/claims.py
@@ -147,13 +147,13 @@
         self._find_roster = find_roster
         self._longest_window = longest_window
         self._random = random
-        self._register = Register(instance, boot, longest_window, clock.monotonic())
+        self.register = Register(instance, boot, longest_window, clock.monotonic())
         self._grants: dict[ClaimKey, _Grant] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def list_peer_handlers(self) -> tuple[IServable, ...]:
         """List the register's service."""
-        return (RegisterService(self._register, self._clock),)
+        return (RegisterService(self.register, self._clock),)
 
     def start(self) -> None:
         """Start following the roster, and reading back what a restart lost."""
@@ -257,7 +257,7 @@
         self, register: InstanceId, addresses: Mapping[InstanceId, str], request: ClaimRequest
     ) -> Vote | None:
         if register == self._instance:
-            return self._register.claim(request, self._clock.monotonic())
+            return self.register.claim(request, self._clock.monotonic())
         address = addresses.get(register)
         if address is None:
             return None
@@ -294,7 +294,7 @@
         self, register: InstanceId, addresses: Mapping[InstanceId, str], settlement: Settlement
     ) -> InstanceId | None:
         if register == self._instance:
-            self._register.settle(settlement, self._clock.monotonic())
+            self.register.settle(settlement, self._clock.monotonic())
             return register
         address = addresses.get(register)
         if address is None:
@@ -317,19 +317,19 @@
     async def _read_share(self) -> None:
         while True:
             now = self._clock.monotonic()
-            if self._register.roster is not None and self._register.is_whole(now):
+            if self.register.roster is not None and self.register.is_whole(now):
                 return
             addresses = self._find_addresses()
-            unread = [name for name in self._register.list_unread() if name in addresses]
+            unread = [name for name in self.register.list_unread() if name in addresses]
             answers = await asyncio.gather(*(self._ask_share(addresses[name]) for name in unread))
             for answer in answers:
                 if answer is not None:
-                    self._register.import_share(answer, self._clock.monotonic())
+                    self.register.import_share(answer, self._clock.monotonic())
             await asyncio.sleep(SHARE_PAUSE_SECONDS)
 
     async def _ask_share(self, address: str) -> ShareAnswer | None:
         stub = ClaimsStub(self._channels.get(address))
-        request = wire.write_share_request(self._register.make_share_request())
+        request = wire.write_share_request(self.register.make_share_request())
         try:
             message = await stub.ReadShare(request, timeout=SHARE_TIMEOUT_SECONDS)
         except _CALL_FAILURES:
@@ -339,8 +339,8 @@
     def _refresh_roster(self) -> Roster | None:
         roster = self._find_roster()
         if roster is not None:
-            self._register.replace_roster(roster)
-        return self._register.roster
+            self.register.replace_roster(roster)
+        return self.register.roster
 
     def _find_addresses(self) -> dict[InstanceId, str]:
         return {live.instance_id: live.peer_address for live in self._membership.list_live()}
--- a/packages/node/src/persimmonusher_node/evidence.py
+++ b/packages/node/src/persimmonusher_node/evidence.py
@@ -85,10 +85,14 @@
             task.cancel()
 
     def answer(
-        self, service: ServiceName, reporter: InstanceId, digest: EvidenceDigest | None
+        self,
+        service: ServiceName,
+        reporter: InstanceId,
+        domain: FailureDomain,
+        digest: EvidenceDigest | None,
     ) -> EjectionSet | None:
         """Take a report as the assessor."""
-        return self.assessors.receive(service, reporter, digest)
+        return self.assessors.receive(service, reporter, domain, digest)
 
     def hear_hint(self, service: ServiceName) -> None:
         """Ask for a verdict that changed at once, and not with the next report."""
@@ -97,6 +101,10 @@
             if live.name == service:
                 self._report(live, self._clock.monotonic())
 
+    def list_assessors(self, service: ServiceName) -> tuple[InstanceId, ...]:
+        """List the service's assessor and its deputy, the one to ask first in front."""
+        return tuple(name for name, _ in self._choose_assessors(service))
+
     async def _run_reports(self) -> None:
         while True:
             await asyncio.sleep(TICK_SECONDS)
@@ -120,7 +128,8 @@
         for assessor, address in self._choose_assessors(live.name):
             asked = self._clock.monotonic()
             if assessor == self._instance_id:
-                verdict = self.answer(live.name, self._instance_id, digest)
+                own, domain = self._instance_id, self._failure_domain
+                verdict = self.answer(live.name, own, domain, digest)
             else:
                 verdict = await self._call(live.name, assessor, address, digest)
             if verdict is not None:
@@ -135,7 +144,11 @@
         digest: EvidenceDigest | None,
     ) -> EjectionSet | None:
         if digest is None:
-            request = pb.ReportRequest(service=service, instance_id=self._instance_id)
+            request = pb.ReportRequest(
+                service=service,
+                instance_id=self._instance_id,
+                failure_domain=self._failure_domain,
+            )
         else:
             request = wire.write_digest(digest)
         stub = EvidenceStub(self._channels.get(address))
@@ -189,7 +202,8 @@
         digest = wire.read_digest(message) if message.sequence else None
         service = ServiceName(message.service)
         reporter = InstanceId(message.instance_id)
-        verdict = self._exchange.answer(service, reporter, digest)
+        domain = FailureDomain(message.failure_domain)
+        verdict = self._exchange.answer(service, reporter, domain, digest)
         await stream.send_message(wire.write_set(verdict) if verdict else pb.EjectionSet())
 
     async def Hint(self, stream: Stream[pb.ChangedHint, pb.HintDone]) -> None:  # noqa: N802
--- /dev/null
+++ b/packages/node/tests/test_evidence_fleet.py
@@ -0,0 +1,177 @@
+from persimmonusher_node import loop
+
+loop.install()
+
+import socket  # noqa: E402
+import unittest  # noqa: E402
+from random import Random  # noqa: E402
+
+import eventlet  # noqa: E402
+
+from persimmonusher_decisions.server import BackendServer, ServerState  # noqa: E402
+from persimmonusher_decisions.work import (  # noqa: E402
+    Dispatch,
+    Outcome,
+    OutcomeKind,
+    Request,
+)
+from persimmonusher_model.identifiers import (  # noqa: E402
+    CallerId,
+    FailureDomain,
+    InstanceId,
+    RequestId,
+    ServerId,
+    ServiceName,
+)
+from persimmonusher_model.profile import DETECTION_FIRST  # noqa: E402
+from persimmonusher_node.clock import SystemClock  # noqa: E402
+from persimmonusher_node.evidence import EvidenceExchange  # noqa: E402
+from persimmonusher_node.grpc_listener import GrpcListener  # noqa: E402
+from persimmonusher_node.memory import (  # noqa: E402
+    MemoryConfiguration,
+    MemoryDirectory,
+    MemoryMembership,
+)
+from persimmonusher_node.peers import ChannelPool  # noqa: E402
+from persimmonusher_node.ports import Instance  # noqa: E402
+from persimmonusher_node.services import ServiceBook  # noqa: E402
+
+SERVICE = ServiceName("shows")
+NAMES = [InstanceId(f"i{number}") for number in range(4)]
+SERVERS = [ServerId(f"shows-{number}") for number in range(6)]
+GRAY = SERVERS[2]
+BATCH = 22
+"""Requests in flight at once at each instance, of 24 slots in all."""
+
+
+def make_server(server_id: ServerId) -> BackendServer:
+    return BackendServer(
+        server_id=server_id,
+        service=SERVICE,
+        address="127.0.0.1:1",
+        failure_domain=FailureDomain("d0"),
+        slots=4,
+        connection_limit=400,
+        boot_id=1,
+        sequence=1,
+        state=ServerState.READY,
+    )
+
+
+class Node:
+    """One instance's service book and evidence exchange with a gRPC listener of its own."""
+
+    def __init__(self, instance: Instance, instances: list[Instance]) -> None:
+        clock = SystemClock()
+        configuration = MemoryConfiguration({"shows/": SERVICE}, {SERVICE: DETECTION_FIRST})
+        directory = MemoryDirectory()
+        for server_id in SERVERS:
+            directory.announce(make_server(server_id))
+        membership = MemoryMembership(instances)
+        domain = instance.failure_domain
+        random = Random(instance.instance_id)
+        self.services = ServiceBook(
+            configuration, directory, membership, instance.instance_id, domain, clock, random
+        )
+        self.channels = ChannelPool("peers")
+        self.exchange = EvidenceExchange(
+            instance.instance_id,
+            domain,
+            1,
+            self.services,
+            configuration,
+            directory,
+            membership,
+            self.channels,
+            clock,
+        )
+        handlers = self.exchange.list_peer_handlers()
+        self.listener = GrpcListener(instance.peer_address, handlers, {"peers": "peer"})
+        self.listener.start()
+        self.exchange.start()
+        self.runs = 0
+
+    def stop(self) -> None:
+        self.exchange.stop()
+        self.listener.stop()
+        self.channels.__exit__(None, None, None)
+
+    def run_batch(self) -> None:
+        """Run lookups side by side, so many that a server in doubt is needed too."""
+        live = self.services.get(SERVICE)
+        assert live is not None
+        now = SystemClock().monotonic()
+        offered = [live.traffic.offer(self.make_request(now), now) for _ in range(BATCH)]
+        for decision in offered:
+            if not isinstance(decision, Dispatch):
+                continue
+            failed = decision.server.server_id == GRAY
+            kind = OutcomeKind.FAILURE if failed else OutcomeKind.SUCCESS
+            live.traffic.finish(decision, Outcome(kind, 0.02), now + 0.02)
+
+    def make_request(self, now: float) -> Request:
+        self.runs += 1
+        return Request(
+            request_id=RequestId(str(self.runs)),
+            caller=CallerId("farm-club"),
+            request_class="lookup",
+            idempotent=True,
+            arrived=now,
+            deadline=now + 5.0,
+            fingerprint=str(self.runs),
+        )
+
+    def lists_gray_as_out(self) -> bool:
+        live = self.services.get(SERVICE)
+        assert live is not None
+        statuses = live.traffic.describe(SystemClock().monotonic())
+        return any(s.server.server_id == GRAY and not s.taking_work for s in statuses)
+
+
+class EvidenceFleetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.instances = [
+            Instance(name, FailureDomain(f"d{name}"), f"127.0.0.1:{find_port()}", ("entry",))
+            for name in NAMES
+        ]
+        self.nodes = {one.instance_id: Node(one, self.instances) for one in self.instances}
+        self.addCleanup(lambda: [node.stop() for node in self.nodes.values()])
+
+    def run_until_out(self, nodes: list[Node], seconds: float) -> None:
+        with eventlet.Timeout(seconds):
+            while not all(node.lists_gray_as_out() for node in nodes):
+                for node in nodes:
+                    node.run_batch()
+                eventlet.sleep(0.03)
+
+    def find_assessor(self) -> InstanceId:
+        chosen = self.nodes[NAMES[0]].exchange.list_assessors(SERVICE)
+        return chosen[0]
+
+    def test_evidence_of_some_keeps_all_from_a_gray_server(self) -> None:
+        # Three instances see a server fail; the fourth has sent it nothing yet. All four must
+        # keep work from it, since the fourth's first breeder would get an error.
+        idle = self.nodes[NAMES[3]]
+        idle.services.get(SERVICE)
+        working = [self.nodes[name] for name in NAMES[:3]]
+        self.run_until_out(working, 10.0)
+        with eventlet.Timeout(3.0):
+            while not idle.lists_gray_as_out():
+                eventlet.sleep(0.05)
+
+    def test_the_deputy_takes_over_when_the_assessor_is_gone(self) -> None:
+        # The assessor's process is killed just before a server turns gray. Work must not go on to
+        # the gray server until someone notices: the deputy is asked at once.
+        gone = self.find_assessor()
+        self.nodes.pop(gone).stop()
+        self.run_until_out(list(self.nodes.values()), 15.0)
+
+
+def find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+if __name__ == "__main__":
+    unittest.main()
