Show in the demo when operators see why the gray server is out

Cause: with ejections never applied the demo still passes, since an entry's own evidence keeps work away; nothing showed whether operators learn of it.

--- a/packages/lab/src/persimmonusher_lab/demo_steps.py
+++ b/packages/lab/src/persimmonusher_lab/demo_steps.py
@@ -243,6 +243,7 @@
         check_floor(seen),
         check_no_revert(seen),
         check_detection(records, marks["gray"]),
+        check_shown_reason(seen, marks["gray"]),
         check_false_ejections(seen),
     ]
 
@@ -260,6 +261,15 @@
     )
 
 
+def check_shown_reason(seen: Observations, gray_at: float) -> PromiseResult:
+    """Check that operators were shown the gray server's ejection with its reason."""
+    shown = [item for item in seen.sightings if item.server_id == GRAY_SERVER and item.reason]
+    if not shown:
+        return PromiseResult("operators see why it is out", False, "never shown")
+    figure = f"{shown[0].at - gray_at:.2f} s at {shown[0].instance_id}: {shown[0].reason}"
+    return PromiseResult("operators see why it is out", shown[0].at > gray_at, figure)
+
+
 def check_false_ejections(seen: Observations) -> PromiseResult:
     """Check that no instance kept work from a server that is well."""
     false = [item for item in seen.sightings if item.server_id != GRAY_SERVER]
