--- a/packages/node/src/persimmonusher_node/configuration_client.py
+++ b/packages/node/src/persimmonusher_node/configuration_client.py
@@ -52,6 +52,7 @@
 ANNOUNCE_FAN_OUT: Final = 3
 """Partners told at once of a new revision: 2,500 instances are within eight steps."""
 
+HELD_SECONDS: Final = 0.25
 CONCURRENT_PULLS: Final = 3
 """So that one source that hangs doesn't hold up the news of another."""
 
@@ -88,7 +89,7 @@
         self._listeners: list[Callable[[Revision, Sequence[ObjectKey]], None]] = []
         self._heard: dict[str, Revision] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._pulling: set[str] = set()
+        self._pulling: dict[str, float] = {}
         self._loop_task: asyncio.Task[None] | None = None
 
     # The view
@@ -182,18 +183,30 @@
             address = self._sources.choose(self._clock.monotonic())
             if address is not None:
                 self._start_pull(address)
+            self._pull_heard()
             mean = PULL_INTERVAL_SECONDS if self.revision() else FIRST_PULL_INTERVAL_SECONDS
             await asyncio.sleep(mean * self._random.uniform(0.5, 1.5))
 
     def _pull_heard(self) -> None:
-        for address, revision in list(self._heard.items()):
-            if revision <= self.revision() or self._start_pull(address):
+        """Pull what was heard of, one source at a time while that one may still answer.
+
+        Made for the moment after a change, when every partner tells of it at once: pulling from
+        each would fetch the same batch several times over. A source that hangs holds the others up
+        for `HELD_SECONDS` only.
+        """
+        now = self._clock.monotonic()
+        if any(now - started < HELD_SECONDS for started in self._pulling.values()):
+            return
+        self._heard = {a: r for a, r in self._heard.items() if r > self.revision()}
+        for address in self._heard:
+            if self._start_pull(address):
                 del self._heard[address]
+                return
 
     def _start_pull(self, address: str) -> bool:
         if address in self._pulling or len(self._pulling) >= CONCURRENT_PULLS:
             return False
-        self._pulling.add(address)
+        self._pulling[address] = self._clock.monotonic()
         self._start_task(self._pull(address))
         return True
 
@@ -216,7 +229,7 @@
             self._sources.report(address, True, self._clock.monotonic())
             self.take(batch)
         finally:
-            self._pulling.discard(address)
+            self._pulling.pop(address, None)
         self._pull_heard()
 
     async def _fetch(self, address: str) -> Batch:
