--- a/packages/agreement/tests/test_log_script.py
+++ b/packages/agreement/tests/test_log_script.py
@@ -1,9 +1,11 @@
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from persimmonusher_agreement import log_leadership
 from persimmonusher_agreement.log_messages import AppendReply, LogMessage, find_instance
 from persimmonusher_lab.log_cluster import LogCluster
+from persimmonusher_model.errors import ErrorCode, UsherError
 
 
 class LogScriptTest(unittest.TestCase):
@@ -94,6 +96,45 @@
         revisions = [keeper.configuration.revision for keeper in self.cluster.list_running()]
         self.assertEqual(revisions, [0, 0, 0])
 
+    def test_a_late_request_cuts_off_no_entries_that_were_acknowledged(self) -> None:
+        """A follower holds three changes and said so; an older, shorter request comes late.
+
+        Cut off there, the change that the leader counted on this follower for would be lost.
+        """
+        everyone = set(self.cluster.keepers)
+        self.elect("k1", "k2")
+        self.deliver(everyone)
+        self.cluster.propose("k1", self.cluster.make_change(1, "clerk", "p1"), self.now)
+        early = self.cluster.flush("k1").messages
+        for number in (2, 3):
+            change = self.cluster.make_change(number, "clerk", f"p{number}")
+            self.cluster.propose("k1", change, self.now)
+        self.bag.extend(early)
+        self.flush("k1")
+        self.deliver(everyone)
+        before = self.get_last_index("k2")
+        self.assertEqual(before, self.get_last_index("k1"))
+        for message in early:
+            self.cluster.deliver(message, "fleet1", self.now)
+        self.assertEqual(self.get_last_index("k2"), before)
+
+    def get_last_index(self, name: str) -> int:
+        running = self.cluster.keepers[name].running
+        assert running is not None
+        return running.replica.log.last_index
+
+    def test_two_voters_are_never_changed_at_once(self) -> None:
+        """Two keepers are taken out in one step: the old and the new majority share no keeper."""
+        self.elect("k1", "k2")
+        self.deliver(set(self.cluster.keepers))
+        leader = self.cluster.keepers["k1"].running
+        assert leader is not None
+        members = leader.replica.log.members
+        for kept in (members.members[:1], ()):
+            with self.assertRaises(UsherError) as caught:
+                leader.replica.propose(replace(members, members=kept), self.now)
+            self.assertIs(caught.exception.code, ErrorCode.BAD_REQUEST)
+
 
 if __name__ == "__main__":
     unittest.main()
