Catch answers that trickle, owed answers without an id, and a break followed by a shed

Change: tests of an answer that trickles past its deadline, of a connection that owes an answer of a server that echoes no id, and of a lookup that broke and was then shed.

--- a/packages/node/tests/test_failure_points.py
+++ b/packages/node/tests/test_failure_points.py
@@ -1,9 +1,23 @@
 """Every point at which the connection to a backend server can break, for both kinds of work."""
 
+import socket
+import time
 import unittest
 from dataclasses import dataclass
 
-from entry_harness import DRAINING, SERVICE, SHED, Behaviour, EntryTestCase, answer, send, stall
+import eventlet
+from entry_harness import (
+    DRAINING,
+    PROFILE,
+    SERVICE,
+    SHED,
+    Behaviour,
+    EntryTestCase,
+    Heard,
+    answer,
+    send,
+    stall,
+)
 
 CUT: Behaviour = send(b"")
 HEAD_ONLY = send(b"HTTP/1.1 200 OK\r\nContent-Le")
@@ -40,6 +54,14 @@
 ]
 
 
+def trickle(connection: socket.socket, heard: Heard) -> bool:
+    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")
+    for _ in range(60):
+        eventlet.sleep(0.05)
+        connection.sendall(b"x")
+    return False
+
+
 class FailurePointsTest(EntryTestCase):
     def test_non_idempotent_work_is_never_sent_again_once_it_may_have_run(self) -> None:
         """A family's entry must not be lodged twice.
@@ -146,6 +168,14 @@
         listed = {s.server_id: s.state.value for s in self.directory.list_servers(SERVICE)}
         self.assertEqual(listed, {"s1": "draining", "s2": "ready"})
 
+    def test_an_answer_that_trickles_ends_at_the_deadline(self) -> None:
+        """A gray server sends a byte now and then: no read of its answer is ever late."""
+        self.script(trickle)
+        started = time.monotonic()
+        told = self.call("POST", headers={"Persimmonusher-Deadline-Ms": "300"})
+        self.assertEqual((told.status, told.outcome), (504, "unknown"))
+        self.assertLess(time.monotonic() - started, 1.0)
+
     def reset(self, behaviour: Behaviour, both: bool = True) -> None:
         """Go on with a fresh entry, which holds no breaks and no retries against anybody."""
         self.start_entry()
@@ -155,5 +185,26 @@
             server.script[:] = [behaviour] if both or server is self.servers[0] else []
 
 
+class OneRetryTest(EntryTestCase):
+    profile = PROFILE.model_copy(update={"max_retries": 1})
+
+    def test_a_lookup_that_broke_and_was_then_shed_is_unknown(self) -> None:
+        """The last word on the lookup is `not run`, of the second server only."""
+        outcomes = set()
+        for number in range(20):
+            self.start_entry()
+            for server in self.servers:
+                self.directory.announce(server.announce())
+                server.ran.clear()
+            self.servers[0].script[:] = [CUT]
+            self.servers[1].script[:] = [SHED]
+            told = self.call(target=f"/items/{number}")
+            self.assertEqual(told.outcome, "unknown" if self.servers[0].ran else "not-run")
+            outcomes.add((told.outcome, len(self.servers[1].script)))
+            if ("unknown", 0) in outcomes:
+                return
+        self.fail("in 20 tries no lookup broke first and was shed then")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/node/tests/test_whole_answers.py
+++ b/packages/node/tests/test_whole_answers.py
@@ -18,6 +18,11 @@
     return answer(heard.target.encode(), "200 OK", f"X-Request-Id: {request_id}")(connection, heard)
 
 
+def plain_echo(connection, heard) -> bool:  # type: ignore[no-untyped-def]
+    """Answer with the request's own target only."""
+    return answer(heard.target.encode())(connection, heard)
+
+
 def echo_twice(connection, heard) -> bool:  # type: ignore[no-untyped-def]
     """Answer, and send the same answer once more a little later."""
 
@@ -58,6 +63,15 @@
         eventlet.sleep(0.15)
         self.assertEqual(self.call(target="/third").body, b"/third")
 
+    def test_a_connection_that_owes_an_answer_is_never_used_again(self) -> None:
+        """As above, but the server echoes no id and the next request comes before the answer."""
+        self.servers[0].default = plain_echo
+        self.script(stall(0.3, plain_echo))
+        headers = {"Persimmonusher-Deadline-Ms": "100"}
+        self.assertEqual(self.call(target="/late", headers=headers).status, 504)
+        for number in range(5):
+            self.assertEqual(self.call(target=f"/{number}").body, b"/%d" % number)
+
     def test_many_callers_at_once_each_get_their_own_answer(self) -> None:
         """Answers come out of order: each server answers later requests sooner."""
         self.servers[0].script[:] = [stall(0.002 * (40 - n), echo) for n in range(40)]
