Prove on processes that a crashing request costs two servers and no more

Cause: promise 7 was shown on the state machines only. Change: a process test that sends a crashing request ten times through all entries, under load.

--- a/packages/lab/tests/test_processes.py
+++ b/packages/lab/tests/test_processes.py
@@ -9,7 +9,10 @@
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP
 
-from persimmonusher_lab import promises
+import urllib3
+
+from persimmonusher_lab import promises, wire
+from persimmonusher_lab.backend_server import CRASH_EXIT_CODE
 from persimmonusher_lab.demo_steps import find_leader, wait_for_entries
 from persimmonusher_lab.faults import Faults
 from persimmonusher_lab.fleet import (
@@ -152,6 +155,39 @@
         unknown = {item.detail for item in tries if item.told is Told.UNKNOWN}
         self.assertLessEqual({"answer-broken", "answer-timeout"}, unknown)
 
+    def test_crashing_request_costs_a_bounded_number_of_servers(self) -> None:
+        """One request ends each server that runs it. Its caller sends it again and again, through
+        one entry after another. Without quarantine every server is lost; with it, two are, the
+        request is refused at once as not run, and the servers that are left serve the others.
+        """
+        fleet = self.start_fleet(plan_servers(self.network, {SERVICE: 5}))
+        load, report = fleet.start_load(1, HOST, 6.0, RATE, DEADLINE_MS)
+        time.sleep(1.0)
+        answers = []
+        for address in fleet.list_caller_addresses() * 2:
+            answers.append(self.send_crashing(address))
+            time.sleep(0.4)
+        crashed = [
+            plan.server_id
+            for plan in fleet.servers
+            if fleet.processes[plan.server_id].popen.poll() == CRASH_EXIT_CODE
+        ]
+        self.assertEqual(len(crashed), 2, (crashed, answers))
+        self.assertEqual(answers[-1], (503, "not-run", "quarantined"))
+        self.assertEqual(load.wait(25.0), 0, load.read_tail())
+        self.check_servers_counts(fleet, report)
+
+    def send_crashing(self, address: str) -> tuple[int, str | None, str]:
+        answer = urllib3.request(
+            "POST",
+            f"http://{address}/crash",
+            headers={"Host": HOST},
+            body=b"the same each time",
+            retries=False,
+            timeout=5.0,
+        )
+        return answer.status, answer.headers.get(wire.OUTCOME), answer.json().get("code")
+
     def test_keeper_wiped_and_a_second_lost_right_after(self) -> None:
         """The leading keeper dies and is repaired with an empty disk; right after, a second keeper
         dies. Were the repaired one to vote as if it had kept its promises, it could elect itself
