--- a/packages/agreement/tests/test_log_script.py
+++ b/packages/agreement/tests/test_log_script.py
@@ -3,7 +3,12 @@
 from unittest import mock
 
 from persimmonusher_agreement import log_leadership
-from persimmonusher_agreement.log_messages import AppendReply, LogMessage, find_instance
+from persimmonusher_agreement.log_messages import (
+    AppendReply,
+    AppendRequest,
+    LogMessage,
+    find_instance,
+)
 from persimmonusher_lab.log_cluster import LogCluster
 from persimmonusher_model.errors import ErrorCode, UsherError
 
@@ -118,6 +123,39 @@
             self.cluster.deliver(message, "fleet1", self.now)
         self.assertEqual(self.get_last_index("k2"), before)
 
+    def test_a_deposed_leader_is_refused_and_an_own_entry_is_not_acknowledged(self) -> None:
+        """A leader takes a change and is cut off; the others elect another.
+
+        What the old one sends late must change nothing. Asked by the new one up to the entry
+        before, the old one must not acknowledge its own change as if it were the new leader's.
+        """
+        everyone = set(self.cluster.keepers)
+        self.elect("k1", "k2")
+        self.deliver(everyone)
+        self.cluster.propose("k1", self.cluster.make_change(1, "clerk", "p"), self.now)
+        late = self.cluster.flush("k1").messages
+        old = self.cluster.keepers["k1"].running
+        assert old is not None
+        last = old.replica.log.last_index
+        self.elect("k3", "k2")
+        new = self.cluster.keepers["k3"].running
+        assert new is not None
+        before = self.get_last_index("k2")
+        for message in late:
+            self.cluster.deliver(message, "fleet1", self.now)
+        replies = [m for m in self.cluster.flush("k2").messages if isinstance(m, AppendReply)]
+        self.assertEqual([reply.success for reply in replies], [False])
+        self.assertEqual(self.get_last_index("k2"), before)
+        source, target = new.replica.keeper, old.replica.keeper
+        term = old.replica.log.find_term(last - 1)
+        assert term is not None
+        heartbeat = AppendRequest(source, target, new.replica.term, last - 1, term, (), last + 5, 1)
+        self.cluster.deliver(heartbeat, "fleet1", self.now)
+        (reply,) = self.cluster.flush("k1").messages
+        assert isinstance(reply, AppendReply)
+        self.assertEqual((reply.success, reply.match), (True, last - 1))
+        self.assertLess(old.replica.commit, last)
+
     def get_last_index(self, name: str) -> int:
         running = self.cluster.keepers[name].running
         assert running is not None
