--- a/packages/agreement/tests/test_log_script.py
+++ b/packages/agreement/tests/test_log_script.py
@@ -6,7 +6,9 @@
 from persimmonusher_agreement.log_messages import (
     AppendReply,
     AppendRequest,
+    Entry,
     LogMessage,
+    Noop,
     find_instance,
 )
 from persimmonusher_lab.log_cluster import LogCluster
@@ -156,6 +158,22 @@
         self.assertEqual((reply.success, reply.match), (True, last - 1))
         self.assertLess(old.replica.commit, last)
 
+    def test_messages_of_a_log_that_was_formed_and_lost_are_dropped(self) -> None:
+        """A first log is lost with its only disk and formed anew; the first one's message is late.
+
+        Both logs share indexes and terms, so only the lineage tells them apart.
+        """
+        self.elect("k1", "k2")
+        self.deliver(set(self.cluster.keepers))
+        keepers = self.cluster.keepers
+        before = self.get_last_index("k2")
+        entry = Entry(2, 98, Noop())
+        source, target = keepers["k3"].identity, keepers["k2"].identity
+        late = AppendRequest(source, target, 99, 1, 1, (entry,), 2, 1)
+        self.cluster.deliver(late, "fleet0", self.now)
+        self.assertEqual(self.cluster.flush("k2").messages, ())
+        self.assertEqual(self.get_last_index("k2"), before)
+
     def get_last_index(self, name: str) -> int:
         running = self.cluster.keepers[name].running
         assert running is not None
