--- /dev/null
+++ b/packages/agreement/tests/test_keeper_members.py
@@ -0,0 +1,65 @@
+import unittest
+
+from persimmonusher_agreement.keeper_members import (
+    add_learner,
+    form_members,
+    plan_promotion,
+    remove_keeper,
+)
+from persimmonusher_agreement.log_messages import KeeperId, Members
+
+FIRST = form_members("fleet", {KeeperId(f"k{n}#a"): f"k{n}" for n in (1, 2, 3)})
+
+
+def name(*keepers: str) -> set[KeeperId]:
+    return {KeeperId(keeper) for keeper in keepers}
+
+
+def add(members: Members, keeper: str, promote: bool = False) -> Members:
+    added = add_learner(members, KeeperId(keeper), "address", promote)
+    assert added is not None
+    return added
+
+
+class KeeperMembersTest(unittest.TestCase):
+    def test_a_learner_counts_for_no_majority(self) -> None:
+        """A repaired keeper is taken in as a learner and answers before it has caught up.
+
+        Counted, it and one voter would make a majority without what the other voters hold.
+        """
+        members = add(FIRST, "k1#b")
+        self.assertFalse(members.has_majority(name("k2#a", "k1#b")))
+        self.assertTrue(members.has_majority(name("k2#a", "k3#a")))
+        self.assertNotIn("k1#b", members.list_voters())
+
+    def test_a_repaired_keeper_replaces_its_lost_disk_in_two_steps(self) -> None:
+        members = add(FIRST, "k1#b")
+        self.assertIsNone(plan_promotion(members, name("k2#a", "k3#a")))
+        caught_up = name("k1#b", "k2#a", "k3#a")
+        removed = plan_promotion(members, caught_up)
+        assert removed is not None
+        self.assertEqual(set(removed.list_voters()), name("k2#a", "k3#a"))
+        promoted = plan_promotion(removed, caught_up)
+        assert promoted is not None
+        self.assertEqual(set(promoted.list_voters()), caught_up)
+        self.assertIsNone(plan_promotion(promoted, caught_up))
+
+    def test_a_disk_lost_while_it_joins_starts_anew(self) -> None:
+        members = add(add(FIRST, "k1#b"), "k1#c")
+        self.assertIsNone(members.find(KeeperId("k1#b")))
+        self.assertIsNone(add_learner(members, KeeperId("k1#c"), "address", False))
+
+    def test_a_stranger_stays_a_learner_unless_it_is_to_be_a_keeper(self) -> None:
+        for promote in (False, True):
+            members = add(FIRST, "k9#a", promote)
+            planned = plan_promotion(members, name("k9#a"))
+            self.assertEqual(planned is not None, promote)
+
+    def test_the_last_voter_and_strangers_are_not_removed(self) -> None:
+        alone = form_members("fleet", {KeeperId("k1#a"): "k1"})
+        self.assertIsNone(remove_keeper(alone, KeeperId("k1#a")))
+        self.assertIsNone(remove_keeper(FIRST, KeeperId("k1#z")))
+
+
+if __name__ == "__main__":
+    unittest.main()
