--- a/packages/agreement/tests/test_log_script.py
+++ b/packages/agreement/tests/test_log_script.py
@@ -3,15 +3,20 @@
 from unittest import mock
 
 from persimmonusher_agreement import log_leadership
+from persimmonusher_agreement.configuration import Configuration
+from persimmonusher_agreement.durable_log import DurableLog
 from persimmonusher_agreement.log_messages import (
+    NO_MEMBERS,
     AppendReply,
     AppendRequest,
     Entry,
     LogMessage,
     Noop,
+    Snapshot,
     find_instance,
 )
 from persimmonusher_lab.log_cluster import LogCluster
+from persimmonusher_lab.log_disk import MemoryDisk
 from persimmonusher_model.errors import ErrorCode, UsherError
 
 
@@ -174,6 +179,36 @@
         self.assertEqual(self.cluster.flush("k2").messages, ())
         self.assertEqual(self.get_last_index("k2"), before)
 
+    def test_a_keeper_that_lacks_a_committed_change_is_not_elected(self) -> None:
+        """A change is committed on two keepers; the leader dies and the third calls an election."""
+        everyone = set(self.cluster.keepers)
+        self.elect("k1", "k2")
+        self.deliver(everyone)
+        self.cluster.propose("k1", self.cluster.make_change(1, "clerk", "p"), self.now)
+        self.flush("k1")
+        self.deliver({"k1", "k2"})
+        self.assertEqual(len(self.cluster.invariants.verdicts), 1)
+        self.cluster.crash("k1")
+        with self.assertRaises(AssertionError):
+            self.elect("k3", "k2")
+        self.elect("k2", "k3")
+
+    def test_a_snapshot_keeps_acknowledged_entries_after_it(self) -> None:
+        """A late snapshot reaches a follower that has acknowledged entries after its end.
+
+        Dropped, they would be missing from the majority that the leader counted.
+        """
+        for term, last in ((1, 5), (2, 3)):
+            with self.subTest(term=term):
+                disk = MemoryDisk()
+                log = DurableLog(disk)
+                log.append([Entry(index, 1, Noop()) for index in range(1, 6)])
+                log.sync()
+                state = Configuration("fleet").capture()
+                log.save_snapshot(Snapshot(3, term, NO_MEMBERS, state))
+                self.assertEqual(log.last_index, last)
+                self.assertEqual(DurableLog(disk).last_index, last)
+
     def get_last_index(self, name: str) -> int:
         running = self.cluster.keepers[name].running
         assert running is not None
