--- a/packages/agreement/tests/test_log_script.py
+++ b/packages/agreement/tests/test_log_script.py
@@ -189,7 +189,7 @@
         self.deliver({"k1", "k2"})
         self.assertEqual(len(self.cluster.invariants.verdicts), 1)
         self.cluster.crash("k1")
-        with self.assertRaises(AssertionError):
+        with self.assertRaisesRegex(AssertionError, "k3 was not elected"):
             self.elect("k3", "k2")
         self.elect("k2", "k3")
 
