Report a body that is nested too deep as a finding

Cause: found on reading: the parser's RecursionError is no ValueError, so the leader's call broke off and the operator's client asked again until its timeout.

--- a/packages/agreement/src/persimmonusher_agreement/change_check.py
+++ b/packages/agreement/src/persimmonusher_agreement/change_check.py
@@ -45,7 +45,7 @@
         return tuple(findings)
     try:
         document = json.loads(change.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return (*findings, Finding(ErrorCode.BAD_JSON, "body", str(error)))
     if not isinstance(document, dict):
         return (*findings, Finding(ErrorCode.BAD_VALUE, "body", "must be a JSON object"))
--- a/packages/agreement/tests/test_configuration.py
+++ b/packages/agreement/tests/test_configuration.py
@@ -110,6 +110,12 @@
         state = configuration.capture()
         self.assertEqual((len(state.verdicts), len(state.records), len(state.histories)), (5, 4, 4))
 
+    def test_a_body_nested_too_deep_is_a_finding(self) -> None:
+        """A script sends sixty thousand brackets; the leader must answer, not break off."""
+        key = ObjectKey(ObjectKind.PROFILE, "p")
+        change = Change("c", "clerk", key, Revision(0), "[" * 60_000)
+        self.assertEqual([f.code for f in check_change(change)], [ErrorCode.BAD_JSON])
+
     def test_changes_are_checked_alone_with_all_findings(self) -> None:
         cases = [
             (make("c", "profile", "p", 0, {"rmp": 1, "max_retries": 9}), 2),
