--- a/packages/decisions/src/persimmonusher_decisions/assessor.py
+++ b/packages/decisions/src/persimmonusher_decisions/assessor.py
@@ -26,6 +26,9 @@
 AGREEING_DOMAINS: Final = 0.6
 """Part of the domains with work on a server that must agree for an ejection from all: a one-way
 cut from one domain of three or four stays that domain's own."""
+DOMAIN_SCORE: Final = 1.4
+"""Score for an ejection from one domain alone: it has a quarter of the answers, so that a blip is
+a larger share of them, and a real one-way cut goes on."""
 EVERYWHERE: Final = FailureDomain("")
 Place: TypeAlias = tuple[FailureDomain, ServerId]
 
@@ -85,6 +88,15 @@
         for place in [place for place in self._waits if place[1] not in self._boots]:
             del self._waits[place]
 
+    def add_domain(self, domain: FailureDomain) -> None:
+        """Take that instances of this failure domain ask for verdicts.
+
+        Without it an instance whose whole domain has had no work for the service yet would be told
+        of no ejection, and its first requests would go to a server that all others keep clear of.
+        """
+        if domain not in self._views:
+            self._views[domain] = View()
+
     def receive(self, digest: EvidenceDigest, now: float) -> None:
         """Add one instance's evidence; a digest seen before is ignored."""
         freshness = (digest.incarnation, digest.sequence)
@@ -92,9 +104,8 @@
             return
         self._digests[digest.instance_id] = freshness
         domain = digest.failure_domain
-        view = self._views.get(domain)
-        if view is None:
-            view = self._views[domain] = View()
+        self.add_domain(domain)
+        view = self._views[domain]
         everywhere = self._views[EVERYWHERE]
         for line in digest.servers:
             if line.server_id not in self._slots:
@@ -160,7 +171,8 @@
     def _find_ill(self, now: float) -> None:
         for domain, view in self._views.items():
             for server_id, server in view.servers.items():
-                if server.score < 1.0 or self._find_absence(domain, server_id):
+                threshold = 1.0 if domain == EVERYWHERE else DOMAIN_SCORE
+                if server.score < threshold or self._find_absence(domain, server_id):
                     continue
                 if domain != EVERYWHERE or self._do_domains_agree(server_id):
                     reason = describe_evidence(server, view, domain)
