--- a/packages/node/src/persimmonusher_node/keeper_service.py
+++ b/packages/node/src/persimmonusher_node/keeper_service.py
@@ -1,6 +1,6 @@
 """The keepers' gRPC service over one keeper role."""
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
@@ -19,6 +19,9 @@
 from persimmonusher_protocol import keeper_pb2 as pb
 from persimmonusher_protocol.keeper_grpc import KeeperBase
 
+LEARNER: Final = "learner"
+"""The role of a keeper that doesn't count for a majority, or not yet."""
+
 if TYPE_CHECKING:
     from persimmonusher_node.keeper import KeeperRole
 
@@ -120,10 +123,11 @@
 
     def _describe(self) -> pb.KeeperState:
         status = self._role.keeper.describe()
+        is_voter = status.keeper in status.members.list_voters()
         return pb.KeeperState(
             keeper=status.keeper,
             empty=not status.members.members,
-            role=status.role.value,
+            role=status.role.value if is_voter else LEARNER,
             term=status.term,
             leader=status.leader or "",
             leader_address=status.leader_address or "",
