--- a/packages/lab/src/persimmonusher_lab/membership_measure.py
+++ b/packages/lab/src/persimmonusher_lab/membership_measure.py
@@ -296,6 +296,7 @@
         started = time.monotonic()
         report[str(size)] = asdict(measure_size(size, options.seconds))
         print(f"  took {time.monotonic() - started:.0f} s", flush=True)
+        print(json.dumps(report[str(size)]), flush=True)
     text = json.dumps(report, indent=2)
     print(text)
     if options.out is not None:
