--- a/packages/agreement/tests/test_membership_faults.py
+++ b/packages/agreement/tests/test_membership_faults.py
@@ -188,6 +188,40 @@
                 fleet.run(SETTLE)
                 self.expect_clean(checker)
 
+    def test_a_cut_heals_although_no_seed_is_left(self) -> None:
+        """
+        The instances named as seeds were taken out of service long ago. A failure domain is cut
+        off for a minute; afterwards only the addresses of the dead lead to the other side.
+        """
+        fleet, checker = start_fleet()
+        for number in (0, 1, 2):
+            fleet.leave(number)
+        island = [3, 6, 9]
+        fleet.cut_both_ways(island, [4, 5, 7, 8, 10, 11])
+        fleet.run(60.0)
+        fleet.heal()
+        fleet.run(SETTLE)
+        self.expect_clean(checker)
+
+    def test_a_side_that_restarted_behind_the_cut_is_found_through_seeds(self) -> None:
+        """
+        All instances of a cut-off failure domain restart, and the others forget them before the
+        cut heals. No side knows an address of the other but the seeds in the settings.
+        """
+        fleet, checker = start_fleet(limits=SHORT)
+        island = [0, 3, 6, 9]
+        fleet.cut_both_ways(island, [n for n in range(12) if n not in island])
+        for number in island:
+            fleet.crash(number)
+        fleet.run(5.0)
+        for number in island:
+            fleet.restart(number)
+        fleet.run(200.0)
+        self.assertEqual(len(fleet.instances[0].fleet.members.live), 4)
+        fleet.heal()
+        fleet.run(SETTLE)
+        self.expect_clean(checker)
+
     def test_twenty_percent_loss_removes_nobody_for_good(self) -> None:
         for seed in range(3):
             with self.subTest(seed=seed):
