Show the accept queue's guard by a test that always catches its loss

Change: a caller in the kernel's queue when the listener closes; addresses of an own loopback network.

--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -1,6 +1,8 @@
 """A graceful stop of a real process cuts off no request in flight."""
 
+import itertools
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -12,23 +14,47 @@
 from pathlib import Path
 
 import eventlet
-from entry_harness import PROFILE, ScriptedServer, Told, answer, read_answer, stall
+from entry_harness import PROFILE, EntryTestCase, ScriptedServer, Told, answer, read_answer, stall
 from lone_instance import HOST
 
 from persimmonusher_node.settings import Limits, Listeners, Settings
 
 SCRIPT = Path(__file__).with_name("lone_instance.py")
+NUMBERS = itertools.count(1)
 LIMITS = Limits(head_seconds=1.0, body_seconds=1.0, write_seconds=1.0)
 
 
-def find_free_address() -> str:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+PORTS = {"callers": 8080, "announcements": 8081, "peers": 7000, "operators": 7001, "metrics": 9100}
+
+
+def choose_listeners(number: int) -> Listeners:
+    """Choose an address of the loopback network that no other test process uses."""
+    pid = os.getpid()
+    host = f"127.{16 + pid % 200}.{pid // 200 % 250}.{number}"
+    return Listeners(**{name: f"{host}:{port}" for name, port in PORTS.items()})
+
+
+class AcceptQueueTest(EntryTestCase):
+    def test_a_request_in_the_kernels_queue_is_answered(self) -> None:
+        """A caller has connected and sent its entry, and the listener closes before it accepts.
+
+        Closing a listening socket resets the connections that wait in it.
+        """
+        plain = eventlet.patcher.original("socket")
+        with plain.create_connection(("127.0.0.1", self.listener.port)) as caller:
+            caller.sendall(
+                f"POST /e HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            self.listener.stop_accepting()
+            eventlet.sleep(0.1)
+            caller.settimeout(5.0)
+            self.assertTrue(caller.recv(65_536).startswith(b"HTTP/1.1 200 "))
+        self.assertEqual(len(self.ran), 1)
 
 
 class ShutdownTest(unittest.TestCase):
     def setUp(self) -> None:
-        listen = Listeners(**{name: find_free_address() for name in Listeners.model_fields})
+        listen = choose_listeners(next(NUMBERS))
         settings = Settings(
             instance_id="e1",
             failure_domain="a",
