--- a/packages/lab/src/persimmonusher_lab/decisions_report.py
+++ b/packages/lab/src/persimmonusher_lab/decisions_report.py
@@ -194,7 +194,8 @@
         "td,th{border:1px solid #ccc;padding:2px 6px;text-align:right}"
         "td:first-child,td:nth-child(2){text-align:left}.no{background:#f6d5d5}</style>",
         f"<h1>Decisions under load and gray failure</h1><p>{document['seeds']} seeds for cases "
-        f"with a goal, {document['other_seeds']} for others and baselines; each cell is the median, in brackets the worst side of the spread.</p>",
+        f"with a goal, {document['other_seeds']} for others and baselines; each cell "
+        "is the median, in brackets the worst side of the spread.</p>",
         "<h2>Goals</h2><table>",
     ]
     for goal in goals:
