Keep requests waiting while every connection is taken; number copies apart

Cause, by reading: a released request was refused as no-server when all connections of this instance were in use; the retry of a hedged request took the hedge's number, so that the hedge's end was lost and its server kept one outstanding request for ever. Change: requests stay in the queue until a connection is free; a copy takes the next free number.

--- a/packages/decisions/src/persimmonusher_decisions/evidence.py
+++ b/packages/decisions/src/persimmonusher_decisions/evidence.py
@@ -62,6 +62,16 @@
     def __len__(self) -> int:
         return len(self._attempts)
 
+    def find_free_number(self, request_id: RequestId, attempt: int) -> int:
+        """Return the attempt's number, or the next one where a copy in flight has it.
+
+        That is for a hedge whose original fails: the retry would take the hedge's number, and the
+        hedge's end would then be lost, with one request outstanding at its server for ever.
+        """
+        while (request_id, attempt) in self._attempts:
+            attempt += 1
+        return attempt
+
     def start(self, dispatch: Dispatch, track: ServerTrack) -> None:
         """Take an attempt that is sent now."""
         self._attempts[dispatch.request.request_id, dispatch.attempt] = Attempt(dispatch, track)
--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -59,6 +59,10 @@
         """Return the slots of all servers that take work."""
         return sum(track.slots for track in self._open)
 
+    def has_room(self) -> bool:
+        """Tell whether a server that takes work has a connection left for this instance."""
+        return any(track.outstanding < track.connection_limit for track in self._open)
+
     def replace(self, tracks: Iterable[ServerTrack], now: float) -> None:
         """Take the servers that are known, after any change of them or of who is out."""
         self._tracks = list(tracks)
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -279,14 +279,15 @@
         if attempt == 1:
             self._retries.earn()
             self._admission.record_start(request, now)
-        dispatch = Dispatch(request, track.server, attempt, now)
+        number = self._evidence.find_free_number(request.request_id, attempt)
+        dispatch = Dispatch(request, track.server, number, now)
         self._evidence.start(dispatch, track)
         return dispatch
 
     def _release(self, now: float) -> tuple[Decision, ...]:
         released: list[Decision] = []
         queue = self._admission.queue
-        while len(queue) and len(self._evidence) < self._window.limit:
+        while len(queue) and len(self._evidence) < self._window.limit and self._may_place():
             request = queue.pop()
             decision: Decision | None = self._refuse_late(request, now)
             if decision is None:
@@ -297,6 +298,13 @@
             released.append(decision)
         return tuple(released)
 
+    def _may_place(self) -> bool:
+        """Tell whether the next waiting request should leave the queue.
+
+        It stays while every connection is taken, and leaves, to be refused, if no server is left.
+        """
+        return self._placement.has_room() or not self._placement.open_slots
+
     def _refuse_late(self, request: Request, now: float) -> Refusal | None:
         usual = self._evidence.find_usual_latency(request.request_class)
         reason = self._admission.find_lateness(request, usual, now)
--- a/packages/decisions/src/persimmonusher_decisions/window.py
+++ b/packages/decisions/src/persimmonusher_decisions/window.py
@@ -33,6 +33,7 @@
         self._smallest = 1.0
         self._largest = 2.0
         self._limit = 2.0
+        self._sized = False
         self._pressure: float | None = None
         self._shrink_at = 0.0
 
@@ -43,10 +44,10 @@
 
     def resize(self, slots: int, live: int) -> None:
         """Take the service's open slots and the number of live instances."""
-        first = self._largest == 2.0
         self._smallest = max(1.0, slots / max(1, live))
         self._largest = max(2.0, LARGEST_SHARE * slots)
-        if first:
+        if not self._sized:
+            self._sized = slots > 0
             self._limit = 2.0 * self._smallest
         self._limit = min(self._largest, max(self._smallest, self._limit))
 
--- a/packages/decisions/tests/test_traffic.py
+++ b/packages/decisions/tests/test_traffic.py
@@ -1,5 +1,6 @@
 import unittest
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
 from decisions_helpers import (
@@ -156,6 +157,17 @@
         (released,) = traffic.finish(first[0], GOOD, 0.4)
         self.assertEqual(dispatched(released).request, waiting)
 
+    def test_waiting_request_stays_while_every_connection_is_taken(self) -> None:
+        traffic = make_traffic(2, Profile(connections_per_server=1, queue_limit=8), live=1)
+        servers = [replace(make_server(index), connection_limit=2) for index in range(2)]
+        traffic.replace_servers(servers, 0.0)
+        held = [dispatched(traffic.offer(make_request(f"a{i}"), 0.0)) for i in range(2)]
+        for name in ("w1", "w2"):
+            self.assertIsInstance(traffic.offer(make_request(name), 0.0), Wait)
+        self.assertEqual(traffic.advance(0.1), ())
+        (released,) = traffic.finish(held[0], GOOD, 0.2)
+        self.assertIsInstance(released, Dispatch)
+
     def test_withdrawn_request_is_never_released(self) -> None:
         traffic = make_traffic(1, live=8)
         held = [dispatched(traffic.offer(make_request(f"a{i}"), 0.0)) for i in range(2)]
@@ -195,6 +207,11 @@
         copy = traffic.hedge(first, 0.1)
         assert copy is not None
         self.assertNotEqual(copy.server, first.server)
+        traffic.finish(first, FAILED, 0.1)
+        again = dispatched(traffic.retry(first, FAILED, 0.1))
+        traffic.finish(again, GOOD, 0.2)
+        traffic.finish(copy, Outcome(OutcomeKind.CANCELLED, 0.1), 0.2)
+        self.assertEqual({item.outstanding for item in traffic.describe(0.2)}, {0})
         entry = dispatched(traffic.offer(make_request("e", idempotent=False), 0.1))
         self.assertIsNone(traffic.hedge(entry, 0.2))
 
