Send a backend server elsewhere when an instance can't pass its announcement on

Cause: membership says when an instance is cut off (relays_announcements), but the listener answered 200, so a drain told to it was known to no other instance until the server spoke again. Change: 503 with a code; the announcement still counts here. Measured: unit test only.

--- a/packages/node/src/persimmonusher_node/announcements.py
+++ b/packages/node/src/persimmonusher_node/announcements.py
@@ -108,6 +108,11 @@
         except RefusedAnnouncementError as error:
             return HTTPStatus.BAD_REQUEST, _list_findings(error.findings)
         taken = self._directory.announce(server)
+        if not self._directory.relays_announcements():
+            # This instance is cut off: it lists a server that says it is leaving as such, but no
+            # other instance would hear of it. The server asks the balancer for another one.
+            message = "this instance is cut off from the others; announce again at once"
+            return HTTPStatus.SERVICE_UNAVAILABLE, _describe("unavailable", message)
         return HTTPStatus.OK, {"taken": taken, "announce_again_ms": self._again_ms}
 
 
--- a/packages/node/tests/test_announcements.py
+++ b/packages/node/tests/test_announcements.py
@@ -1,6 +1,7 @@
 import json
 import unittest
 from typing import Any
+from unittest import mock
 
 from entry_harness import SERVICE, EntryTestCase
 
@@ -42,6 +43,15 @@
         (server,) = self.directory.list_servers(SERVICE)
         self.assertEqual((server.server_id, server.state.value), ("s9", "ready"))
 
+    def test_an_instance_that_is_cut_off_sends_the_server_elsewhere(self) -> None:
+        # A worker says that it is leaving, to an instance that no other can hear. It is told so and
+        # asks another one; otherwise work would go on to it until it spoke again.
+        with mock.patch.object(self.directory, "relays_announcements", return_value=False):
+            status, document = self.announce(json.dumps({**GOOD, "state": "draining"}).encode())
+        self.assertEqual((status, document["code"]), (503, "unavailable"))
+        (server,) = self.directory.list_servers(SERVICE)
+        self.assertEqual(server.state.value, "draining")
+
     def test_all_findings_come_together(self) -> None:
         wrong = {**GOOD, "slots": 0, "state": "tired", "adress": 1, "boot_id": "7"}
         status, document = self.announce(json.dumps(wrong).encode())
