Learn the verdict on a service before its first request at an instance

Ruled out: strikes lost on the way (the instances with traffic refused the request). Change: the first requests of a service wait, 0.5 s at most, for the assessor's or its deputy's verdict; a domain that asks for the first time gets a verdict that names it.

--- a/packages/node/src/persimmonusher_node/assessors.py
+++ b/packages/node/src/persimmonusher_node/assessors.py
@@ -71,7 +71,8 @@
         self._feed(service, held, profile, now)
         held.asked = now
         held.reporters[reporter] = now
-        held.assessor.add_domain(domain)
+        if held.assessor.add_domain(domain):
+            held.verdict = held.assessor.assess(now)
         if digest is not None:
             held.assessor.receive(digest, now)
         return held.verdict
--- a/packages/node/src/persimmonusher_node/evidence.py
+++ b/packages/node/src/persimmonusher_node/evidence.py
@@ -21,7 +21,7 @@
 from persimmonusher_node.assessor_choice import AssessorChoice
 from persimmonusher_node.assessors import ASSESS_SECONDS, AssessorBook
 from persimmonusher_node.component import Component
-from persimmonusher_node.loop import start_coroutine
+from persimmonusher_node.loop import run_coroutine, start_coroutine
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.ports import ConfigurationView, Membership, ServerDirectory
 from persimmonusher_node.services import LiveService, ServiceBook
@@ -69,6 +69,7 @@
         self._asked: dict[ServiceName, float] = {}
         self._avoided: dict[InstanceId, float] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
+        services.open_with(self.open_service)
 
     def list_peer_handlers(self) -> tuple[IServable, ...]:
         """List the evidence service."""
@@ -84,6 +85,17 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def open_service(self, live: LiveService) -> None:
+        """Learn the verdict on a service before its first request here; waits 0.5 s at most.
+
+        Failure: a request that crashes the servers which run it was quarantined, and a gray server
+        ejected, while this instance had no traffic for the service and so never asked. The
+        caller's next resend through this instance would cost one more server. An assessor and a
+        deputy that both don't answer are not waited for longer: detection here goes on alone.
+        """
+        self._asked[live.name] = self._clock.monotonic()
+        run_coroutine(self._ask(live, None))
+
     def answer(
         self,
         service: ServiceName,
--- a/packages/node/tests/test_evidence_fleet.py
+++ b/packages/node/tests/test_evidence_fleet.py
@@ -159,6 +159,15 @@
             while not idle.lists_gray_as_out():
                 eventlet.sleep(0.05)
 
+    def test_the_first_request_of_a_service_meets_the_verdict(self) -> None:
+        # A request had crashed two servers and was quarantined. Its caller resent it through an
+        # instance that had no traffic for the service yet, and a third server was lost.
+        working = [self.nodes[name] for name in NAMES[:3]]
+        self.run_until_out(working, 10.0)
+        fresh = self.nodes[NAMES[3]]
+        self.assertIsNotNone(fresh.services.find("shows", "/"))
+        self.assertTrue(fresh.lists_gray_as_out())
+
     def test_the_deputy_takes_over_when_the_assessor_is_gone(self) -> None:
         # The assessor's process is killed just before a server turns gray. Work must not go on to
         # the gray server until someone notices: the deputy is asked at once.
