--- a/packages/agreement/tests/test_log_script.py
+++ b/packages/agreement/tests/test_log_script.py
@@ -3,8 +3,20 @@
 from unittest import mock
 
 from persimmonusher_agreement import log_leadership
-from persimmonusher_agreement.log_messages import AppendReply, LogMessage, find_instance
+from persimmonusher_agreement.configuration import Configuration
+from persimmonusher_agreement.durable_log import DurableLog
+from persimmonusher_agreement.log_messages import (
+    NO_MEMBERS,
+    AppendReply,
+    AppendRequest,
+    Entry,
+    LogMessage,
+    Noop,
+    Snapshot,
+    find_instance,
+)
 from persimmonusher_lab.log_cluster import LogCluster
+from persimmonusher_lab.log_disk import MemoryDisk
 from persimmonusher_model.errors import ErrorCode, UsherError
 
 
@@ -118,6 +130,85 @@
             self.cluster.deliver(message, "fleet1", self.now)
         self.assertEqual(self.get_last_index("k2"), before)
 
+    def test_a_deposed_leader_is_refused_and_an_own_entry_is_not_acknowledged(self) -> None:
+        """A leader takes a change and is cut off; the others elect another.
+
+        What the old one sends late must change nothing. Asked by the new one up to the entry
+        before, the old one must not acknowledge its own change as if it were the new leader's.
+        """
+        everyone = set(self.cluster.keepers)
+        self.elect("k1", "k2")
+        self.deliver(everyone)
+        self.cluster.propose("k1", self.cluster.make_change(1, "clerk", "p"), self.now)
+        late = self.cluster.flush("k1").messages
+        old = self.cluster.keepers["k1"].running
+        assert old is not None
+        last = old.replica.log.last_index
+        self.elect("k3", "k2")
+        new = self.cluster.keepers["k3"].running
+        assert new is not None
+        before = self.get_last_index("k2")
+        for message in late:
+            self.cluster.deliver(message, "fleet1", self.now)
+        replies = [m for m in self.cluster.flush("k2").messages if isinstance(m, AppendReply)]
+        self.assertEqual([reply.success for reply in replies], [False])
+        self.assertEqual(self.get_last_index("k2"), before)
+        source, target = new.replica.keeper, old.replica.keeper
+        term = old.replica.log.find_term(last - 1)
+        assert term is not None
+        heartbeat = AppendRequest(source, target, new.replica.term, last - 1, term, (), last + 5, 1)
+        self.cluster.deliver(heartbeat, "fleet1", self.now)
+        (reply,) = self.cluster.flush("k1").messages
+        assert isinstance(reply, AppendReply)
+        self.assertEqual((reply.success, reply.match), (True, last - 1))
+        self.assertLess(old.replica.commit, last)
+
+    def test_messages_of_a_log_that_was_formed_and_lost_are_dropped(self) -> None:
+        """A first log is lost with its only disk and formed anew; the first one's message is late.
+
+        Both logs share indexes and terms, so only the lineage tells them apart.
+        """
+        self.elect("k1", "k2")
+        self.deliver(set(self.cluster.keepers))
+        keepers = self.cluster.keepers
+        before = self.get_last_index("k2")
+        entry = Entry(2, 98, Noop())
+        source, target = keepers["k3"].identity, keepers["k2"].identity
+        late = AppendRequest(source, target, 99, 1, 1, (entry,), 2, 1)
+        self.cluster.deliver(late, "fleet0", self.now)
+        self.assertEqual(self.cluster.flush("k2").messages, ())
+        self.assertEqual(self.get_last_index("k2"), before)
+
+    def test_a_keeper_that_lacks_a_committed_change_is_not_elected(self) -> None:
+        """A change is committed on two keepers; the leader dies and the third calls an election."""
+        everyone = set(self.cluster.keepers)
+        self.elect("k1", "k2")
+        self.deliver(everyone)
+        self.cluster.propose("k1", self.cluster.make_change(1, "clerk", "p"), self.now)
+        self.flush("k1")
+        self.deliver({"k1", "k2"})
+        self.assertEqual(len(self.cluster.invariants.verdicts), 1)
+        self.cluster.crash("k1")
+        with self.assertRaisesRegex(AssertionError, "k3 was not elected"):
+            self.elect("k3", "k2")
+        self.elect("k2", "k3")
+
+    def test_a_snapshot_keeps_acknowledged_entries_after_it(self) -> None:
+        """A late snapshot reaches a follower that has acknowledged entries after its end.
+
+        Dropped, they would be missing from the majority that the leader counted.
+        """
+        for term, last in ((1, 5), (2, 3)):
+            with self.subTest(term=term):
+                disk = MemoryDisk()
+                log = DurableLog(disk)
+                log.append([Entry(index, 1, Noop()) for index in range(1, 6)])
+                log.sync()
+                state = Configuration("fleet").capture()
+                log.save_snapshot(Snapshot(3, term, NO_MEMBERS, state))
+                self.assertEqual(log.last_index, last)
+                self.assertEqual(DurableLog(disk).last_index, last)
+
     def get_last_index(self, name: str) -> int:
         running = self.cluster.keepers[name].running
         assert running is not None
