Carry claims on one stream for each pair of instances; add the capacity command

Cause: the new capacity arithmetic showed keyed requests at 75% of a core at the target's rate, nearly all of it unary gRPC calls: ten for each keyed request. Ruled out: the register (18 us) and the codec (9 us); a profile shows header coding and stream set-up in h2. Change: a bidirectional stream that carries what is asked within one turn of the loop as one message; 'lab capacity' measures all slopes and prints the arithmetic for docs/CAPACITY.md. Conclusion: kept; gRPC still costs more than the work it carries.

--- a/packages/lab/src/persimmonusher_lab/main.py
+++ b/packages/lab/src/persimmonusher_lab/main.py
@@ -160,6 +160,17 @@
     sys.exit(1 if failed else 0)
 
 
+@app.command()
+def capacity() -> None:
+    """Measure the slopes and print the target size's costs as Markdown tables."""
+    from persimmonusher_node import loop
+
+    loop.install()
+    from persimmonusher_lab.capacity import print_capacity
+
+    print_capacity()
+
+
 def main() -> None:
     """Run the lab's command line."""
     app()
--- /dev/null
+++ b/packages/lab/src/persimmonusher_lab/slopes_configuration.py
@@ -0,0 +1,69 @@
+"""Slopes of the configuration at an entry and at a keeper."""
+
+from persimmonusher_agreement.configuration import Configuration
+from persimmonusher_agreement.configuration_objects import Batch, ObjectKind
+from persimmonusher_lab.configuration_measure import build_keeper, build_replica, make_changes
+from persimmonusher_lab.slopes import Slope, measure_bytes, measure_time
+from persimmonusher_model.identifiers import Revision
+from persimmonusher_node.keeper_wire import encode_record
+
+SMALL = 5_000
+LARGE = 20_000
+LOOKUPS = 20_000
+
+
+def measure_configuration_slopes() -> list[Slope]:
+    """Measure all slopes of the configuration."""
+    sources = {size: build_keeper(size) for size in (1, SMALL, LARGE)}
+    source = sources[LARGE]
+    applied = build_replica(source)
+    latest = source.revision
+    pull = source.collect_since(Revision(latest - 1))
+    record = _find_size(source, ObjectKind.ROUTE)
+    held = measure_bytes(lambda size: build_replica(sources[size]), SMALL, LARGE)
+    changes = list(make_changes(SMALL))
+    keeper = Configuration("fleet")
+    return [
+        Slope("route at an entry", held, "bytes", "record, decoded body and route table"),
+        Slope(
+            "route at a keeper",
+            measure_bytes(build_keeper, SMALL, LARGE),
+            "bytes",
+            "record with the verdict kept by change id",
+        ),
+        Slope("record message", record, "bytes", "a route, as encoded"),
+        Slope(
+            "change at a keeper",
+            measure_time(lambda number: keeper.apply(changes[number % len(changes)]), 1_000),
+            "us",
+            "decided and applied, without the disk",
+        ),
+        Slope(
+            "pull of one record",
+            measure_time(lambda _: _carry(source.collect_since(Revision(latest - 1))), 1_000),
+            "us",
+            f"collected and encoded, {len(pull.records)} record",
+        ),
+        Slope(
+            "look-up of a route and profile",
+            measure_time(lambda number: _look_up(applied.routes.find, number), LOOKUPS),
+            "us",
+            f"among {LARGE} routes",
+        ),
+    ]
+
+
+def _find_size(source: Configuration, kind: ObjectKind) -> float:
+    records = list(source.store.list_live(kind))
+    return sum(encode_record(record).ByteSize() for record in records) / len(records)
+
+
+def _carry(batch: Batch) -> None:
+    for record in batch.records:
+        encode_record(record).SerializeToString()
+
+
+def _look_up(find: object, number: int) -> None:
+    assert callable(find)
+    item = number % LARGE
+    assert find(f"host-{item % 5_000}.example.org", f"/organisation-{item}/entries/7") is not None
--- a/packages/node/src/persimmonusher_node/claims.py
+++ b/packages/node/src/persimmonusher_node/claims.py
@@ -13,7 +13,6 @@
 import structlog
 import xxhash
 from grpclib._typing import IServable
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Stream
 
 from persimmonusher_agreement.claims import (
@@ -31,6 +30,7 @@
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import InstanceId
 from persimmonusher_node import claims_wire as wire
+from persimmonusher_node.claims_link import CALL_FAILURES, ClaimsLink
 from persimmonusher_node.component import Component
 from persimmonusher_node.loop import run_coroutine, start_coroutine
 from persimmonusher_node.peers import ChannelPool
@@ -67,8 +67,6 @@
 MAX_GRANTS: Final = 100_000
 """Claims of this instance that wait to be settled; more than it can have in flight."""
 
-_CALL_FAILURES: Final = (GRPCError, StreamTerminatedError, OSError, asyncio.TimeoutError)
-
 
 @dataclass(frozen=True)
 class _Grant:
@@ -86,19 +84,21 @@
         self._register = register
         self._clock = clock
 
-    async def Claim(self, stream: Stream[pb.ClaimRequest, pb.Vote]) -> None:  # noqa: N802
-        """Answer one claim."""
-        message = await stream.recv_message()
-        assert message is not None
-        vote = self._register.claim(wire.read_request(message), self._clock.monotonic())
-        await stream.send_message(wire.write_vote(vote))
-
-    async def Settle(self, stream: Stream[pb.Settlement, pb.SettlementDone]) -> None:  # noqa: N802
-        """Take one settlement."""
-        message = await stream.recv_message()
-        assert message is not None
-        self._register.settle(wire.read_settlement(message), self._clock.monotonic())
-        await stream.send_message(pb.SettlementDone())
+    async def Exchange(self, stream: Stream[pb.Asked, pb.Answered]) -> None:  # noqa: N802
+        """Answer claims and settlements until the peer ends the stream."""
+        async for message in stream:
+            await stream.send_message(self._answer(message))
+
+    def _answer(self, message: pb.Asked) -> pb.Answered:
+        now = self._clock.monotonic()
+        answered = pb.Answered()
+        for claim in message.claims:
+            vote = self._register.claim(wire.read_request(claim.request), now)
+            answered.votes.add(number=claim.number, vote=wire.write_vote(vote))
+        for settle in message.settlements:
+            self._register.settle(wire.read_settlement(settle.settlement), now)
+            answered.settled.append(settle.number)
+        return answered
 
     async def ReadShare(  # noqa: N802
         self, stream: Stream[pb.ShareRequest, pb.ShareAnswer]
@@ -149,6 +149,7 @@
         self._random = random
         self.register = Register(instance, boot, longest_window, clock.monotonic())
         self._grants: dict[ClaimKey, _Grant] = {}
+        self._links: dict[str, ClaimsLink] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def list_peer_handlers(self) -> tuple[IServable, ...]:
@@ -164,6 +165,8 @@
         """End background work; what is not settled becomes unknown at the registers."""
         for task in list(self._tasks):
             task.cancel()
+        for link in self._links.values():
+            link.close()
 
     def claim(
         self,
@@ -261,12 +264,7 @@
         address = addresses.get(register)
         if address is None:
             return None
-        stub = ClaimsStub(self._channels.get(address))
-        try:
-            message = await stub.Claim(wire.write_request(request), timeout=CALL_TIMEOUT_SECONDS)
-        except _CALL_FAILURES:
-            return None
-        return wire.read_vote(message)
+        return await self._find_link(address).claim(request, CALL_TIMEOUT_SECONDS)
 
     def _settle(self, key: ClaimKey, state: RecordState | None, answer: bytes = b"") -> None:
         grant = self._grants.pop(key, None)
@@ -299,13 +297,15 @@
         address = addresses.get(register)
         if address is None:
             return None
-        stub = ClaimsStub(self._channels.get(address))
-        try:
-            message = wire.write_settlement(settlement)
-            await stub.Settle(message, timeout=CALL_TIMEOUT_SECONDS)
-        except _CALL_FAILURES:
-            return None
-        return register
+        taken = await self._find_link(address).settle(settlement, CALL_TIMEOUT_SECONDS)
+        return register if taken else None
+
+    def _find_link(self, address: str) -> ClaimsLink:
+        link = self._links.get(address)
+        if link is None:
+            link = ClaimsLink(lambda: ClaimsStub(self._channels.get(address)))
+            self._links[address] = link
+        return link
 
     async def _follow_roster(self) -> None:
         # A register without requests of its own must know the roster too: its peers' claims wait
@@ -332,7 +332,7 @@
         request = wire.write_share_request(self.register.make_share_request())
         try:
             message = await stub.ReadShare(request, timeout=SHARE_TIMEOUT_SECONDS)
-        except _CALL_FAILURES:
+        except CALL_FAILURES:
             return None
         return wire.read_share_answer(message)
 
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/claims_link.py
@@ -0,0 +1,116 @@
+"""A link to one peer's register: one gRPC stream that carries many claims at a time.
+
+The load it is for: each keyed request asks five registers twice, and most of what a unary gRPC call
+costs is the opening and ending of its stream. On a stream that stays open, what is asked within one
+turn of the loop goes out as one message.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import Any, Final
+
+from grpclib.client import Stream
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from persimmonusher_agreement.claims import ClaimRequest, Settlement, Vote
+from persimmonusher_node import claims_wire as wire
+from persimmonusher_node.loop import start_coroutine
+from persimmonusher_protocol import claims_pb2 as pb
+from persimmonusher_protocol.claims_grpc import ClaimsStub
+
+CALL_FAILURES: Final = (GRPCError, StreamTerminatedError, OSError, asyncio.TimeoutError)
+MAX_WAITING: Final = 10_000
+"""Questions to one peer that may wait for an answer; more than it answers within any timeout."""
+
+
+class ClaimsLink:
+    """Asks one peer's register; a broken stream fails what waits and is opened anew when needed."""
+
+    def __init__(self, open_stub: Callable[[], ClaimsStub]) -> None:
+        self._open_stub = open_stub
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[Vote | bool | None]] = {}
+        self._unsent = pb.Asked()
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    async def claim(self, request: ClaimRequest, timeout: float) -> Vote | None:
+        """Return the register's vote, or None without one in time."""
+        number = next(self._numbers)
+        self._unsent.claims.add(number=number, request=wire.write_request(request))
+        answer = await self._wait(number, timeout)
+        return answer if isinstance(answer, Vote) else None
+
+    async def settle(self, settlement: Settlement, timeout: float) -> bool:
+        """Tell whether the register took the settlement."""
+        number = next(self._numbers)
+        self._unsent.settlements.add(number=number, settlement=wire.write_settlement(settlement))
+        return await self._wait(number, timeout) is True
+
+    def close(self) -> None:
+        """End the stream; what waits gets no answer."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    async def _wait(self, number: int, timeout: float) -> Vote | bool | None:
+        if len(self._waiting) >= MAX_WAITING:
+            return None
+        running = asyncio.get_running_loop()
+        answer: asyncio.Future[Vote | bool | None] = running.create_future()
+        self._waiting[number] = answer
+        timer = running.call_later(timeout, self._answer, number, None)
+        self._wake.set()
+        if self._task is None or self._task.done():
+            self._task = start_coroutine(self._run())
+        try:
+            return await answer
+        finally:
+            timer.cancel()
+            self._waiting.pop(number, None)
+
+    def _answer(self, number: int, answer: Vote | bool | None) -> None:
+        waiting = self._waiting.pop(number, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+    async def _run(self) -> None:
+        try:
+            async with self._open_stub().Exchange.open() as stream:
+                await stream.send_request()
+                receiver = start_coroutine(self._receive(stream))
+                try:
+                    await self._send(stream, receiver)
+                finally:
+                    receiver.cancel()
+        except CALL_FAILURES:
+            # The peer is gone or unreachable: it counts as silent, and others decide.
+            return
+        finally:
+            self._unsent = pb.Asked()
+            for number in list(self._waiting):
+                self._answer(number, None)
+
+    async def _send(
+        self, stream: Stream[pb.Asked, pb.Answered], receiver: "asyncio.Task[Any]"
+    ) -> None:
+        while not receiver.done():
+            unsent, self._unsent = self._unsent, pb.Asked()
+            self._wake.clear()
+            if unsent.claims or unsent.settlements:
+                await stream.send_message(unsent)
+            await self._wake.wait()
+
+    async def _receive(self, stream: Stream[pb.Asked, pb.Answered]) -> None:
+        try:
+            async for message in stream:
+                for voted in message.votes:
+                    self._answer(voted.number, wire.read_vote(voted.vote))
+                for number in message.settled:
+                    self._answer(number, True)
+        except CALL_FAILURES:
+            # `_send` sees that the receiver has ended, and ends the stream.
+            return
+        finally:
+            self._wake.set()
--- a/packages/protocol/src/persimmonusher_protocol/claims_grpc.py
+++ b/packages/protocol/src/persimmonusher_protocol/claims_grpc.py
@@ -15,11 +15,7 @@
 class ClaimsBase(abc.ABC):
 
     @abc.abstractmethod
-    async def Claim(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.claims_pb2.ClaimRequest, persimmonusher_protocol.claims_pb2.Vote]') -> None:
-        pass
-
-    @abc.abstractmethod
-    async def Settle(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.claims_pb2.Settlement, persimmonusher_protocol.claims_pb2.SettlementDone]') -> None:
+    async def Exchange(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.claims_pb2.Asked, persimmonusher_protocol.claims_pb2.Answered]') -> None:
         pass
 
     @abc.abstractmethod
@@ -32,17 +28,11 @@
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
-            '/persimmonusher.claims.Claims/Claim': grpclib.const.Handler(
-                self.Claim,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                persimmonusher_protocol.claims_pb2.ClaimRequest,
-                persimmonusher_protocol.claims_pb2.Vote,
-            ),
-            '/persimmonusher.claims.Claims/Settle': grpclib.const.Handler(
-                self.Settle,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                persimmonusher_protocol.claims_pb2.Settlement,
-                persimmonusher_protocol.claims_pb2.SettlementDone,
+            '/persimmonusher.claims.Claims/Exchange': grpclib.const.Handler(
+                self.Exchange,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                persimmonusher_protocol.claims_pb2.Asked,
+                persimmonusher_protocol.claims_pb2.Answered,
             ),
             '/persimmonusher.claims.Claims/ReadShare': grpclib.const.Handler(
                 self.ReadShare,
@@ -62,17 +52,11 @@
 class ClaimsStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Claim = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/persimmonusher.claims.Claims/Claim',
-            persimmonusher_protocol.claims_pb2.ClaimRequest,
-            persimmonusher_protocol.claims_pb2.Vote,
-        )
-        self.Settle = grpclib.client.UnaryUnaryMethod(
+        self.Exchange = grpclib.client.StreamStreamMethod(
             channel,
-            '/persimmonusher.claims.Claims/Settle',
-            persimmonusher_protocol.claims_pb2.Settlement,
-            persimmonusher_protocol.claims_pb2.SettlementDone,
+            '/persimmonusher.claims.Claims/Exchange',
+            persimmonusher_protocol.claims_pb2.Asked,
+            persimmonusher_protocol.claims_pb2.Answered,
         )
         self.ReadShare = grpclib.client.UnaryUnaryMethod(
             channel,
