Replace connections that went silent; say latest instead of a count in reasons

Cause: a cut that drops packets leaves a TCP connection that tries again in steps of up to minutes, so claims and reports would fail long after the cut healed. And a reason read 'fails 86% of 1 recent answers', a decayed weight shown as a count. Change: HTTP/2 pings on channels with calls in progress, 5 s and 5 s; the reason gives the share only.

--- a/packages/decisions/src/persimmonusher_decisions/assessor.py
+++ b/packages/decisions/src/persimmonusher_decisions/assessor.py
@@ -244,11 +244,11 @@
     failing, slow = server.failing, server.slow
     if failing.test.score >= slow.test.score:
         return (
-            f"fails {failing.recent.value:.0%} of {failing.recent.total:.0f} recent answers seen "
+            f"fails {failing.recent.value:.0%} of its latest answers seen "
             f"{seen_from}, where up to {view.usual_failing:.1%} is usual"
         )
     return (
-        f"{slow.recent.value:.0%} of {slow.recent.total:.0f} recent answers seen {seen_from} are "
+        f"{slow.recent.value:.0%} of its latest answers seen {seen_from} are "
         f"slow, where up to {view.usual_slow:.0%} is usual"
     )
 
--- a/packages/node/src/persimmonusher_node/peers.py
+++ b/packages/node/src/persimmonusher_node/peers.py
@@ -9,11 +9,20 @@
 from typing import Final, Self
 
 from grpclib.client import Channel
+from grpclib.config import Configuration
 from grpclib.const import Status
 from grpclib.events import RecvRequest, SendRequest, listen
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
+KEEPALIVE_SECONDS: Final = 5.0
+"""Pause between pings on a channel with calls in progress, and the wait for their answers.
+
+Failure: a cut drops packets without an error. TCP then resends in growing steps of up to minutes,
+and calls go on failing long after the cut has healed. A ping without an answer closes the
+connection, and the next call opens a new one. 10 s after the cut began is soon enough: until then,
+calls have their own, shorter timeouts.
+"""
 TOKEN_HEADER: Final = "persimmonusher-token"
 
 
@@ -24,8 +33,13 @@
     ...     stub = KeeperStub(pool.get("127.0.0.1:7003"))
     """
 
-    def __init__(self, token: str) -> None:
+    def __init__(self, token: str, keepalive_seconds: float = KEEPALIVE_SECONDS) -> None:
         self._token = token
+        self._configuration = Configuration(
+            _keepalive_time=keepalive_seconds,
+            _keepalive_timeout=keepalive_seconds,
+            _http2_max_pings_without_data=0,
+        )
         self._channels: dict[str, Channel] = {}
 
     def get(self, address: str) -> Channel:
@@ -33,7 +47,7 @@
         channel = self._channels.get(address)
         if channel is None:
             host, _, port = address.rpartition(":")
-            channel = Channel(host, int(port))
+            channel = Channel(host, int(port), config=self._configuration)
             listen(channel, SendRequest, self._add_token)
             self._channels[address] = channel
         return channel
--- /dev/null
+++ b/packages/node/tests/test_peers.py
@@ -0,0 +1,107 @@
+from persimmonusher_node import loop
+
+loop.install()
+
+import socket  # noqa: E402
+import unittest  # noqa: E402
+
+import eventlet  # noqa: E402
+
+from persimmonusher_agreement.claims import ClaimRequest, Vote, VoteKind  # noqa: E402
+from persimmonusher_agreement.register import Register  # noqa: E402
+from persimmonusher_agreement.roster import Member, Roster  # noqa: E402
+from persimmonusher_model.identifiers import FailureDomain, InstanceId  # noqa: E402
+from persimmonusher_node.claims import RegisterService  # noqa: E402
+from persimmonusher_node.claims_link import ClaimsLink  # noqa: E402
+from persimmonusher_node.clock import SystemClock  # noqa: E402
+from persimmonusher_node.grpc_listener import GrpcListener  # noqa: E402
+from persimmonusher_node.peers import ChannelPool  # noqa: E402
+from persimmonusher_protocol.claims_grpc import ClaimsStub  # noqa: E402
+
+PEER = InstanceId("i1")
+
+
+class SilentRelay:
+    """A relay whose open connections can go silent for good, without being closed."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self._target = target
+        self._silent: set[socket.socket] = set()
+        self._open: list[socket.socket] = []
+        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        self._thread = eventlet.spawn(self._accept)
+
+    def go_silent(self) -> None:
+        self._silent.update(self._open)
+
+    def stop(self) -> None:
+        self._thread.kill()
+        for sock in [*self._open, self._listener]:
+            sock.close()
+
+    def _accept(self) -> None:
+        while True:
+            near, _ = self._listener.accept()
+            far = eventlet.connect(self._target)
+            self._open += [near, far]
+            eventlet.spawn(self._copy, near, far)
+            eventlet.spawn(self._copy, far, near)
+
+    def _copy(self, source: socket.socket, target: socket.socket) -> None:
+        try:
+            while data := source.recv(65_536):
+                if source not in self._silent:
+                    target.sendall(data)
+        except OSError:
+            return
+
+
+class PeersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        register = Register(PEER, 1, 600.0, 0.0)
+        register.replace_roster(Roster(1, (Member(PEER, FailureDomain("d"), 1),)))
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        service = RegisterService(register, SystemClock())
+        listener = GrpcListener(f"127.0.0.1:{port}", [service], {"peers": "peer"})
+        listener.start()
+        self.addCleanup(listener.stop)
+        self.relay = SilentRelay(("127.0.0.1", port))
+        self.addCleanup(self.relay.stop)
+
+    def make_link(self, keepalive_seconds: float) -> ClaimsLink:
+        pool = ChannelPool("peers", keepalive_seconds)
+        self.addCleanup(pool.__exit__, None, None, None)
+        link = ClaimsLink(lambda: ClaimsStub(pool.get(self.relay.address)))
+        self.addCleanup(link.close)
+        return link
+
+    def claim(self, link: ClaimsLink, token: str) -> Vote | None:
+        request = ClaimRequest(token, token, "work", 1, 600.0, 10.0)
+        return loop.run_coroutine(link.claim(request, 0.1))
+
+    def test_a_connection_that_went_silent_is_replaced(self) -> None:
+        # After a cut of the network has healed, keyed requests go on being refused for minutes:
+        # the old connections wait for TCP's next try, and nothing opens new ones.
+        link = self.make_link(keepalive_seconds=0.3)
+        vote = self.claim(link, "t0")
+        assert vote is not None
+        self.assertEqual(vote.kind, VoteKind.GRANTED)
+        self.relay.go_silent()
+        self.assertIsNone(self.claim(link, "t1"))
+        with eventlet.Timeout(10.0):
+            while self.claim(link, "t2") is None:
+                eventlet.sleep(0.05)
+
+    def test_a_peer_that_is_gone_counts_as_silent_at_once(self) -> None:
+        link = self.make_link(keepalive_seconds=5.0)
+        self.relay.stop()
+        started = SystemClock().monotonic()
+        self.assertIsNone(self.claim(link, "t1"))
+        self.assertLess(SystemClock().monotonic() - started, 2.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
