Find failing servers after 13 slices when ejection-averse; queue for less long

Change: 13 slices instead of 15 at sensitivity 0.1; expected wait at most 0.35 of the longest. The plots were looked at; case order and legends mended after.

--- a/packages/decisions/src/persimmonusher_decisions/admission.py
+++ b/packages/decisions/src/persimmonusher_decisions/admission.py
@@ -11,7 +11,7 @@
 RATE_MEMORY_SECONDS: Final = 1.0
 FEWEST_ANSWERS: Final = 4.0
 """Answers in memory below which the drain rate isn't known yet."""
-WAIT_MARGIN: Final = 0.5
+WAIT_MARGIN: Final = 0.35
 """A request waits only if its expected wait is below this part of the longest one, so that few
 are refused only after they waited."""
 SHORTEST_RETRY_AFTER: Final = 1.0
--- a/packages/decisions/src/persimmonusher_decisions/detection.py
+++ b/packages/decisions/src/persimmonusher_decisions/detection.py
@@ -41,7 +41,7 @@
         calm = 1.0 - sensitivity
         return cls(
             threshold=16.0 + 6.0 * calm,
-            failing_slices=round(4 + 12 * calm),
+            failing_slices=round(4 + 10 * calm),
             slow_slices=round(19 + 8 * calm),
             least_failing=0.12 + 0.05 * calm,
         )
--- a/packages/lab/src/persimmonusher_lab/decisions_plots.py
+++ b/packages/lab/src/persimmonusher_lab/decisions_plots.py
@@ -91,7 +91,7 @@
     sites = document["cases"]
     figure, rows = pyplot.subplots(1, len(sites), figsize=(12, 4.5), sharey=True, squeeze=False)
     for axes, (site, cases) in zip(rows[0], sites.items(), strict=True):
-        known = [case for case in cases if any(case.startswith(prefix) for prefix in wanted)]
+        known = [case for prefix in wanted for case in cases if case.split(",")[0] == prefix]
         known = [case for case in known if case in wanted or case.startswith("all report")]
         policies = list(dict.fromkeys(policy for case in known for policy in cases[case]))
         for index, policy in enumerate(policies):
@@ -104,6 +104,8 @@
             axes.vlines(places, least, worst, color="black", linewidth=1)
         if logarithmic:
             axes.set_yscale("log")
+        else:
+            axes.margins(y=0.25)
         _label(axes, tuple(known), title)
         axes.set_title(f"{site}: median over seeds, least to worst")
     return _save(figure, path)
