--- a/packages/lab/src/persimmonusher_lab/log_cluster.py
+++ b/packages/lab/src/persimmonusher_lab/log_cluster.py
@@ -37,8 +37,6 @@
     running: ConfigurationKeeper | None = None
     disks: int = 1
     clock_offset: float = 0.0
-    revision: Revision = Revision(0)
-    """The highest revision it had in this identity."""
 
 
 class LogCluster:
@@ -83,7 +81,6 @@
         keeper.disk = MemoryDisk()
         keeper.disks += 1
         keeper.identity = KeeperId(f"{name}#{keeper.disks}")
-        keeper.revision = Revision(0)
 
     def deliver(self, message: LogMessage, lineage: str, now: float) -> None:
         """Give a message to its target, without the flush that follows."""
