End the relay's copying threads before their sockets are closed

Cause: with test_peers.py merged, three shutdown tests failed with EOFError when run after it: the relay closed sockets that its green threads still waited on, and the hub threw into them when the next test's socket got the same number. The whole node suite was not run again after this.

--- a/packages/node/tests/test_peers.py
+++ b/packages/node/tests/test_peers.py
@@ -6,6 +6,7 @@
 import unittest  # noqa: E402
 
 import eventlet  # noqa: E402
+from eventlet.greenthread import GreenThread  # noqa: E402
 
 from persimmonusher_agreement.claims import ClaimRequest, Vote, VoteKind  # noqa: E402
 from persimmonusher_agreement.register import Register  # noqa: E402
@@ -28,6 +29,7 @@
         self._target = target
         self._silent: set[socket.socket] = set()
         self._open: list[socket.socket] = []
+        self._copies: list[GreenThread] = []
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.address = "{}:{}".format(*self._listener.getsockname())
         self._thread = eventlet.spawn(self._accept)
@@ -36,7 +38,8 @@
         self._silent.update(self._open)
 
     def stop(self) -> None:
-        self._thread.kill()
+        for thread in (self._thread, *self._copies):
+            thread.kill()
         for sock in [*self._open, self._listener]:
             sock.close()
 
@@ -45,8 +48,8 @@
             near, _ = self._listener.accept()
             far = eventlet.connect(self._target)
             self._open += [near, far]
-            eventlet.spawn(self._copy, near, far)
-            eventlet.spawn(self._copy, far, near)
+            self._copies.append(eventlet.spawn(self._copy, near, far))
+            self._copies.append(eventlet.spawn(self._copy, far, near))
 
     def _copy(self, source: socket.socket, target: socket.socket) -> None:
         try:
