--- a/packages/model/src/persimmonusher_model/profile.py
+++ b/packages/model/src/persimmonusher_model/profile.py
@@ -93,12 +93,6 @@
         description="Time over which a server that starts cold, or returns from ejection, "
         "rises to its full share.",
     )
-    drain_ms: int = Field(
-        default=30_000,
-        ge=0,
-        le=600_000,
-        description="Time that requests in flight on a leaving server are waited for.",
-    )
     connections_per_server: int = Field(
         default=330,
         ge=1,
