--- a/packages/ctl/tests/test_commands.py
+++ b/packages/ctl/tests/test_commands.py
@@ -62,7 +62,7 @@
         resend = ("--change-id", "x", "--based-on", "1")
         change = ("profiles", "change", "shows", "--set", "ramp_ms=5")
         self.assert_exit(self.run_ctl(*change, *resend), Exit.DONE)
-        self.run_ctl("profiles", "change", "shows", "--set", "ramp_ms=9")
+        self.run_ctl("profiles", "change", "shows", "--set", "queue_limit=9")
         self.assert_exit(self.run_ctl(*change, *resend), Exit.DONE)
         retire = ("profiles", "retire", "shows", "--change-id", "y", "--based-on", "3")
         self.assert_exit(self.run_ctl(*retire), Exit.DONE)
