Give the lab a report command; one measure of bytes held

Cause: write_report had no command, the Makefile named targets without recipes, and measure_bytes stood twice. Change: 'lab report' and 'make report'; configuration_measure uses the slopes' measure.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := model decisions agreement protocol node ctl lab
 export PYTHONPATH := $(subst $(eval ) ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
 
-.PHONY: setup test check format lint types demo generate lock measure report
+.PHONY: setup test check format lint types demo generate lock report
 
 setup: $(VENV)/.installed
 
@@ -36,6 +36,9 @@
 demo: setup
 	$(BIN)/python -m persimmonusher_lab demo
 
+report: setup
+	$(BIN)/python -m persimmonusher_lab report build/report
+
 generate: setup
 	$(BIN)/python tools/generate_protocol.py
 
--- a/packages/lab/src/persimmonusher_lab/configuration_measure.py
+++ b/packages/lab/src/persimmonusher_lab/configuration_measure.py
@@ -7,8 +7,7 @@
 import json
 import tempfile
 import time
-import tracemalloc
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Annotated, Final
@@ -18,6 +17,7 @@
 from persimmonusher_agreement.configuration import Configuration
 from persimmonusher_agreement.configuration_objects import Change, ObjectKey, ObjectKind
 from persimmonusher_agreement.log_messages import Entry, Members, Snapshot
+from persimmonusher_lab.slopes import measure_bytes
 from persimmonusher_model.identifiers import InstanceId, Revision
 from persimmonusher_node.applied_configuration import AppliedConfiguration
 from persimmonusher_node.keeper_files import KeeperFiles
@@ -62,18 +62,6 @@
     print(f"{name}: {used:.1f} us of processor time, {elapsed:.1f} us elapsed, n={count}")
 
 
-def measure_bytes(build: Callable[[int], object], small: int, large: int) -> float:
-    """Return the bytes held for each further item, from two sizes."""
-    held = []
-    for count in (small, large):
-        tracemalloc.start()
-        kept = build(count)
-        held.append(tracemalloc.get_traced_memory()[0])
-        tracemalloc.stop()
-        del kept
-    return (held[1] - held[0]) / (large - small)
-
-
 def build_keeper(routes: int) -> Configuration:
     """Build a keeper's configuration with this many routes."""
     configuration = Configuration("fleet")
--- a/packages/lab/src/persimmonusher_lab/main.py
+++ b/packages/lab/src/persimmonusher_lab/main.py
@@ -171,6 +171,23 @@
     print_capacity()
 
 
+@app.command()
+def report(
+    folder: Annotated[Path, typer.Argument(help="Where the page, plots and JSON go.")],
+    baseline: Annotated[Path | None, typer.Option(help="JSON of an earlier run.")] = None,
+    seeds: Annotated[int, typer.Option(min=1, max=200)] = 20,
+    other_seeds: Annotated[int | None, typer.Option(help="For cases without a goal.")] = None,
+    well_hours_share: Annotated[float, typer.Option(min=0.0, max=10.0)] = 1.0,
+    processes: Annotated[int, typer.Option(min=1, max=32)] = 4,
+) -> None:
+    """Measure the decisions on virtual time, against baselines, and write an HTML page."""
+    from persimmonusher_lab.decisions_report import write_report
+
+    goals = write_report(folder, baseline, seeds, processes, well_hours_share, other_seeds)
+    for goal in goals:
+        typer.echo(f"{'met    ' if goal.met else 'NOT MET'} {goal.text}: {goal.measured}")
+
+
 def main() -> None:
     """Run the lab's command line."""
     app()
