--- a/packages/lab/src/persimmonusher_lab/decisions_cases.py
+++ b/packages/lab/src/persimmonusher_lab/decisions_cases.py
@@ -5,13 +5,8 @@
 from typing import Final
 
 from persimmonusher_lab.decisions_servers import CRASH_SECONDS, FakeServer, Fault
-from persimmonusher_lab.decisions_simulation import (
-    FAULT_AT,
-    RESEND_SECONDS,
-    SHORT_WORK,
-    Case,
-    Simulation,
-)
+from persimmonusher_lab.decisions_simulation import FAULT_AT, RESEND_SECONDS, Case, Simulation
+from persimmonusher_lab.decisions_sites import SHORT_WORK
 
 USUAL_LOAD: Final = 0.7
 CRASH_RESENDS: Final = 10
--- a/packages/lab/src/persimmonusher_lab/decisions_measure.py
+++ b/packages/lab/src/persimmonusher_lab/decisions_measure.py
@@ -8,7 +8,8 @@
 from persimmonusher_lab.decisions_cases import CASES
 from persimmonusher_lab.decisions_figures import RunFigures, measure, summarize
 from persimmonusher_lab.decisions_policies import BASELINES
-from persimmonusher_lab.decisions_simulation import GRAZIANI, TAKEUCHI, Simulation
+from persimmonusher_lab.decisions_simulation import Simulation
+from persimmonusher_lab.decisions_sites import GRAZIANI, TAKEUCHI
 
 SITES: Final = {site.name: site for site in (TAKEUCHI, GRAZIANI)}
 POLICIES: Final = ("usher", *BASELINES)
--- a/packages/lab/src/persimmonusher_lab/decisions_simulation.py
+++ b/packages/lab/src/persimmonusher_lab/decisions_simulation.py
@@ -31,6 +31,7 @@
     FakeServer,
     make_server,
 )
+from persimmonusher_lab.decisions_sites import LONG_SHARE, LONG_WORK, MEAN_WORK, SHORT_WORK, Site
 from persimmonusher_model.identifiers import (
     CallerId,
     FailureDomain,
@@ -38,7 +39,6 @@
     RequestId,
     ServerId,
 )
-from persimmonusher_model.profile import DETECTION_FIRST, EJECTION_AVERSE, Profile
 
 ADVANCE_SECONDS: Final = 0.05
 DIGEST_SECONDS: Final = 0.05
@@ -46,10 +46,6 @@
 RENEW_SECONDS: Final = 1.0
 ASSESS_SECONDS: Final = 0.1
 LOCAL_LATENCY: Final = 0.0003
-SHORT_WORK: Final = 0.012
-LONG_WORK: Final = 0.2
-LONG_SHARE: Final = 0.05
-MEAN_WORK: Final = SHORT_WORK * (1 - LONG_SHARE) + LONG_WORK * LONG_SHARE
 LOOKUP_SHARE: Final = 0.85
 CALLERS: Final = 40
 DEADLINE_SECONDS: Final = 3.0
@@ -66,29 +62,6 @@
 PAUSE_LONGEST: Final = 0.6
 
 
-@dataclass(frozen=True)
-class Site:
-    """One user's size of today."""
-
-    name: str
-    entries: int
-    workers: int
-    slots: int
-    connections: int
-    latency: float
-    profile: Profile
-    domains: int = 4
-
-    @property
-    def capacity(self) -> float:
-        """Return requests a second with every slot busy."""
-        return self.workers * self.slots / MEAN_WORK
-
-
-TAKEUCHI: Final = Site("Takeuchi", 48, 12, 4, 400, 0.0015, DETECTION_FIRST)
-GRAZIANI: Final = Site("Graziani", 36, 10, 6, 330, 0.001, EJECTION_AVERSE)
-
-
 @dataclass(frozen=True)
 class Case:
     """One situation: the load, and what happens at FAULT_AT."""
--- a/packages/lab/src/persimmonusher_lab/decisions_wellness.py
+++ b/packages/lab/src/persimmonusher_lab/decisions_wellness.py
@@ -25,14 +25,12 @@
 from persimmonusher_lab.decisions_simulation import (
     BLIP_EVERY,
     BLIP_SECONDS,
-    GRAZIANI,
     NATURAL_FAILING,
     PAUSE_EVERY,
     PAUSE_LONGEST,
     PAUSE_MEAN,
-    TAKEUCHI,
-    Site,
 )
+from persimmonusher_lab.decisions_sites import GRAZIANI, TAKEUCHI, Site
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServerId
 
 CHUNK_SLICES: Final = 600
--- a/packages/lab/tests/test_decisions_simulation.py
+++ b/packages/lab/tests/test_decisions_simulation.py
@@ -4,7 +4,8 @@
 from persimmonusher_lab.decisions_figures import RunFigures, measure
 from persimmonusher_lab.decisions_measure import collect, list_jobs, run_job
 from persimmonusher_lab.decisions_report import compare
-from persimmonusher_lab.decisions_simulation import GRAZIANI, TAKEUCHI, Simulation, Site
+from persimmonusher_lab.decisions_simulation import Simulation
+from persimmonusher_lab.decisions_sites import GRAZIANI, TAKEUCHI, Site
 
 
 def run(site: Site, name: str, policy: str = "usher", seed: int = 3) -> RunFigures:
