Reload settings, log without blocking, and test the two roles

Cause: a hangup ended the process; a reader of the logs that stopped would have held callers up; a request that a server failed left no line in the log.

--- /dev/null
+++ b/packages/decisions/tests/test_suspicion.py
@@ -0,0 +1,131 @@
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from decisions_helpers import (
+    FAILED,
+    GOOD,
+    SERVICE,
+    dispatched,
+    make_request,
+    make_server,
+    make_traffic,
+)
+
+from persimmonusher_decisions.notices import Notice, NoticeKind
+from persimmonusher_decisions.suspicion import HOLD_SECONDS
+from persimmonusher_decisions.traffic import UNREACHED_ATTEMPTS, ServiceTraffic
+from persimmonusher_decisions.work import Outcome, OutcomeKind, Refusal, RefusalReason
+from persimmonusher_model.identifiers import ServerId
+from persimmonusher_model.profile import Profile
+
+FLOOR_60 = Profile(health_floor_percent=60)
+UNREACHED = Outcome(OutcomeKind.UNREACHED, 0.001)
+
+
+def serve(traffic: ServiceTraffic, count: int, start: float) -> Counter[str]:
+    chosen: Counter[str] = Counter()
+    for index in range(count):
+        now = start + index * 0.001
+        dispatch = dispatched(traffic.offer(make_request(f"q{start}-{index}", now), now))
+        chosen[dispatch.server.server_id] += 1
+        traffic.finish(dispatch, GOOD, now)
+    return chosen
+
+
+def make_notice(server: int, boot: int = 1, fingerprint: str = "") -> Notice:
+    kind = NoticeKind.CRASHED if fingerprint else NoticeKind.FAILED
+    return Notice(kind, SERVICE, ServerId(f"s{server}"), boot, fingerprint)
+
+
+class SuspicionTest(unittest.TestCase):
+    def test_one_failure_anywhere_turns_all_instances_away(self) -> None:
+        """A server fails three of four requests for some seconds, seen by 48 instances.
+
+        Each instance that waits for a failure of its own costs a caller a doubled or lost entry.
+        One of them sees it, tells the others, and none of them sends there for some seconds.
+        """
+        first, second = make_traffic(6), make_traffic(6)
+        dispatch = dispatched(first.offer(make_request("r"), 0.0))
+        first.finish(dispatch, FAILED, 0.0)
+        ill = dispatch.server.server_id
+        (notice,) = first.take_notices()
+        self.assertEqual((notice.server_id, notice.kind), (ill, NoticeKind.FAILED))
+        second.apply_notice(notice, 0.01)
+        for traffic in (first, second):
+            self.assertEqual(serve(traffic, 60, 0.02)[ill], 0)
+        self.assertGreater(serve(second, 60, 0.1 + HOLD_SECONDS)[ill], 0)
+        self.assertEqual(first.take_notices(), ())
+
+    def test_the_floor_keeps_servers_when_most_fail(self) -> None:
+        """A fault of the work itself, or an overload, makes every server fail now and then.
+
+        Passing by all that failed would crowd the work on the few that are left.
+        """
+        traffic = make_traffic(10, FLOOR_60)
+        for server in range(10):
+            traffic.apply_notice(make_notice(server), 0.1 * server)
+        chosen = serve(traffic, 200, 1.0)
+        self.assertEqual(set(chosen), {f"s{number}" for number in range(6)})
+
+    def test_a_notice_of_an_earlier_start_is_void(self) -> None:
+        traffic = make_traffic(3)
+        restarted = [make_server(0, boot=2), make_server(1), make_server(2)]
+        traffic.replace_servers(restarted, 0.0)
+        traffic.apply_notice(make_notice(0, boot=1), 20.0)
+        self.assertGreater(serve(traffic, 60, 20.0)["s0"], 0)
+
+    def test_a_request_that_crashed_servers_elsewhere_is_refused_here(self) -> None:
+        """A request crashes each server that runs it, and its caller sends it to another entry.
+
+        No entry sees two crashes by itself, so alone each would let it take one server more.
+        """
+        traffic = make_traffic(6)
+        poison = make_request("r", 1.0, fingerprint="poison")
+        traffic.apply_notice(make_notice(0, fingerprint="poison"), 0.5)
+        dispatched(traffic.offer(replace(poison, request_id=poison.request_id), 1.0))
+        traffic.apply_notice(make_notice(1, fingerprint="poison"), 1.1)
+        refusal = traffic.offer(make_request("s", 1.2, fingerprint="poison"), 1.2)
+        assert isinstance(refusal, Refusal)
+        self.assertIs(refusal.reason, RefusalReason.QUARANTINED)
+
+    def test_what_never_left_is_placed_again_at_no_cost(self) -> None:
+        """Some servers are cut off from this entry only; connections to them don't open.
+
+        The request ran nowhere, so even an entry may be placed again, and no server has had any
+        work of it, so the retry budget, which is empty here, doesn't count it.
+        """
+        traffic = make_traffic(8, Profile(retry_budget_percent=0, max_retries=0))
+        request = make_request("r", idempotent=False)
+        decision = traffic.offer(request, 0.0)
+        tried = []
+        for _ in range(UNREACHED_ATTEMPTS - 1):
+            dispatch = dispatched(decision)
+            tried.append(dispatch.server.server_id)
+            traffic.finish(dispatch, UNREACHED, 0.0)
+            decision = traffic.retry(dispatch, UNREACHED, 0.0)
+        self.assertEqual(len(set(tried)), len(tried))
+        last = dispatched(decision)
+        traffic.finish(last, UNREACHED, 0.0)
+        refusal = traffic.retry(last, UNREACHED, 0.0)
+        assert isinstance(refusal, Refusal)
+        self.assertIs(refusal.reason, RefusalReason.OVERLOAD)
+
+    def test_the_fleet_shares_the_slack_of_its_retries(self) -> None:
+        """48 instances meet the same fault in the same second, each with retries saved up.
+
+        What all of them together send again must stay within the slack, here one each.
+        """
+        profile = Profile(retry_budget_percent=10, retry_slack=48)
+        retried = 0
+        for instance in range(48):
+            traffic = make_traffic(6, profile, live=48)
+            for number in range(5):
+                dispatch = dispatched(traffic.offer(make_request(f"{instance}-{number}"), 0.0))
+                traffic.finish(dispatch, FAILED, 0.0)
+                again = traffic.retry(dispatch, FAILED, 0.0)
+                if not isinstance(again, Refusal):
+                    retried += 1
+                    traffic.finish(dispatched(again), GOOD, 0.0)
+        self.assertLessEqual(retried, 48 + 0.1 * 48 * 5)
+        self.assertGreaterEqual(retried, 48)
--- a/packages/node/src/persimmonusher_node/logs.py
+++ b/packages/node/src/persimmonusher_node/logs.py
@@ -1,20 +1,27 @@
-"""Logs by structlog, as JSON lines or for a console; never bodies, tokens or header values."""
+"""Logs by structlog, as JSON lines or for a console; never bodies, tokens or header values.
+
+They go to standard output; `log_pipe` says what happens when nobody reads them.
+"""
 
 import logging
 import sys
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, TextIO, cast
 
 import structlog
 
 from persimmonusher_model.clock import Clock
 from persimmonusher_node.headers import CallerOutcome
+from persimmonusher_node.log_pipe import open_standard_output
 from persimmonusher_node.observer import FinishedRequest, RequestObserver
+from persimmonusher_node.records import DecisionStep
 from persimmonusher_node.settings import Settings
 
 SECRET_KEYS: Final = frozenset({"token", "peer_token", "operator_tokens", "body", "headers", "key"})
 """Fields that are masked wherever they turn up, should a later log call name one."""
 LINES_A_SECOND: Final = 50
+PLAIN_STEPS: Final = 2
+"""A dispatch and its outcome."""
 MASK: Final = "(hidden)"
 
 
@@ -22,11 +29,12 @@
     """Set structlog up for the process, with the instance's id on every line."""
     renderer: structlog.typing.Processor = structlog.processors.JSONRenderer()
     if settings.log_format == "console":
-        renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+        renderer = structlog.dev.ConsoleRenderer(colors=sys.stdout.isatty())
     level = logging.getLevelNamesMapping()[settings.log_level.upper()]
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
+            name_instance(settings.instance_id),
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             hide_secrets,
@@ -34,10 +42,21 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(cast("TextIO", open_standard_output())),
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.bind_contextvars(instance=settings.instance_id)
+
+
+def name_instance(instance_id: str) -> structlog.typing.Processor:
+    """Return a processor that puts the instance on each line, whichever green thread writes it."""
+
+    def add(
+        logger: object, method: str, event: structlog.typing.EventDict
+    ) -> structlog.typing.EventDict:
+        event["instance"] = instance_id
+        return event
+
+    return add
 
 
 def hide_secrets(
@@ -50,7 +69,10 @@
 
 
 class LoggingObserver(RequestObserver):
-    """Logs finished requests: refusals and unknown outcomes as info, the rest as debug.
+    """Logs finished requests: what wasn't served, or needed more than one attempt, as info.
+
+    The rest is logged as debug. Each line holds every decision on the request with its inputs: the
+    server, the time since the request arrived, the reason, and the configuration's revision.
 
     The load it is for: an overload in which most requests are refused. The harm: writing a line
     costs as much as a fifth of a request, so that refusing would keep the instance overloaded. So
@@ -68,7 +90,7 @@
 
     def observe(self, finished: FinishedRequest) -> None:
         """Write one line, unless the level is filtered or the second has its lines."""
-        is_plain = finished.outcome is CallerOutcome.RAN and finished.code is None
+        is_plain = is_uneventful(finished)
         if is_plain and not self._is_debug:
             return
         if self._take_line():
@@ -100,7 +122,21 @@
             decision=last.step if last else None,
             reason=last.reason if last else None,
             server=last.server if last else None,
-            steps=len(record.steps),
+            revision=record.revision,
+            steps=[describe_step(step) for step in record.steps],
             seconds=round(finished.whole, 4),
             lines_left_out=left_out,
         )
+
+
+def is_uneventful(finished: FinishedRequest) -> bool:
+    """Tell whether a request was served by its first server."""
+    if finished.outcome is not CallerOutcome.RAN or finished.code is not None:
+        return False
+    return finished.record.status < 500 and len(finished.record.steps) <= PLAIN_STEPS
+
+
+def describe_step(step: DecisionStep) -> str:
+    """Write a step as one word of a line, such as `0.0003 dispatch s7: attempt 1`."""
+    place = f" {step.server}" if step.server else ""
+    return f"{step.after:.4f} {step.step}{place}: {step.reason}"
--- a/packages/node/src/persimmonusher_node/shutdown.py
+++ b/packages/node/src/persimmonusher_node/shutdown.py
@@ -70,9 +70,11 @@
         self._listener = listener
         self._forwarder = forwarder
         self._clock = clock
+        self._signalled = clock.monotonic()
 
     def run(self) -> bool:
         """Carry out the stop; tell whether nothing had to be cut off."""
+        self._signalled = self._clock.monotonic()
         self._application.stopping = True
         self._listener.close_after_answers()
         _log.info("stopping", in_flight=self._forwarder.in_flight)
@@ -86,6 +88,10 @@
         return whole
 
     def _is_overdue(self, started: float) -> bool:
+        stop_seconds = self._settings.stop_seconds
+        if stop_seconds is not None:
+            # The supervisor kills the process then, and with it callers that a reset would tell.
+            return self._clock.monotonic() - self._signalled > stop_seconds
         limits = self._settings.limits
         grace = limits.head_seconds + limits.body_seconds + limits.write_seconds
         waited = self._clock.monotonic() - started
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -66,6 +66,10 @@
         self.plane.forwarder.publish_with(self.follower.report)
         self.follower.take_notice = self._take_notice
 
+    def reload(self, settings: Settings) -> None:
+        """Take changed settings."""
+        self.follower.replace_seeds(settings.seed_peers)
+
     def _take_notice(self, notice: Notice) -> None:
         """Apply what another entry saw; a service without requests here yet needs no warning."""
         live = self.plane.services.get(notice.service)
--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -45,6 +45,10 @@
         self._control = edge.make_control(control)
         self._follow = FollowService(self._role, self._view, channels, clock)
 
+    def reload(self, settings: Settings) -> None:
+        """Take changed settings."""
+        self.formation.replace_seeds(settings.seed_peers)
+
     def run(self, stop: StopSignal) -> bool:
         """Serve until the stop signal; calls in progress are given time to end."""
         settings = self._settings
--- a/packages/node/src/persimmonusher_node/tiers/process.py
+++ b/packages/node/src/persimmonusher_node/tiers/process.py
@@ -1,20 +1,27 @@
 """One process of the entry or keeper role."""
 
+import signal
+from pathlib import Path
 from random import SystemRandom
 
 from persimmonusher_node.clock import SystemClock
 from persimmonusher_node.collector import calm_collector
 from persimmonusher_node.logs import LoggingObserver, configure_logs
 from persimmonusher_node.peers import ChannelPool
-from persimmonusher_node.settings import Role, Settings
+from persimmonusher_node.settings import Role
+from persimmonusher_node.settings_file import load_settings
+from persimmonusher_node.settings_watch import SettingsWatch
 from persimmonusher_node.shutdown import StopSignal
 from persimmonusher_node.tiers.edge import Edge
 from persimmonusher_node.tiers.entry_daemon import EntryDaemon
 from persimmonusher_node.tiers.keeper_daemon import KeeperDaemon
 
 
-def run_tier(settings: Settings, edge: Edge) -> bool:
-    """Run until a signal; tell whether the stop cut nothing off."""
+def run_tier(path: Path, edge: Edge) -> bool:
+    """Run with a settings file until a signal; tell whether the stop cut nothing off."""
+    # Until the watch handles it, a hangup would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    settings = load_settings(path)
     configure_logs(settings)
     clock = SystemClock()
     random = SystemRandom()
@@ -28,4 +35,5 @@
             observer = LoggingObserver(clock, settings.log_level)
             daemon = EntryDaemon(settings, edge, channels, observer, clock, random)
         calm_collector()
-        return daemon.run(stop)
+        with SettingsWatch(path, settings, daemon.reload):
+            return daemon.run(stop)
--- /dev/null
+++ b/packages/node/tests/test_tiers.py
@@ -0,0 +1,239 @@
+from persimmonusher_node import loop
+
+loop.install()
+
+import json  # noqa: E402
+import socket  # noqa: E402
+import tempfile  # noqa: E402
+import time  # noqa: E402
+import unittest  # noqa: E402
+from collections.abc import Callable  # noqa: E402
+from contextlib import ExitStack  # noqa: E402
+from pathlib import Path  # noqa: E402
+from random import Random  # noqa: E402
+from typing import Any  # noqa: E402
+
+import eventlet  # noqa: E402
+
+from persimmonusher_agreement.configuration_keeper import LossTolerance  # noqa: E402
+from persimmonusher_agreement.registration import RegisteredState, Registration  # noqa: E402
+from persimmonusher_decisions.notices import Notice, NoticeKind  # noqa: E402
+from persimmonusher_model.errors import ErrorCode, UsherError  # noqa: E402
+from persimmonusher_model.identifiers import ServerId, ServiceName  # noqa: E402
+from persimmonusher_model.profile import Profile  # noqa: E402
+from persimmonusher_model.routing import (  # noqa: E402
+    CallerLimits,
+    DocumentCodec,
+    RouteRule,
+    RoutingDocument,
+    ServiceEntry,
+    WeightedService,
+)
+from persimmonusher_node.applied_document import AppliedDocument  # noqa: E402
+from persimmonusher_node.clock import SystemClock  # noqa: E402
+from persimmonusher_node.configuration_client import ConfigurationClient  # noqa: E402
+from persimmonusher_node.grpc_listener import GrpcListener  # noqa: E402
+from persimmonusher_node.keeper import KeeperRole  # noqa: E402
+from persimmonusher_node.keeper_seeds import SeededFormation  # noqa: E402
+from persimmonusher_node.peers import ChannelPool  # noqa: E402
+from persimmonusher_node.settings import Listeners, Role, Settings  # noqa: E402
+from persimmonusher_node.tiers.entry_daemon import FollowedView  # noqa: E402
+from persimmonusher_node.tiers.entry_ports import RegisteredDirectory  # noqa: E402
+from persimmonusher_node.tiers.follow_service import FollowService  # noqa: E402
+from persimmonusher_node.tiers.follower import KeeperFollower  # noqa: E402
+from persimmonusher_node.tiers.keeper_control import KeeperControl  # noqa: E402
+from persimmonusher_node.tiers.leader import LeaderCalls  # noqa: E402
+
+SERVICE = ServiceName("entries")
+READY = Registration("s1", SERVICE, "10.0.0.1:80", "north", 4, 1, 1, RegisteredState.READY)
+
+
+class PlainCodec(DocumentCodec):
+    """A document of one route, in JSON: {"version": N}."""
+
+    def parse(self, content: bytes) -> RoutingDocument:
+        version = json.loads(content)["version"]
+        if version < 0:
+            raise UsherError(ErrorCode.BAD_VALUE, "the version is negative")
+        parts = (WeightedService(SERVICE, 1),)
+        rule = RouteRule("r", "shop.example", "/", True, 0, 100, 1000, 2, parts)
+        limits = CallerLimits(16_384, 65_536, 3.0, 15.0)
+        return RoutingDocument(version, limits, (rule,), (ServiceEntry(SERVICE, "/health", 390),))
+
+
+def find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class KeeperNode:
+    """One keeper in this process, as the daemon composes it."""
+
+    def __init__(self, number: int, port: int, seeds: tuple[str, ...], folder: Path) -> None:
+        self.settings = Settings(
+            instance_id=f"k{number}",
+            failure_domain="north" if number == 1 else "south",
+            role=Role.KEEPER,
+            listen=Listeners(peers=f"127.0.0.1:{port}", control=f"127.0.0.1:{find_port()}"),
+            seeds=seeds,
+            bootstrap=True,
+            data_folder=str(folder / f"k{number}"),
+            peer_token="peers",
+        )
+        clock = SystemClock()
+        self.stack = ExitStack()
+        channels = self.stack.enter_context(ChannelPool("peers"))
+        self.view = ConfigurationClient(self.settings, channels, clock, Random(number))
+        tolerance = LossTolerance.for_losses(1)
+        formation = SeededFormation(seeds, self.settings.listen.peers, 3, True)
+        self.role = KeeperRole(
+            self.settings, channels, clock, self.view, Random(number), formation, tolerance
+        )
+        leader = LeaderCalls(self.role, channels, clock)
+        self.control = KeeperControl(
+            self.settings, self.role, self.view, leader, PlainCodec(), clock
+        )
+        follow = FollowService(self.role, self.view, channels, clock)
+        self.listener = GrpcListener(
+            self.settings.listen.peers,
+            [*self.role.list_peer_handlers(), follow],
+            {"peers": "peer"},
+        )
+        self.listener.start()
+        self.stack.callback(self.listener.stop)
+        self.stack.enter_context(self.role)
+
+
+class EntryNode:
+    """One entry's side of the control stream."""
+
+    def __init__(self, number: int, seeds: tuple[str, ...]) -> None:
+        settings = Settings(
+            instance_id=f"e{number}",
+            failure_domain="north",
+            role=Role.ENTRY,
+            listen=Listeners(),
+            seeds=seeds,
+            peer_token="peers",
+        )
+        clock = SystemClock()
+        self.stack = ExitStack()
+        channels = self.stack.enter_context(ChannelPool("peers"))
+        document = AppliedDocument(PlainCodec(), Profile())
+        self.view = FollowedView(settings, channels, clock, Random(number), document=document)
+        self.follower = KeeperFollower(settings, self.view, channels, clock, Random(number))
+        self.view.follower = self.follower
+        self.directory = RegisteredDirectory(self.view)
+        self.heard: list[Notice] = []
+        self.follower.take_notice = self.heard.append
+        self.stack.enter_context(self.follower)
+
+
+class TiersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        ports = [find_port() for _ in range(3)]
+        self.seeds = tuple(f"127.0.0.1:{port}" for port in ports)
+        self.keepers = [
+            KeeperNode(number, port, self.seeds, Path(folder.name))
+            for number, port in enumerate(ports, 1)
+        ]
+        for keeper in self.keepers:
+            self.addCleanup(keeper.stack.close)
+        self.entries = [EntryNode(number, self.seeds) for number in (1, 2)]
+        for entry in self.entries:
+            self.addCleanup(entry.stack.close)
+
+    def wait_for(self, what: Callable[[], Any], seconds: float = 10.0) -> None:
+        deadline = time.monotonic() + seconds
+        while not what():
+            self.assertLess(time.monotonic(), deadline, "waited in vain")
+            eventlet.sleep(0.02)
+
+    def put(self, version: int, keeper: int = 0) -> bytes:
+        content = json.dumps({"version": version}).encode()
+        self.wait_for(lambda: self.try_put(content, keeper))
+        return content
+
+    def try_put(self, content: bytes, keeper: int) -> bool:
+        try:
+            self.keepers[keeper].control.replace_document(content)
+        except UsherError as error:
+            if error.code is not ErrorCode.NO_QUORUM:
+                raise
+            return False
+        return True
+
+    def test_an_accepted_document_and_servers_reach_the_entries(self) -> None:
+        """Keepers and entries start with three seeds and nothing else, in any order.
+
+        What is accepted by one keeper must be in force at entries that follow another, and be read
+        back, byte for byte, at every keeper.
+        """
+        self.assertFalse(self.entries[0].view.is_configured())
+        content = self.put(3)
+        self.keepers[1].control.register(READY)
+        for entry in self.entries:
+            self.wait_for(lambda entry=entry: entry.view.find_rule("shop.example", "/x"))
+            self.wait_for(lambda entry=entry: entry.directory.list_servers(SERVICE))
+            self.assertTrue(entry.view.is_current())
+            profile = entry.view.find_profile(SERVICE)
+            assert profile is not None
+            self.assertEqual(profile.connections_per_server, 390)
+            self.wait_for(lambda entry=entry: entry.follower.entries == 2)
+        for keeper in self.keepers:
+            self.wait_for(lambda keeper=keeper: keeper.view.revision() >= 2)
+            self.assertEqual(keeper.control.read_document(), content)
+        self.put(2, keeper=2)
+        self.assertEqual(self.keepers[0].control.read_document(), content)
+        with self.assertRaises(UsherError):
+            self.keepers[0].control.replace_document(b'{"version": -1}')
+
+    def test_a_leaving_server_is_out_at_entries_of_every_keeper(self) -> None:
+        """A server tells one keeper that it leaves; entries that follow others hear of it.
+
+        A late heartbeat of the same start, told to a third keeper, must not bring it back.
+        """
+        self.put(1)
+        self.keepers[0].control.register(READY)
+        entry = self.entries[0]
+        self.wait_for(lambda: entry.directory.list_servers(SERVICE))
+        self.keepers[1].control.deregister("s1", None)
+        self.wait_for(lambda: not entry.directory.list_servers(SERVICE))
+        self.keepers[2].control.register(READY)
+        eventlet.sleep(0.3)
+        self.assertEqual(entry.directory.list_servers(SERVICE), [])
+
+    def test_without_a_majority_nothing_is_acknowledged_or_read(self) -> None:
+        """Two of three keepers are lost; an operator and a server reach the third.
+
+        An acknowledgement from it would bind entries that never hear of it, and a read could be
+        older than what the others acknowledged.
+        """
+        self.put(1)
+        self.keepers[0].control.register(READY)
+        self.wait_for(lambda: all(k.view.revision() >= 2 for k in self.keepers))
+        for keeper in self.keepers[1:]:
+            keeper.stack.close()
+        last = self.keepers[0].control
+        self.assertEqual(last.register(READY).address, None)
+        calls: list[Callable[[], Any]] = [
+            lambda: last.replace_document(b'{"version": 9}'),
+            lambda: last.deregister("s1", None),
+            last.read_document,
+        ]
+        for call in calls:
+            with self.assertRaises(UsherError) as caught:
+                call()
+            self.assertIs(caught.exception.code, ErrorCode.NO_QUORUM)
+        self.wait_for(lambda: not self.entries[0].view.is_current())
+        self.assertTrue(self.entries[0].view.is_configured())
+
+    def test_a_failure_is_told_to_entries_of_every_keeper(self) -> None:
+        self.put(1)
+        self.wait_for(lambda: all(entry.view.is_current() for entry in self.entries))
+        notice = Notice(NoticeKind.CRASHED, SERVICE, ServerId("s1"), 1, "poison")
+        self.entries[0].follower.report([notice])
+        self.wait_for(lambda: notice in self.entries[1].heard)
