--- a/packages/agreement/src/persimmonusher_agreement/log_replica.py
+++ b/packages/agreement/src/persimmonusher_agreement/log_replica.py
@@ -68,7 +68,7 @@
         self._installed = self.log.snapshot
         self._votes: set[KeeperId] = set()
         self._leadership: Leadership | None = None
-        self._draw_election_time()
+        self._draw_election_time(timing.first_election)
 
     @property
     def term(self) -> int:
@@ -408,6 +408,6 @@
         self._reading = now
         self._now += min(max(passed, 0.0), self._timing.election_timeout / 2)
 
-    def _draw_election_time(self) -> None:
-        wait = self._timing.election_timeout * (1 + self._random.random())
-        self._election_at = self._now + wait
+    def _draw_election_time(self, shortest: float | None = None) -> None:
+        shortest = self._timing.election_timeout if shortest is None else shortest
+        self._election_at = self._now + shortest * (1 + self._random.random())
--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -21,7 +21,7 @@
 REPORT_REACH: Final = 2.0
 """A report counts at most this many times the mean of all servers' reports, and at least the
 mean divided by it."""
-DOMAIN_BIAS: Final = 0.1
+DOMAIN_BIAS: Final = 0.3
 """Load for each slot that a server in another failure domain is taken to carry in addition."""
 SCAN_LIMIT: Final = 16
 """Servers compared for one request. With more, a random run of this length is compared."""
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -376,7 +376,7 @@
         if outcome.kind is OutcomeKind.BROKEN:
             self._quarantine.record_break(dispatch.request.fingerprint, track.server_id, now)
         elif outcome.kind is OutcomeKind.REFUSED:
-            self._window.record_refusal(now)
+            self._window.record_refusal(track.server_id, now)
         self._placement.penalize(track, PENALTIES[outcome.kind])
         self._suspect(dispatch, track, outcome, now)
 
@@ -441,7 +441,9 @@
         self._share_connections()
         self._placement.probe_seconds = self._live / PROBES_A_SECOND
         self._placement.replace(tracks, now)
-        self._window.resize(self._placement.open_slots, self._live)
+        self._window.resize(
+            self._placement.open_slots, self._live, self._profile.fewest_in_progress
+        )
 
     def _share_connections(self) -> None:
         limit = self._profile.connections_per_server
--- a/packages/decisions/src/persimmonusher_decisions/window.py
+++ b/packages/decisions/src/persimmonusher_decisions/window.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from persimmonusher_model.identifiers import ServerId
+
 LOW_PRESSURE: Final = 1.5
 """Reported load for each slot up to which servers' queues are short."""
 HIGH_PRESSURE: Final = 2.5
@@ -14,6 +16,9 @@
 """At most one reduction in this time, about one round of answers under overload."""
 SHRINK_ON_PRESSURE: Final = 0.9
 SHRINK_ON_REFUSAL: Final = 0.8
+ALONE_SECONDS: Final = 1.0
+"""Refusals of one server alone say that it is ill, or unlucky. Only when another one refused within
+this time is the service full."""
 LARGEST_SHARE: Final = 2.0
 """Upper limit in times the service's slots: what a single instance could ever need."""
 
@@ -36,15 +41,18 @@
         self._sized = False
         self._pressure: float | None = None
         self._shrink_at = 0.0
+        self._refused_by: ServerId | None = None
+        self._refused_at = 0.0
 
     @property
     def limit(self) -> float:
         """Return the number of requests that may be in progress."""
         return self._limit
 
-    def resize(self, slots: int, live: int) -> None:
-        """Take the service's open slots and the number of live instances."""
-        self._smallest = max(1.0, slots / max(1, live))
+    def resize(self, slots: int, live: int, fewest: int = 1) -> None:
+        """Take the service's open slots, the live instances, and what each may always have."""
+        equal_part = slots / max(1, live)
+        self._smallest = max(1.0, equal_part, min(fewest, slots))
         self._largest = max(2.0, LARGEST_SHARE * slots)
         if not self._sized:
             self._sized = slots > 0
@@ -64,9 +72,16 @@
             step = 1.0 if pressure is not None and pressure < LOW_PRESSURE else 1.0 / self._limit
             self._limit = min(self._largest, self._limit + step)
 
-    def record_refusal(self, now: float) -> None:
-        """Take a server's own refusal for being full."""
-        self._shrink(SHRINK_ON_REFUSAL, now)
+    def record_refusal(self, server_id: ServerId, now: float) -> None:
+        """Take a server's own refusal for being full.
+
+        The load it is for: a gray server that refuses half its work while all others idle. The
+        harm: each of its refusals would shrink the limit, until requests wait for no reason.
+        """
+        former, self._refused_by, at = self._refused_by, server_id, self._refused_at
+        self._refused_at = now
+        if former not in (None, server_id) and now - at <= ALONE_SECONDS:
+            self._shrink(SHRINK_ON_REFUSAL, now)
 
     def _shrink(self, factor: float, now: float) -> None:
         if now < self._shrink_at:
--- a/packages/model/src/persimmonusher_model/profile.py
+++ b/packages/model/src/persimmonusher_model/profile.py
@@ -69,6 +69,14 @@
         description="Send a second copy of an idempotent request after this wait, within the "
         "retry budget; 0 turns hedging off.",
     )
+    fewest_in_progress: int = Field(
+        default=1,
+        ge=1,
+        le=1_000,
+        description="Requests that one entry instance may always have in progress. With more "
+        "instances than slots an equal part is below one, and an instance whose callers come in "
+        "clumps would hold requests back while servers idle.",
+    )
     queue_limit: int = Field(
         default=64,
         ge=0,
--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -8,6 +8,7 @@
 from typing import Any, Final
 from urllib.parse import unquote
 
+from eventlet import sleep
 from structlog import get_logger
 
 from persimmonusher_model.clock import Clock
@@ -18,7 +19,7 @@
 from persimmonusher_node.dialect import OWN_DIALECT, Dialect
 from persimmonusher_node.entry import Entry
 from persimmonusher_node.protocol import ENVIRON_KEY, HttpProtocol
-from persimmonusher_node.services import LiveService
+from persimmonusher_node.services import LiveService, RoutedService
 
 HEALTH_PATH: Final = "/.persimmonusher/health"
 """The platform's balancer checks this path; 503 tells it to send no more callers here: while the
@@ -28,6 +29,11 @@
 LONGEST_DEADLINE_MS: Final = 600_000
 """As in profiles; it bounds how long a graceful stop may take."""
 LONGEST_NAME: Final = 64
+STARTING_SECONDS: Final = 0.7
+"""Longest wait for the first configuration after a start: an election and the way here. A caller
+that gives up on a connection does so after a second."""
+STARTING_REQUESTS: Final = 256
+STARTING_POLL_SECONDS: Final = 0.02
 
 _NAME: Final = re.compile(rf"[A-Za-z0-9._:-]{{1,{LONGEST_NAME}}}")
 _PHRASES: Final = {status.value: f"{status.value} {status.phrase}" for status in HTTPStatus}
@@ -68,6 +74,7 @@
         self._body_seconds = body_seconds
         self._prefix = f"{instance_id}-{int(clock.wall().timestamp() * 1000):x}"
         self._numbers = count(1)
+        self._starting = 0
         self.stopping = False
         """Whether the health path answers 503."""
         self.count_connections: Callable[[], int] = int
@@ -110,6 +117,8 @@
         arrived = self._clock.monotonic()
         host = environ.get("HTTP_HOST", "").lower()
         path = read_path(environ, request_id)
+        if not self._entry.is_ready():
+            self._wait_for_configuration()
         routed = self._entry.find(host.partition(":")[0], path)
         if routed is None:
             raise BadCall(self._refuse_unrouted(host, path, request_id))
@@ -119,7 +128,7 @@
         call = Call(
             request_id,
             CallerId(read_name(environ, self._dialect.caller, request_id)),
-            read_name(environ, self._dialect.request_class, request_id),
+            self._find_class(environ, routed, request_id),
             environ["REQUEST_METHOD"],
             host,
             path,
@@ -134,6 +143,33 @@
         )
         return self._entry.handle(call, live)
 
+    def _wait_for_configuration(self) -> None:
+        """Give an instance that has just started a moment to get its configuration.
+
+        The load it is for: all instances were killed at once, and callers come back before the
+        keepers have elected a leader. The harm: refused at once, each of them is lost to a start
+        that is over a moment later. The wait is short beside the shortest usual deadline, and
+        bounded in number, so that nobody waits for an instance that stays without.
+        """
+        if self._starting >= STARTING_REQUESTS:
+            return
+        self._starting += 1
+        try:
+            until = self._clock.monotonic() + STARTING_SECONDS
+            while not self._entry.is_ready() and self._clock.monotonic() < until:
+                sleep(STARTING_POLL_SECONDS)
+        finally:
+            self._starting -= 1
+
+    def _find_class(
+        self, environ: dict[str, Any], routed: RoutedService, request_id: RequestId
+    ) -> str:
+        """Return the class that the caller names, or else the route, whose requests are alike."""
+        named = read_name(environ, self._dialect.request_class, request_id)
+        if named is UNNAMED and routed.rule is not None:
+            return routed.rule.name
+        return named
+
     def _refuse_unrouted(self, host: str, path: str, request_id: RequestId) -> Answer:
         if not self._entry.is_ready():
             message = "this instance has no configuration yet"
--- a/packages/node/src/persimmonusher_node/keeper.py
+++ b/packages/node/src/persimmonusher_node/keeper.py
@@ -22,6 +22,7 @@
     LossTolerance,
 )
 from persimmonusher_agreement.configuration_objects import Change, Verdict
+from persimmonusher_agreement.log_leadership import LogTiming
 from persimmonusher_agreement.log_messages import (
     AppendRequest,
     KeeperId,
@@ -89,6 +90,7 @@
         random: Random | None = None,
         formation: KeeperFormation | None = None,
         tolerance: LossTolerance = ANY_KEEPERS,
+        timing: LogTiming = LogTiming(),  # noqa: B008 - frozen
     ) -> None:
         if settings.data_folder is None:
             raise UsherError(ErrorCode.MISSING_KEY, "data_folder: a keeper needs one")
@@ -106,6 +108,7 @@
         self._calls = WaitingCalls()
         self._formation = formation or ListedFormation(settings.keepers)
         self._tolerance = tolerance
+        self._timing = timing
         self._domain = settings.failure_domain
         self.followers = FollowerCount()
         self._courier = KeeperCourier(channels, settings.listen.peers)
@@ -215,6 +218,7 @@
                 self._storage,
                 self._random,
                 self._clock.monotonic(),
+                self._timing,
                 snapshot_entries=SNAPSHOT_ENTRIES,
                 compacts_itself=False,
                 tolerance=self._tolerance,
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -6,6 +6,7 @@
 keeps its label checks out of the path of a request.
 """
 
+from abc import ABC, abstractmethod
 from collections import Counter as Tally
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -38,7 +39,15 @@
     servers_left_out: dict[ServiceName, int]
 
 
-class RequestMetrics(RequestObserver):
+class MetricsSource(ABC):
+    """What a metrics listener serves."""
+
+    @abstractmethod
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+
+
+class RequestMetrics(MetricsSource, RequestObserver):
     """Counts requests and decisions and measures latency, by service and class."""
 
     def __init__(self, read_gauges: Callable[[], InstanceGauges]) -> None:
@@ -133,7 +142,7 @@
 class MetricsApplication:
     """Answers `GET /metrics`, as WSGI wants it."""
 
-    def __init__(self, metrics: RequestMetrics) -> None:
+    def __init__(self, metrics: MetricsSource) -> None:
         self._metrics = metrics
 
     def __call__(
--- a/packages/node/src/persimmonusher_node/registered_servers.py
+++ b/packages/node/src/persimmonusher_node/registered_servers.py
@@ -33,6 +33,9 @@
         self._by_service.setdefault(server.service, {})[server_id] = server
         self._count(server.service)
 
+    def __len__(self) -> int:
+        return len(self._by_id)
+
     def list_all(self, service: str) -> Iterable[Registration]:
         """Iterate over a service's servers."""
         return self._by_service.get(service, {}).values()
--- a/packages/node/src/persimmonusher_node/tiers/follow_service.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_service.py
@@ -53,7 +53,7 @@
         self._view = view
         self._clock = clock
         self._followers: set[Follower] = set()
-        self._relay = NoticeRelay(role, channels, self._tell_followers)
+        self._relay = NoticeRelay(role, channels, self._tell_followers, clock)
         view.on_change(self._wake)
 
     async def Follow(  # noqa: N802
--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -2,25 +2,40 @@
 
 from contextlib import ExitStack
 from random import Random
+from typing import Final
 
 import eventlet
 from structlog import get_logger
 
 from persimmonusher_agreement.configuration_keeper import LossTolerance
+from persimmonusher_agreement.log_leadership import LogTiming
 from persimmonusher_model.clock import Clock
+from persimmonusher_model.errors import UsherError
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.daemon import start_http
 from persimmonusher_node.grpc_listener import GrpcListener
 from persimmonusher_node.keeper import KeeperRole
 from persimmonusher_node.keeper_seeds import SeededFormation
+from persimmonusher_node.metrics import MetricsApplication
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.shutdown import StopSignal
 from persimmonusher_node.tiers.edge import Edge
 from persimmonusher_node.tiers.follow_service import FollowService
 from persimmonusher_node.tiers.keeper_control import REGISTER_SECONDS, KeeperControl
+from persimmonusher_node.tiers.keeper_metrics import (
+    LONGEST_AGE_SECONDS,
+    KeeperGauges,
+    KeeperMetrics,
+)
 from persimmonusher_node.tiers.leader import LeaderCalls
 
+TIMING: Final = LogTiming(heartbeat=0.4, election_timeout=1.2, first_election=0.3)
+"""Heartbeats between failure domains are the larger part of what idle keepers send: at 0.2 s they
+took some 20 KB/s among five keepers. Three of them fit into an election timeout, so that one lost
+message starts no election, and a new leader is there well within the time for an acknowledgement.
+"""
+
 _log = get_logger(__name__)
 
 
@@ -38,13 +53,34 @@
             settings.seed_peers, settings.listen.peers, tolerance.voters, settings.bootstrap
         )
         self._role = KeeperRole(
-            settings, channels, clock, self._view, random, self.formation, tolerance
+            settings, channels, clock, self._view, random, self.formation, tolerance, TIMING
         )
         leader = LeaderCalls(self._role, channels, clock)
         control = KeeperControl(settings, self._role, self._view, leader, edge.codec, clock)
         self._control = edge.make_control(control)
+        self._clock = clock
+        self._metrics = KeeperMetrics(self._read_gauges)
         self._follow = FollowService(self._role, self._view, channels, clock)
 
+    def _read_gauges(self) -> KeeperGauges | None:
+        try:
+            keeper = self._role.keeper
+        except UsherError:
+            return None
+        status, now = keeper.describe(), self._clock.monotonic()
+        leads = keeper.replica.is_ready_leader
+        return KeeperGauges(
+            int(leads),
+            len(status.members.list_voters()),
+            status.term,
+            status.commit_index,
+            status.revision,
+            min(LONGEST_AGE_SECONDS, keeper.replica.find_majority_age(now)),
+            self._role.followers.own,
+            self._role.followers.find_total(leads, now),
+            len(self._view.servers),
+        )
+
     def reload(self, settings: Settings) -> None:
         """Take changed settings."""
         self.formation.replace_seeds(settings.seed_peers)
@@ -60,6 +96,7 @@
             stack.callback(grpc.stop)
             stack.enter_context(self._role)
             start_http(stack, listen.control, self._control)
+            start_http(stack, listen.metrics, MetricsApplication(self._metrics))
             _log.info("started", role=settings.role.value, **listen.model_dump())
             stop.wait()
             _log.info("stopping")
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_metrics.py
@@ -0,0 +1,68 @@
+"""A keeper's metrics by aioprometheus; none has labels."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from aioprometheus.collectors import Counter, Gauge, Registry
+from aioprometheus.renderer import render
+
+from persimmonusher_node.metrics import MetricsSource
+
+LONGEST_AGE_SECONDS: Final = 3_600.0
+"""Stands for any longer time, such as that of a keeper that never heard of a majority."""
+
+GAUGES: Final = {
+    "keeper_leads": "1 on the keeper that leads.",
+    "keeper_voters": "Voters of the log.",
+    "keeper_term": "The term of the log.",
+    "keeper_commit_index": "The last index that is committed.",
+    "keeper_revision": "The configuration revision applied here.",
+    "keeper_majority_age_seconds": "Time since this keeper was in touch with a majority.",
+    "keeper_followers": "Entries that follow this keeper.",
+    "keeper_entries": "Entries that follow any keeper.",
+    "keeper_servers": "Backend servers that are registered and have not ended.",
+}
+
+
+@dataclass(frozen=True)
+class KeeperGauges:
+    """What is measured at the moment of a scrape, in the order of `GAUGES`."""
+
+    leads: int
+    voters: int
+    term: int
+    commit_index: int
+    revision: int
+    majority_age_seconds: float
+    followers: int
+    entries: int
+    servers: int
+
+
+class KeeperMetrics(MetricsSource):
+    """Reads a keeper's gauges, and counts its calls."""
+
+    def __init__(self, read_gauges: Callable[[], KeeperGauges | None]) -> None:
+        self._read_gauges = read_gauges
+        self._registry = Registry()
+        self._gauges = {
+            name: Gauge(f"persimmonusher_{name}", text, registry=self._registry)
+            for name, text in GAUGES.items()
+        }
+        self._failed = Counter(
+            "persimmonusher_keeper_failed_scrapes_total",
+            "Scrapes while the disk had failed; the gauges are those of before.",
+            registry=self._registry,
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        gauges = self._read_gauges()
+        if gauges is None:
+            self._failed.inc({})
+        else:
+            for name, gauge in self._gauges.items():
+                gauge.set({}, getattr(gauges, name.removeprefix("keeper_")))
+        content, _ = render(self._registry, ["text/plain"])
+        return content
--- a/packages/node/src/persimmonusher_node/tiers/notice_relay.py
+++ b/packages/node/src/persimmonusher_node/tiers/notice_relay.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from persimmonusher_model.clock import Clock
 from persimmonusher_node.keeper import KeeperRole
 from persimmonusher_node.keeper_calls import CALL_ERRORS
 from persimmonusher_node.loop import start_coroutine
@@ -18,6 +19,11 @@
 
 SEND_SECONDS: Final = 0.5
 """A notice that took longer to arrive has lost most of its worth."""
+REPEAT_SECONDS: Final = 1.0
+"""Notices of the same failing server within this time are told once: a fraction of the time for
+which it is passed by."""
+TOLD_KEPT: Final = 4_096
+"""Servers remembered as told; with more, all are told anew."""
 WAITING: Final = 256
 """Notices kept for one keeper while a call to it is under way; of more, the oldest go."""
 
@@ -30,21 +36,42 @@
         role: KeeperRole,
         channels: ChannelPool,
         tell_followers: Callable[[Iterable[pb.Notice]], None],
+        clock: Clock,
     ) -> None:
         self._role = role
         self._channels = channels
         self._tell_followers = tell_followers
+        self._clock = clock
+        self._told: dict[tuple[str, str], float] = {}
         self._waiting: dict[str, deque[pb.Notice]] = {}
         self._busy: dict[str, asyncio.Task[None]] = {}
 
     def take(self, batch: pb.NoticeBatch) -> None:
         """Pass a batch on; one from another keeper goes to the followers only."""
-        self._tell_followers(batch.notices)
+        news = [notice for notice in batch.notices if self._is_news(notice)]
+        if not news:
+            return
+        self._tell_followers(news)
         if batch.relayed:
             return
         for member in self._role.keeper.replica.log.members.members:
             if member.keeper != self._role.identity:
-                self._queue(member.address, batch.notices)
+                self._queue(member.address, news)
+
+    def _is_news(self, notice: pb.Notice) -> bool:
+        """Tell whether this was not told within the last moment.
+
+        A server that fails all its work is told of by every entry that has a request there; each
+        further notice only renews what the first has brought about everywhere.
+        """
+        now = self._clock.monotonic()
+        what = (notice.server, notice.crashed_by)
+        if now - self._told.get(what, float("-inf")) < REPEAT_SECONDS:
+            return False
+        if len(self._told) >= TOLD_KEPT:
+            self._told.clear()
+        self._told[what] = now
+        return True
 
     def _queue(self, address: str, notices: Iterable[pb.Notice]) -> None:
         self._waiting.setdefault(address, deque(maxlen=WAITING)).extend(notices)
--- a/packages/node/tests/test_reference_pages.py
+++ b/packages/node/tests/test_reference_pages.py
@@ -12,6 +12,7 @@
 from persimmonusher_node.headers import CallerOutcome
 from persimmonusher_node.metrics import InstanceGauges, RequestMetrics
 from persimmonusher_node.settings import Settings
+from persimmonusher_node.tiers.keeper_metrics import KeeperGauges, KeeperMetrics
 
 PAGES = Path(__file__).resolve().parents[3] / "docs" / "reference"
 
@@ -65,6 +66,13 @@
         names = set(re.findall(r"^# HELP (\S+)", text, re.MULTILINE))
         self.assertEqual(read_first_cells("metrics.md") - {"metric", "---"}, names)
 
+    def test_every_metric_of_a_keeper_is_listed(self) -> None:
+        text = KeeperMetrics(lambda: KeeperGauges(1, 3, 1, 1, 1, 0.1, 2, 2, 2)).render().decode()
+        names = set(re.findall(r"^# HELP (\S+)", text, re.MULTILINE))
+        listed = read_first_cells("keeper-metrics.md") - {"metric", "---"}
+        self.assertEqual(listed, names)
+        self.assertIn("persimmonusher_keeper_voters 3", text)
+
     def test_every_header_is_listed(self) -> None:
         names = {
             value
