--- a/packages/decisions/src/persimmonusher_decisions/retries.py
+++ b/packages/decisions/src/persimmonusher_decisions/retries.py
@@ -2,6 +2,9 @@
 
 from typing import Final
 
+SLACK_USED: Final = 0.9
+"""Part of the fleet's slack that is shared out: for a moment after a start or a loss, instances
+count different numbers of each other."""
 LARGEST_BALANCE: Final = 10.0
 """Tokens that can be saved up: enough for the requests in flight on one server that breaks."""
 FIRST_BALANCE: Final = 3.0
@@ -32,7 +35,7 @@
         An instance always keeps one token, or it could never retry: with more instances than
         slack, few of them meet a fault at the same moment.
         """
-        self._largest = min(LARGEST_BALANCE, max(1.0, slack / instances))
+        self._largest = min(LARGEST_BALANCE, max(1.0, SLACK_USED * slack / instances))
         self._balance = min(self._balance, self._largest)
 
     def replace_percent(self, percent: int) -> None:
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -49,6 +49,9 @@
 UNREACHED_ATTEMPTS: Final = 5
 """Servers in a row that may be out of reach before a request is given up on: each costs the time
 of a connection, and a cut that hides so many hides them all."""
+SILENT_REFUSAL_PENALTY: Final = 1.0
+"""The same for a refusal that tells no load: the server's queue, which takes several times its
+slots, is full or it is ill, and nothing else will say when it has room again."""
 SUSPICIOUS_KINDS: Final = frozenset(
     {OutcomeKind.FAILURE, OutcomeKind.TIMEOUT, OutcomeKind.BROKEN, OutcomeKind.UNREACHED}
 )
@@ -394,7 +397,9 @@
             self._quarantine.record_break(dispatch.request.fingerprint, track.server_id, now)
         elif outcome.kind is OutcomeKind.REFUSED:
             self._window.record_refusal(track.server_id, now)
-        self._placement.penalize(track, PENALTIES[outcome.kind])
+        silent_refusal = outcome.kind is OutcomeKind.REFUSED and outcome.reported_load is None
+        share = SILENT_REFUSAL_PENALTY if silent_refusal else PENALTIES[outcome.kind]
+        self._placement.penalize(track, share)
         self._suspect(dispatch, track, outcome, now)
 
     def _suspect(
--- a/packages/node/src/persimmonusher_node/applied_document.py
+++ b/packages/node/src/persimmonusher_node/applied_document.py
@@ -49,10 +49,9 @@
         """Return the profile of one of the document's services, or None for any other."""
         return self._profiles.get(service)
 
-    def find_connection_limit(self, service: ServiceName) -> int:
-        """Return the connections that each server of a service takes, 0 where none is stated."""
-        profile = self._profiles.get(service)
-        return 0 if profile is None else profile.connections_per_server
+    def may_know(self, service: ServiceName) -> bool:
+        """Tell whether a service may be in use: any may before the first document."""
+        return self.document is None or service in self._profiles
 
     def _make_profiles(self, document: RoutingDocument) -> dict[ServiceName, Profile]:
         """Make a profile for each service; one that says the same as before stays the object."""
--- a/packages/node/src/persimmonusher_node/configuration_client.py
+++ b/packages/node/src/persimmonusher_node/configuration_client.py
@@ -115,6 +115,11 @@
         document = self._applied.document
         return None if document is None else document.find_rule(host, path)
 
+    def may_know(self, service: ServiceName) -> bool:
+        """Tell whether a service is one that the configuration names, or may come to name."""
+        document = self._applied.document
+        return document is None or document.may_know(service)
+
     @property
     def servers(self) -> RegisteredServers:
         """Return the registered backend servers."""
--- a/packages/node/src/persimmonusher_node/tiers/keeper_control.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_control.py
@@ -28,7 +28,7 @@
 )
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.errors import ErrorCode, UsherError
-from persimmonusher_model.identifiers import Revision
+from persimmonusher_model.identifiers import Revision, ServiceName
 from persimmonusher_model.rendezvous import rank
 from persimmonusher_model.routing import DocumentCodec
 from persimmonusher_node.configuration_client import ConfigurationClient
@@ -70,7 +70,15 @@
         self._clock = clock
 
     def register(self, registration: Registration) -> Heartbeat:
-        """Take what a server says of itself; only what changes goes through the log."""
+        """Take what a server says of itself; only what changes goes through the log.
+
+        Guards against a word from elsewhere that names a service which nobody routes to: it could
+        take the address of a server at work. A service that is added later is taken then, with the
+        next heartbeat.
+        """
+        if not self._view.may_know(ServiceName(registration.service)):
+            message = f"{registration.server_id}: there is no service {registration.service!r}"
+            raise UsherError(ErrorCode.NOT_FOUND, message)
         known = self._find(registration.server_id)
         is_same = known is not None and known.boot == registration.boot
         if is_same and known is not None and known.describes_same(registration):
--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -11,6 +11,8 @@
 from persimmonusher_agreement.log_leadership import LogTiming
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.errors import UsherError
+from persimmonusher_model.profile import Profile
+from persimmonusher_node.applied_document import AppliedDocument
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.daemon import start_http
 from persimmonusher_node.grpc_listener import GrpcListener
@@ -46,7 +48,9 @@
         self, settings: Settings, edge: Edge, channels: ChannelPool, clock: Clock, random: Random
     ) -> None:
         self._settings = settings
-        self._view = ConfigurationClient(settings, channels, clock, random)
+        self._view = ConfigurationClient(
+            settings, channels, clock, random, document=AppliedDocument(edge.codec, Profile())
+        )
         tolerance = LossTolerance.for_losses(settings.tolerated_losses)
         assert tolerance.voters is not None
         self.formation = SeededFormation(
--- a/packages/node/tests/test_tiers.py
+++ b/packages/node/tests/test_tiers.py
@@ -9,6 +9,7 @@
 import unittest  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 from contextlib import ExitStack  # noqa: E402
+from dataclasses import replace  # noqa: E402
 from pathlib import Path  # noqa: E402
 from random import Random  # noqa: E402
 from typing import Any  # noqa: E402
@@ -84,7 +85,10 @@
         clock = SystemClock()
         self.stack = ExitStack()
         channels = self.stack.enter_context(ChannelPool("peers"))
-        self.view = ConfigurationClient(self.settings, channels, clock, Random(number))
+        document = AppliedDocument(PlainCodec(), Profile())
+        self.view = ConfigurationClient(
+            self.settings, channels, clock, Random(number), document=document
+        )
         tolerance = LossTolerance.for_losses(1)
         formation = SeededFormation(
             seeds, self.settings.listen.peers, 3, True, self.settings.failure_domain
@@ -208,6 +212,18 @@
         eventlet.sleep(0.3)
         self.assertEqual(entry.directory.list_servers(SERVICE), [])
 
+    def test_a_word_of_an_unknown_service_takes_no_address(self) -> None:
+        """Something else than a server names a service that nobody routes to, at its address."""
+        self.put(1)
+        self.keepers[0].control.register(READY)
+        odd = replace(READY, server_id="odd", service="odd", boot=9)
+        self.wait_for(lambda: self.keepers[0].view.find_record(READY.key))
+        with self.assertRaises(UsherError) as caught:
+            self.keepers[0].control.register(odd)
+        self.assertIs(caught.exception.code, ErrorCode.NOT_FOUND)
+        entry = self.entries[0]
+        self.wait_for(lambda: entry.directory.list_servers(SERVICE))
+
     def test_without_a_majority_nothing_is_acknowledged_or_read(self) -> None:
         """Two of three keepers are lost; an operator and a server reach the third.
 
