Log each server that is passed by, with the request that showed it

Cause: the log said of a failed request which server failed it, but not that the server was then passed by here, nor that another entry had seen it; OPERATIONS needs that line to get from an id to a cause.

--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -18,6 +18,7 @@
 from persimmonusher_node.answers import AnswerCode
 from persimmonusher_node.dialect import OWN_DIALECT, Dialect
 from persimmonusher_node.exchange import classify_answer, make_upstream_request, read_load
+from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.runs import Run
 from persimmonusher_node.services import LiveService
 from persimmonusher_node.upstream import Attempt, AttemptError, Upstream, UpstreamAnswer
@@ -58,6 +59,7 @@
         self._dialect = dialect
         self._upstream = upstream
         self._clock = clock
+        self._lines = LineBudget(clock)
         self._deliver = deliver
         self.publish: Callable[[Sequence[Notice]], None] = drop_notices
         """Tells the other instances of failures."""
@@ -87,8 +89,26 @@
             self._deliver(live, released)
         notices = live.traffic.take_notices()
         if notices:
+            self._log_notices(live, dispatch, outcome, notices)
             self.publish(notices)
 
+    def _log_notices(
+        self, live: LiveService, dispatch: Dispatch, outcome: Outcome, notices: Sequence[Notice]
+    ) -> None:
+        seconds = live.profile.suspect_ms / 1000.0
+        for notice in notices if seconds else ():
+            if self._lines.take():
+                _log.info(
+                    "server-passed-by",
+                    server=notice.server_id,
+                    service=notice.service,
+                    boot=notice.boot_id,
+                    seconds=seconds,
+                    outcome=outcome.kind.value,
+                    request_id=dispatch.request.request_id,
+                    lines_left_out=self._lines.take_left_out(),
+                )
+
     def _make(self, run: Run, dispatch: Dispatch) -> Ended:
         started = self._clock.monotonic()
         request = make_upstream_request(
--- a/packages/node/src/persimmonusher_node/logs.py
+++ b/packages/node/src/persimmonusher_node/logs.py
@@ -12,6 +12,7 @@
 
 from persimmonusher_model.clock import Clock
 from persimmonusher_node.headers import CallerOutcome
+from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.log_pipe import open_standard_output
 from persimmonusher_node.observer import FinishedRequest, RequestObserver
 from persimmonusher_node.records import DecisionStep
@@ -19,7 +20,6 @@
 
 SECRET_KEYS: Final = frozenset({"token", "peer_token", "operator_tokens", "body", "headers", "key"})
 """Fields that are masked wherever they turn up, should a later log call name one."""
-LINES_A_SECOND: Final = 50
 PLAIN_STEPS: Final = 2
 """A dispatch and its outcome."""
 MASK: Final = "(hidden)"
@@ -74,42 +74,24 @@
     The rest is logged as debug. Each line holds every decision on the request with its inputs: the
     server, the time since the request arrived, the reason, and the configuration's revision.
 
-    The load it is for: an overload in which most requests are refused. The harm: writing a line
-    costs as much as a fifth of a request, so that refusing would keep the instance overloaded. So
-    at most `LINES_A_SECOND` are written; the next line after says how many were left out, and the
-    metrics count them all.
+    `LineBudget` bounds their number.
     """
 
     def __init__(self, clock: Clock, level: str) -> None:
         self._log = structlog.get_logger("requests")
-        self._clock = clock
+        self._budget = LineBudget(clock)
         self._is_debug = level == "debug"
-        self._second = 0
-        self._lines = 0
-        self._left_out = 0
 
     def observe(self, finished: FinishedRequest) -> None:
         """Write one line, unless the level is filtered or the second has its lines."""
         is_plain = is_uneventful(finished)
         if is_plain and not self._is_debug:
             return
-        if self._take_line():
+        if self._budget.take():
             self._write(finished, self._log.debug if is_plain else self._log.info)
 
-    def _take_line(self) -> bool:
-        second = int(self._clock.monotonic())
-        if second != self._second:
-            self._second = second
-            self._lines = 0
-        self._lines += 1
-        if self._lines > LINES_A_SECOND:
-            self._left_out += 1
-            return False
-        return True
-
     def _write(self, finished: FinishedRequest, write: Callable[..., Any]) -> None:
         record = finished.record
-        left_out, self._left_out = self._left_out, 0
         last = record.steps[-1] if record.steps else None
         write(
             "request",
@@ -125,7 +107,7 @@
             revision=record.revision,
             steps=[describe_step(step) for step in record.steps],
             seconds=round(finished.whole, 4),
-            lines_left_out=left_out,
+            lines_left_out=self._budget.take_left_out(),
         )
 
 
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -14,6 +14,7 @@
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.daemon import make_listener_limits, start_http
 from persimmonusher_node.data_plane import DataPlane
+from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.listener import HttpListener
 from persimmonusher_node.metrics import MetricsApplication
 from persimmonusher_node.observer import RequestObserver
@@ -53,6 +54,7 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
+        self._lines = LineBudget(clock)
         document = AppliedDocument(edge.codec, parse_profile(settings.default_profile))
         view = FollowedView(settings, channels, clock, random, document=document)
         self.follower = KeeperFollower(settings, view, channels, clock, random)
@@ -86,8 +88,20 @@
     def _take_notice(self, notice: Notice) -> None:
         """Apply what another entry saw; a service without requests here yet needs no warning."""
         live = self.plane.services.get(notice.service)
-        if live is not None:
-            live.traffic.apply_notice(notice, self._clock.monotonic())
+        if live is None:
+            return
+        live.traffic.apply_notice(notice, self._clock.monotonic())
+        if self._lines.take():
+            _log.info(
+                "server-passed-by",
+                server=notice.server_id,
+                service=notice.service,
+                boot=notice.boot_id,
+                seconds=live.profile.suspect_ms / 1000.0,
+                outcome=notice.kind.value,
+                seen="elsewhere",
+                lines_left_out=self._lines.take_left_out(),
+            )
 
     def run(self, stop: StopSignal) -> bool:
         """Serve until the stop signal, then stop gracefully; tell whether nothing was cut off."""
--- a/packages/node/tests/test_logs.py
+++ b/packages/node/tests/test_logs.py
@@ -8,7 +8,8 @@
 from entry_harness import SHED, EntryTestCase
 
 from persimmonusher_model.clock import ManualClock
-from persimmonusher_node.logs import LINES_A_SECOND, MASK, LoggingObserver, hide_secrets
+from persimmonusher_node.line_budget import LINES_A_SECOND
+from persimmonusher_node.logs import MASK, LoggingObserver, hide_secrets
 
 EXAMPLE = Path(__file__).resolve().parents[3] / "docs" / "examples" / "keeper.json"
 
