--- a/packages/node/tests/test_logs.py
+++ b/packages/node/tests/test_logs.py
@@ -1,6 +1,7 @@
 import json
 import subprocess
 import sys
+import tempfile
 import unittest
 from pathlib import Path
 
@@ -58,6 +59,15 @@
         command = [sys.executable, "-W", "ignore", "-m", "persimmonusher_node", *arguments]
         return subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
 
+    def test_a_role_that_needs_an_adapter_is_refused(self) -> None:
+        text = EXAMPLE.read_text().replace("{", '{ "role": "entry",', 1)
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write(text)
+            file.flush()
+            done = self.run_command("run", file.name)
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("role", done.stderr)
+
     def test_settings_in_order_exit_0_and_refused_ones_2(self) -> None:
         good = self.run_command("check-settings", str(EXAMPLE))
         self.assertEqual((good.returncode, good.stderr), (0, ""))
