--- a/packages/node/tests/test_logs.py
+++ b/packages/node/tests/test_logs.py
@@ -60,13 +60,14 @@
         return subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
 
     def test_a_role_that_needs_an_adapter_is_refused(self) -> None:
-        text = EXAMPLE.read_text().replace("{", '{ "role": "entry",', 1)
+        listen = '"role": "entry", "listen": { "ready": "127.0.0.1:8",'
+        text = EXAMPLE.read_text().replace('"listen": {', listen, 1)
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
             file.write(text)
             file.flush()
             done = self.run_command("run", file.name)
         self.assertEqual(done.returncode, 2)
-        self.assertIn("role", done.stderr)
+        self.assertIn("role: 'entry' runs behind an adapter", done.stderr)
 
     def test_settings_in_order_exit_0_and_refused_ones_2(self) -> None:
         good = self.run_command("check-settings", str(EXAMPLE))
