--- a/packages/lab/src/persimmonusher_lab/log_cluster.py
+++ b/packages/lab/src/persimmonusher_lab/log_cluster.py
@@ -11,7 +11,12 @@
 from typing import Final
 
 from persimmonusher_agreement.configuration import Configuration
-from persimmonusher_agreement.configuration_keeper import ConfigurationKeeper, KeeperOutput
+from persimmonusher_agreement.configuration_keeper import (
+    ANY_KEEPERS,
+    ConfigurationKeeper,
+    KeeperOutput,
+    LossTolerance,
+)
 from persimmonusher_agreement.configuration_objects import Change, ObjectKey, ObjectKind, Verdict
 from persimmonusher_agreement.configuration_store import ConfigurationStore
 from persimmonusher_agreement.keeper_members import form_members
@@ -42,7 +47,14 @@
 class LogCluster:
     """The keepers `k1` to `kN`, the changes proposed to them, and the invariants."""
 
-    def __init__(self, seed: int, size: int = 3, snapshot_entries: int = 8) -> None:
+    def __init__(
+        self,
+        seed: int,
+        size: int = 3,
+        snapshot_entries: int = 8,
+        tolerance: LossTolerance = ANY_KEEPERS,
+    ) -> None:
+        self._tolerance = tolerance
         self.random = Random(seed)
         self.invariants = LogInvariants()
         self.changes: dict[str, Change] = {}
@@ -68,6 +80,7 @@
             TIMING,
             self._snapshot_entries,
             Configuration(verdicts_kept=10_000),
+            tolerance=self._tolerance,
         )
 
     def crash(self, name: str) -> None:
@@ -141,14 +154,18 @@
         assert store.revision >= before, "the revision of an entry went down"
 
     def form_if_empty(self) -> None:
-        """Form the log on the first keeper when all run and none holds one, as formation does."""
+        """Form the log on the first keeper when all run and none holds one, as formation does.
+
+        With a number of voters wanted, the keepers beyond it are spares that join as learners.
+        """
         running = list(self.list_running())
         empty = [keeper for keeper in running if not keeper.replica.log.members.members]
         if len(empty) < len(self.keepers):
             return
         self.logs_formed += 1
         self.invariants.begin_log()
-        identities = {keeper.identity: name for name, keeper in self.keepers.items()}
+        founders = list(self.keepers.items())[: self._tolerance.voters]
+        identities = {keeper.identity: name for name, keeper in founders}
         empty[0].form(form_members(f"fleet{self.logs_formed}", identities))
 
     def admit_missing(self, now: float) -> None:
--- a/packages/lab/src/persimmonusher_lab/log_schedule.py
+++ b/packages/lab/src/persimmonusher_lab/log_schedule.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import Final
 
+from persimmonusher_agreement.configuration_keeper import ANY_KEEPERS, LossTolerance
 from persimmonusher_agreement.log_messages import (
     AppendReply,
     AppendRequest,
@@ -107,9 +108,14 @@
     """Runs a cluster in virtual time and keeps a trace of what happened."""
 
     def __init__(
-        self, seed: int, faults: tuple[Fault, ...] = (), tick: float = TICK, size: int = 3
+        self,
+        seed: int,
+        faults: tuple[Fault, ...] = (),
+        tick: float = TICK,
+        size: int = 3,
+        tolerance: LossTolerance = ANY_KEEPERS,
     ) -> None:
-        self.cluster = LogCluster(seed, size)
+        self.cluster = LogCluster(seed, size, tolerance=tolerance)
         self._tick_seconds = tick
         self.now = 0.0
         self.steps = 0
