--- a/packages/agreement/tests/test_log_replacement.py
+++ b/packages/agreement/tests/test_log_replacement.py
@@ -40,7 +40,7 @@
                 self.assertIsInstance(verdict, Accepted)
                 return change
             self.schedule.run(0.02)
-        self.fail("the change was not accepted within 8 s")
+        raise AssertionError("the change was not accepted within 8 s")
 
     def check_all_kept(self, changes: list[Change]) -> None:
         configuration = self.get_leader().configuration
