--- a/packages/agreement/tests/test_registration.py
+++ b/packages/agreement/tests/test_registration.py
@@ -67,7 +67,12 @@
         """
         newer = replace(READY, server_id="s2", service="fees", boot=200)
         late = replace(READY, sequence=7)
-        for name, order in (("in order", [READY, newer, late]), ("late first", [newer, READY])):
+        cases = [
+            ("no further word", [READY, newer]),
+            ("a late word after", [READY, newer, late]),
+            ("a late word first", [newer, READY]),
+        ]
+        for name, order in cases:
             with self.subTest(name):
                 self.setUp()
                 self.apply(*order)
