--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -23,10 +23,11 @@
 
     def suspect(
         self, track: ServerTrack, tracks: Collection[ServerTrack], profile: Profile, now: float
-    ) -> None:
-        """Pass a server by from now on, for the profile's time."""
+    ) -> bool:
+        """Pass a server by from now on, for the profile's time; tell whether that is news."""
         if not profile.suspect_ms:
-            return
+            return False
+        is_news = track.suspect_until <= now
         track.suspect_until = now + profile.suspect_ms / 1000.0
         suspected = [item for item in tracks if item.suspect_until > now]
         allowed = len(tracks) - ceil(len(tracks) * profile.health_floor_percent / 100)
@@ -34,3 +35,4 @@
             suspected.sort(key=lambda item: item.suspect_until)
             for item in suspected[: len(suspected) - allowed]:
                 item.suspect_until = now
+        return is_news
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -225,14 +225,14 @@
         self._notices.clear()
         return notices
 
-    def apply_notice(self, notice: Notice, now: float) -> None:
-        """Take a failure that another instance saw."""
+    def apply_notice(self, notice: Notice, now: float) -> bool:
+        """Take a failure that another instance saw; tell whether the server was trusted before."""
         track = self._tracks.get(notice.server_id)
         if track is None or track.server.boot_id != notice.boot_id:
-            return
+            return False
         if notice.kind is NoticeKind.CRASHED:
             self._quarantine.note_strike(notice.fingerprint, notice.server_id, now)
-        self._suspicion.suspect(track, self._tracks.values(), self._profile, now)
+        return self._suspicion.suspect(track, self._tracks.values(), self._profile, now)
 
     def list_in_progress(self) -> dict[ServerId, int]:
         """Return this instance's requests in progress by server, those without any left out."""
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -14,6 +14,7 @@
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.daemon import make_listener_limits, start_http
 from persimmonusher_node.data_plane import DataPlane
+from persimmonusher_node.grpc_listener import GrpcListener
 from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.listener import HttpListener
 from persimmonusher_node.metrics import MetricsApplication
@@ -26,6 +27,7 @@
 from persimmonusher_node.tiers.edge import Edge
 from persimmonusher_node.tiers.entry_ports import FollowedMembership, NoClaims, RegisteredDirectory
 from persimmonusher_node.tiers.follower import KeeperFollower
+from persimmonusher_node.tiers.peer_notices import PeerNoticeService
 
 _log = get_logger(__name__)
 
@@ -90,8 +92,8 @@
         live = self.plane.services.get(notice.service)
         if live is None:
             return
-        live.traffic.apply_notice(notice, self._clock.monotonic())
-        if self._lines.take():
+        is_news = live.traffic.apply_notice(notice, self._clock.monotonic())
+        if is_news and self._lines.take():
             _log.info(
                 "server-passed-by",
                 server=notice.server_id,
@@ -111,6 +113,11 @@
         callers = HttpListener(listen.callers, application, make_listener_limits(settings.limits))
         application.count_connections = lambda: callers.connections
         with ExitStack() as stack:
+            if listen.peers:
+                service = PeerNoticeService(self._take_notice)
+                peers = GrpcListener(listen.peers, [service], {settings.peer_token: "peer"})
+                peers.start()
+                stack.callback(peers.stop)
             stack.enter_context(self.follower)
             stack.enter_context(self.plane.watch)
             start_http(stack, listen.ready, application)
--- a/packages/node/src/persimmonusher_node/tiers/follow_service.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_service.py
@@ -33,7 +33,8 @@
 class Follower:
     """One entry's stream: what wakes it, and the notices that it is to be told."""
 
-    def __init__(self) -> None:
+    def __init__(self, address: str) -> None:
+        self.address = address
         self.wake = asyncio.Event()
         self.notices: deque[control_pb2.Notice] = deque(maxlen=NOTICES_KEPT)
 
@@ -64,7 +65,7 @@
         """Send updates until the follower leaves."""
         request = await stream.recv_message()
         assert request is not None
-        follower = Follower()
+        follower = Follower(request.address)
         self._followers.add(follower)
         self._role.followers.own = len(self._followers)
         try:
@@ -143,6 +144,7 @@
             entries=self._role.followers.find_total(replica.is_leader, now),
             keepers=places,
             notices=notices,
+            peers=[follower.address for follower in self._followers if follower.address],
         )
 
     def _wake(self, revision: Revision, keys: Sequence[ObjectKey]) -> None:
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -21,6 +21,7 @@
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.tiers.notice_wire import decode_notice, encode_notice
+from persimmonusher_node.tiers.peer_notices import PeerNotices
 from persimmonusher_protocol import control_pb2
 from persimmonusher_protocol.control_grpc import ControlStub
 
@@ -96,6 +97,8 @@
         self._records: list[Record] = []
         self._task: asyncio.Task[None] | None = None
         self._place: KeeperPlace | None = None
+        """The keeper whose updates arrive; None while none does."""
+        self._peers = PeerNotices(settings.listen.peers, channels)
         self._reports: deque[Notice] = deque(maxlen=REPORTS_KEPT)
         self._reporting: asyncio.Task[None] | None = None
         self.take_notice: Callable[[Notice], None] = ignore_notice
@@ -121,7 +124,14 @@
         self._task = self._load_task = None
 
     def report(self, notices: Sequence[Notice]) -> None:
-        """Tell the other entries of failures, by way of the followed keeper; waits for nothing."""
+        """Tell the other entries of failures; waits for nothing.
+
+        The followed keeper passes them on to all. Without one, the entries that followed the same
+        keeper are told directly.
+        """
+        if self._place is None:
+            self._peers.tell(notices)
+            return
         self._reports.extend(notices)
         if self._reporting is None or self._reporting.done():
             self._reporting = start_coroutine(self._send_reports())
@@ -174,6 +184,7 @@
             try:
                 await self._follow(place)
             except HomewardError:
+                self._place = None
                 continue
             except (StaleKeeperError, *CALL_ERRORS) as error:
                 logger.info(
@@ -190,6 +201,7 @@
             except Exception:
                 # Without its stream the entry would work on with an old configuration for ever.
                 logger.exception("following-failed", keeper=place.address)
+            self._place = None
             await asyncio.sleep(RETRY_SECONDS * self._random.uniform(0.5, 1.5))
 
     def _choose(self) -> KeeperPlace:
@@ -205,13 +217,14 @@
     async def _follow(self, place: KeeperPlace) -> None:
         stub = ControlStub(self._channels.get(place.address))
         request = control_pb2.FollowRequest(
-            instance=self._settings.instance_id, since=self._view.revision()
+            instance=self._settings.instance_id,
+            since=self._view.revision(),
+            address=self._settings.listen.peers,
         )
         self._records = []
         async with stub.Follow.open() as stream:
             await asyncio.wait_for(stream.send_message(request, end=True), SILENCE_SECONDS)
             followed = self._clock.monotonic()
-            self._place = place
             while True:
                 update = await asyncio.wait_for(stream.recv_message(), SILENCE_SECONDS)
                 if update is None:
@@ -220,6 +233,8 @@
                 self._check_home(place, followed)
 
     def _take(self, place: KeeperPlace, update: control_pb2.FollowUpdate) -> None:
+        self._place = place
+        self._peers.replace_peers(update.peers)
         if update.HasField("part"):
             self._take_part(update)
         if update.has_loads:
--- a/packages/node/tests/test_tiers.py
+++ b/packages/node/tests/test_tiers.py
@@ -44,6 +44,7 @@
 from persimmonusher_node.tiers.follower import KeeperFollower  # noqa: E402
 from persimmonusher_node.tiers.keeper_control import KeeperControl  # noqa: E402
 from persimmonusher_node.tiers.leader import LeaderCalls  # noqa: E402
+from persimmonusher_node.tiers.peer_notices import PeerNoticeService  # noqa: E402
 
 SERVICE = ServiceName("entries")
 READY = Registration("s1", SERVICE, "10.0.0.1:80", "north", 4, 1, 1, RegisteredState.READY)
@@ -119,7 +120,7 @@
             instance_id=f"e{number}",
             failure_domain="north",
             role=Role.ENTRY,
-            listen=Listeners(),
+            listen=Listeners(peers=f"127.0.0.1:{find_port()}"),
             seeds=seeds,
             peer_token="peers",
         )
@@ -133,6 +134,10 @@
         self.directory = RegisteredDirectory(self.view)
         self.heard: list[Notice] = []
         self.follower.take_notice = self.heard.append
+        service = PeerNoticeService(self.heard.append)
+        listener = GrpcListener(settings.listen.peers, [service], {"peers": "peer"})
+        listener.start()
+        self.stack.callback(listener.stop)
         self.stack.enter_context(self.follower)
 
 
@@ -256,6 +261,24 @@
         self.entries[0].follower.report([notice])
         self.wait_for(lambda: notice in self.entries[1].heard)
 
+    def test_entries_tell_each_other_of_failures_while_no_keeper_answers(self) -> None:
+        """The keepers are cut off from all entries, for hours, while servers fail in turn.
+
+        Each entry would have to see each failure for itself, at the cost of a request that can't
+        be sent again.
+        """
+        self.put(1)
+        first, second = self.entries
+        self.wait_for(lambda: first.follower.entries == second.follower.entries == 2)
+        # Both are told of each other by the keeper in their own failure domain.
+        self.wait_for(lambda: len(first.follower._peers._peers) == 1)
+        for keeper in self.keepers:
+            keeper.stack.close()
+        self.wait_for(lambda: first.follower._place is None)
+        notice = Notice(NoticeKind.FAILED, SERVICE, ServerId("s1"), 1)
+        first.follower.report([notice])
+        self.wait_for(lambda: notice in second.heard)
+
     def test_entries_of_one_keeper_learn_what_all_of_them_have_in_progress(self) -> None:
         """Two entries of one domain each have a few requests at the same near server.
 
--- a/packages/protocol/src/persimmonusher_protocol/control_grpc.py
+++ b/packages/protocol/src/persimmonusher_protocol/control_grpc.py
@@ -13,6 +13,34 @@
 import persimmonusher_protocol.control_pb2
 
 
+class PeersBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Tell(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.NoticeBatch, persimmonusher_protocol.keeper_pb2.Ack]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/persimmonusher.control.Peers/Tell': grpclib.const.Handler(
+                self.Tell,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonusher_protocol.control_pb2.NoticeBatch,
+                persimmonusher_protocol.keeper_pb2.Ack,
+            ),
+        }
+
+
+class PeersStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Tell = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonusher.control.Peers/Tell',
+            persimmonusher_protocol.control_pb2.NoticeBatch,
+            persimmonusher_protocol.keeper_pb2.Ack,
+        )
+
+
 class ControlBase(abc.ABC):
 
     @abc.abstractmethod
