See callers leave behind what they sent ahead, and let last answers arrive

Cause: callers may send lookups before the first is answered. The end of a connection shows only behind the bytes that came before it, so a caller that had sent ahead and left was not seen to leave: its lookups were run for nobody. And a connection that was closed after an answer while a further request was on its way was reset by the kernel, which threw away what of the answer had not arrived. Ruled out: poll with POLLRDHUP, which the platform's simulated sockets need not know. Idle connections still end at once. Also mended: a stop that ends the reading of idle connections is no longer taken for a caller that left.

--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -140,7 +140,7 @@
             read_deadline(environ, self._dialect.deadline, request_id),
             environ.get(self._key),
             self._read_body(environ, live, request_id),
-            environ[ENVIRON_KEY].connection,
+            environ[ENVIRON_KEY].reader,
             routed.rule,
         )
         return self._entry.handle(call, live)
--- a/packages/node/src/persimmonusher_node/calls.py
+++ b/packages/node/src/persimmonusher_node/calls.py
@@ -1,13 +1,12 @@
 """A caller's request as the callers' listener read it, whole."""
 
-import socket
 from dataclasses import dataclass, field
 
 from persimmonusher_model.identifiers import CallerId, RequestId
 from persimmonusher_model.profile import Profile
 from persimmonusher_model.routing import RouteRule
+from persimmonusher_node.caller_reader import CallerReader
 from persimmonusher_node.headers import HeaderList
-from persimmonusher_node.sockets import Pending, peek
 
 
 @dataclass(frozen=True)
@@ -27,7 +26,7 @@
     deadline_ms: int | None
     key: str | None
     body: bytes = b""
-    connection: socket.socket | None = field(default=None, compare=False)
+    reader: CallerReader | None = field(default=None, compare=False)
     """The caller's connection, to see when the caller leaves."""
 
     rule: RouteRule | None = None
@@ -48,4 +47,4 @@
 
     def has_caller_left(self) -> bool:
         """Tell, without waiting, whether the caller has closed its connection."""
-        return self.connection is not None and peek(self.connection) is Pending.END
+        return self.reader is not None and self.reader.has_caller_left()
--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -13,6 +13,7 @@
 from eventlet.greenthread import GreenThread
 from eventlet.wsgi import STATE_IDLE, Server
 
+from persimmonusher_node.caller_reader import CallerReader
 from persimmonusher_node.protocol import HttpProtocol
 
 WsgiApplication: TypeAlias = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
@@ -127,7 +128,7 @@
         self._accept_waiting()
         self._socket.close()
         for state in idle:
-            shut(state[1], socket.SHUT_RD)
+            state[3].shut()
         eventlet.spawn_after(LAST_REQUEST_SECONDS, self._shut_idle)
 
     def wait_until_idle(self, deadline: Callable[[], bool]) -> bool:
@@ -141,7 +142,7 @@
     def abort(self) -> None:
         """Cut off what is left."""
         for state in list(self._connections.values()):
-            shut(state[1], socket.SHUT_RDWR)
+            shut(state[1])
 
     def _accept(self) -> None:
         while True:
@@ -168,14 +169,14 @@
             return
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.settimeout(self._limits.write_seconds)
-        state = [peer, connection, STATE_IDLE]
+        state = [peer, connection, STATE_IDLE, CallerReader(connection)]
         self._connections[id(state)] = state
         eventlet.spawn_n(self._serve, state)
 
     def _shut_idle(self) -> None:
         for state in list(self._connections.values()):
             if state[2] == STATE_IDLE:
-                shut(state[1], socket.SHUT_RD)
+                state[3].shut()
 
     def _serve(self, state: list[Any]) -> None:
         try:
@@ -213,9 +214,9 @@
         connection.close()
 
 
-def shut(connection: socket.socket, how: int) -> None:
+def shut(connection: socket.socket) -> None:
     """Shut a socket down; one that is already closed stays so."""
     try:
-        connection.shutdown(how)
+        connection.shutdown(socket.SHUT_RDWR)
     except OSError:
         return
--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -7,11 +7,14 @@
 from contextlib import suppress
 from http import HTTPStatus
 from http.client import HTTPMessage
+from io import BufferedReader
 from typing import Any, Final
 
 import eventlet
 from eventlet import wsgi
 
+from persimmonusher_node.caller_reader import CallerReader
+
 ENVIRON_KEY: Final = "persimmonusher.protocol"
 """Where the WSGI application finds the protocol of its connection."""
 LINGER_BYTES: Final = 262_144
@@ -48,10 +51,21 @@
     MessageClass = HeadMessage
 
     _head_timer: eventlet.Timeout | None = None
+    answered = False
+    """Whether a request of this connection was taken before."""
+    closes_after_answer = False
+    """Whether an answer told the caller that the connection ends, without being asked to."""
     resetting = False
     unread = False
     """Whether a part of the request was left unread; the connection can't be used again."""
 
+    def setup(self) -> None:
+        """Read through the reader that sees callers leave."""
+        super().setup()
+        self.rfile.close()
+        self.reader: CallerReader = self.conn_state[3]
+        self.rfile = BufferedReader(self.reader)
+
     def handle_one_request(self) -> None:
         """Wait for a request, bound the time its head takes, and have it answered."""
         head = self._wait_for_bytes()
@@ -71,8 +85,10 @@
     def get_environ(self) -> dict[str, Any]:
         """Make the WSGI environment once the head is read."""
         self._stop_head_timer()
-        if self.server.draining:
+        self.answered = True
+        if self.server.draining and not self.close_connection:
             self.close_connection = 1
+            self.closes_after_answer = True
         environ: dict[str, Any] = super().get_environ()
         environ[ENVIRON_KEY] = self
         return environ
@@ -126,7 +142,8 @@
     def finish(self) -> None:
         """End the connection; read a bounded rest so that the last answer isn't lost to a reset.
 
-        A close with unread bytes makes the kernel send a reset, which may overtake the answer.
+        A close with unread bytes makes the kernel send a reset, which may overtake the answer: so
+        does a caller's next request that came before it saw `Connection: close`.
         """
         if self.resetting:
             self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
@@ -135,7 +152,7 @@
                 with suppress(OSError):
                     holder.close()
             return
-        if self.unread:
+        if self.unread or (self.closes_after_answer and not self.reader.has_caller_left()):
             self._linger()
         super().finish()
 
@@ -151,6 +168,9 @@
             return
 
     def _wait_for_bytes(self) -> bytes:
+        if self.answered and self.reader.has_caller_left():
+            # Nobody waits for answers to what it sent ahead, and no server should work on that.
+            return b""
         self.connection.settimeout(self.server.limits.idle_seconds)
         try:
             head: bytes = self.rfile.peek(1)
--- a/packages/node/tests/test_whole_answers.py
+++ b/packages/node/tests/test_whole_answers.py
@@ -160,6 +160,45 @@
         )
         self.assertLess(received.index(b"\r\n\r\n/1"), received.index(b"\r\n\r\n/2"))
 
+    def test_requests_sent_ahead_by_a_caller_that_left_are_not_run(self) -> None:
+        """A phone sends two lookups more before the first is answered, and loses its connection.
+
+        The end of a connection shows only behind the bytes that came before it. A server would
+        work on both for nobody, long after the caller left.
+        """
+        self.script(*[stall(0.3, plain_echo)] * 3)
+        request = f"GET /%d HTTP/1.1\r\nHost: {HOST}\r\n\r\n"
+        with socket.create_connection(("127.0.0.1", self.listener.port)) as connection:
+            connection.sendall((request % 1).encode())
+            eventlet.sleep(0.05)
+            connection.sendall((request % 2 + request % 3).encode())
+            eventlet.sleep(0.05)
+        eventlet.sleep(0.8)
+        self.assertEqual([heard.target for heard in self.ran], ["/1"])
+        self.assertIn("caller-left", self.observer.finished[-1].record.result)
+
+    def test_a_request_behind_the_last_answer_does_not_cut_that_answer_off(self) -> None:
+        """An instance stops while a caller has sent its next lookup behind the one in progress.
+
+        The answer in progress closes the connection, and the lookup behind it was not read: the
+        caller sends it again elsewhere. Closed with bytes unread, the kernel would send a reset
+        that overtakes the answer.
+        """
+        self.script(answer(b"first" * 400_000), echo)
+        request = f"GET /%d HTTP/1.1\r\nHost: {HOST}\r\n\r\n"
+        self.listener.close_after_answers()
+        with socket.create_connection(("127.0.0.1", self.listener.port)) as connection:
+            connection.sendall((request % 1).encode())
+            eventlet.sleep(0.2)
+            connection.sendall((request % 2).encode())
+            eventlet.sleep(0.1)
+            received = b""
+            while (data := self._read_below(connection)) is not None:
+                received += data
+        self.assertEqual(received.count(b"Connection: close"), 1)
+        self.assertTrue(received.endswith(b"first"))
+        self.assertEqual([heard.target for heard in self.ran], ["/1"])
+
     def test_a_caller_that_left_gets_its_entry_stored_and_its_lookup_cancelled(self) -> None:
         """A breeder's phone loses its connection while the entry is being lodged.
 
