--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -49,6 +49,7 @@
     """One connection of a caller."""
 
     MessageClass = HeadMessage
+    rfile: BufferedReader
 
     _head_timer: eventlet.Timeout | None = None
     answered = False
