Decide better where servers shed, can't be reached, or are passed by too long

Retry-After after a server's own refusal: half of all requests were refused for 8 s, and each was told to come back after a second or more. Now within a part of the latest answers' time, later the more is refused. Unreached servers: an instance whose own way was cut had all others pass the server by; soon all servers were. Now the others wait for three of them.

--- a/packages/decisions/src/persimmonusher_decisions/admission.py
+++ b/packages/decisions/src/persimmonusher_decisions/admission.py
@@ -16,6 +16,14 @@
 are refused only after they waited."""
 SHORTEST_RETRY_AFTER: Final = 1.0
 LONGEST_RETRY_AFTER: Final = 30.0
+SHORTEST_RETURN: Final = 0.1
+"""Seconds, for a caller that servers with free slots turned away: less than the time of usual work,
+and enough for the answer and a new connection."""
+LARGEST_SHED_SHARE: Final = 0.95
+"""Share of attempts refused by servers up to which the time to come back grows with it."""
+SHED_MEMORY: Final = 0.1
+"""Weight of the newest attempt in that share: some ten attempts make it up, those of two or three
+seconds at an instance of an average fleet."""
 RETRY_AFTER_SPREAD: Final = 0.25
 """Callers refused together are told times this far apart, so that they don't return together."""
 
@@ -58,6 +66,7 @@
         self._random = random
         self._backlog = 0.0
         self._backlog_at = 0.0
+        self._shed_share = 0.0
         self.queue = FairQueue()
         self._rates = {True: DrainRate(), False: DrainRate()}
 
@@ -86,6 +95,27 @@
         """Refuse a request that was not run."""
         return Refusal(request, reason, self._find_retry_after(now))
 
+    def record_attempt(self, refused: bool) -> None:
+        """Take the end of an attempt: whether its server refused to run the request."""
+        self._shed_share += SHED_MEMORY * (refused - self._shed_share)
+
+    def refuse_shed(self, request: Request, usual_latency: float, now: float) -> Refusal:
+        """Refuse a request that servers turned away, with no budget left to ask another one.
+
+        The load it is for: all servers of a service turn away half of their requests for seconds,
+        whatever their load. The harm: told to come back after a second, a caller whose next try
+        would be taken as likely as not has its answer late, or gives up. Nothing is gained by
+        waiting for the queue here, which is empty; so the caller comes back within about the time
+        of usual work, and later the more is refused: with half of the attempts refused after the
+        whole of it, with nine of ten after nine times as long, so that callers who come again
+        don't add to a real overload. While requests wait here, they go first.
+        """
+        if len(self.queue):
+            return self.refuse(request, RefusalReason.OVERLOAD, now)
+        share = min(LARGEST_SHED_SHARE, self._shed_share)
+        seconds = max(SHORTEST_RETURN, usual_latency * share / (1.0 - share))
+        return Refusal(request, RefusalReason.OVERLOAD, seconds * self._choose_spread())
+
     def find_lateness(
         self, request: Request, usual_latency: float, now: float
     ) -> RefusalReason | None:
@@ -109,5 +139,7 @@
         self._backlog = min(largest, max(0.0, self._backlog - drained) + 1.0)
         self._backlog_at = now
         seconds = (self._backlog + len(self.queue)) / rate
-        spread = 1.0 + RETRY_AFTER_SPREAD * (2.0 * self._random.random() - 1.0)
-        return min(LONGEST_RETRY_AFTER, max(SHORTEST_RETRY_AFTER, seconds) * spread)
+        return min(LONGEST_RETRY_AFTER, max(SHORTEST_RETRY_AFTER, seconds) * self._choose_spread())
+
+    def _choose_spread(self) -> float:
+        return 1.0 + RETRY_AFTER_SPREAD * (2.0 * self._random.random() - 1.0)
--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -1,6 +1,7 @@
 """Where one request goes: the least loaded server, as far as this instance can know."""
 
 from collections.abc import Iterable, Sequence
+from itertools import chain, islice
 from math import exp, inf
 from random import Random
 from typing import Final
@@ -26,8 +27,19 @@
 request would wait for about one answer. Of nine simulated servers with a third ill at a time, 4.1%
 of all requests met an ill one and failed with 1.5, 3.0% with 2.0; with 2.5 more were refused in
 bursts."""
+BUSY: Final = 1.0
+"""The same for lookups, which can be sent again when they fail: a request would have to wait."""
+PROVING_SHARE: Final = 0.5
+"""Part of the time for which a server is passed by, from its failure on, after which a lookup may
+try it: before, most are still ill."""
 SCAN_LIMIT: Final = 16
-"""Servers compared for one request. With more, a random run of this length is compared."""
+"""Servers looked at for one request at most. With more, a random run of this length is."""
+COMPARED: Final = 2
+"""Trusted servers compared for a first attempt, of the near ones and of the others each. What is
+known of other instances' work is up to half a second old: told of the same idle server, all of them
+send there until they are told again. Of 33 simulated servers with two fifths of the slots taken,
+answers took 0.51 s in the middle and 1.38 s at the 99th percentile with all compared, 0.42 s and
+1.06 s with three of them, where the work alone takes 0.35 s; with six 0.46 s and 1.23 s."""
 
 
 class Placement:
@@ -50,10 +62,14 @@
         self._random = random
         self._tracks: list[ServerTrack] = []
         self._open: list[ServerTrack] = []
+        self._near: list[ServerTrack] = []
+        self._far: list[ServerTrack] = []
         self._probed: list[ServerTrack] = []
         self._refresh_at = -inf
         self._mean_others = 0.0
         self.ramp_seconds = 0.0
+        self.proving_seconds = 0.0
+        """Time after a failure before which no lookup tries the server."""
         self.far_load = 0.0
         """Load for each slot that a server in another failure domain is taken to carry."""
         self.probe_seconds = 1.0
@@ -73,6 +89,8 @@
         self._tracks = list(tracks)
         ready = [track for track in self._tracks if track.is_ready and track.connection_limit]
         self._open = [track for track in ready if track.out is None]
+        self._near = [track for track in self._open if self._is_near(track)]
+        self._far = [track for track in self._open if not self._is_near(track)]
         self._probed = [track for track in ready if track.out is EjectionState.PROBATION]
         self._refresh(now, 0.0)
 
@@ -88,6 +106,15 @@
             probe = self._choose_probe(now)
             if probe is not None:
                 return probe
+        if tried is None:
+            best = self._find_least(self._sample(now), None)
+            if idempotent and best is not None and best.load > BUSY:
+                best = (
+                    self._find_longest_suspected(self._open, None, now, self.proving_seconds)
+                    or best
+                )
+            if best is not None and best.load <= CROWDED:
+                return best
         candidates = self._pick_candidates()
         if tried is None:
             trusted = [track for track in candidates if not track.is_passed_by(now)]
@@ -116,6 +143,18 @@
         track.penalty = min(largest, track.penalty + share * track.slots)
         track.base = (self._mean_others if track.others is None else track.others) + track.penalty
 
+    def _sample(self, now: float) -> list[ServerTrack]:
+        """Return a few trusted servers of this failure domain and of the others, at random."""
+        return [
+            *self._take_trusted(self._near, now),
+            *self._take_trusted(self._far, now),
+        ]
+
+    def _take_trusted(self, servers: Sequence[ServerTrack], now: float) -> Iterable[ServerTrack]:
+        start = int(self._random.random() * len(servers))
+        run = islice(chain(servers[start:], servers[:start]), SCAN_LIMIT)
+        return islice((track for track in run if not track.is_passed_by(now)), COMPARED)
+
     def _pick_candidates(self) -> Sequence[ServerTrack]:
         servers = self._open
         count = len(servers)
@@ -145,7 +184,10 @@
 
     @staticmethod
     def _find_longest_suspected(
-        servers: Sequence[ServerTrack], tried: ServerId | None, now: float
+        servers: Sequence[ServerTrack],
+        tried: ServerId | None,
+        now: float,
+        least_seconds: float = 0.0,
     ) -> ServerTrack | None:
         """Return the suspected server with a free slot whose failure is the longest ago.
 
@@ -157,6 +199,7 @@
         for track in servers:
             if (
                 track.is_suspected(now)
+                and track.suspected_at <= now - least_seconds
                 and track.load <= 1.0
                 and track.outstanding < track.connection_limit
                 and track.server_id != tried
@@ -186,15 +229,18 @@
         report_keep = exp(-elapsed / REPORT_MEMORY_SECONDS)
         penalty_keep = exp(-elapsed / PENALTY_MEMORY_SECONDS)
         for track in self._tracks:
-            near = track.server.failure_domain == self._failure_domain
-            track.bias = 0.0 if near else self.far_load
+            track.bias = 0.0 if self._is_near(track) else self.far_load
             if track.others is not None:
                 track.others = mean + (track.others - mean) * report_keep
             track.penalty *= penalty_keep
             share = self._ramp(track, now)
             track.base = (mean * share if track.others is None else track.others) + track.penalty
         if elapsed:
-            self._random.shuffle(self._open)
+            for servers in (self._open, self._near, self._far):
+                self._random.shuffle(servers)
+
+    def _is_near(self, track: ServerTrack) -> bool:
+        return track.server.failure_domain == self._failure_domain
 
     def _ramp(self, track: ServerTrack, now: float) -> float:
         share = 1.0
--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -5,6 +5,7 @@
 from math import ceil
 from typing import Final
 
+from persimmonusher_decisions.doubts import NEEDED
 from persimmonusher_decisions.notices import Notice, NoticeKind
 from persimmonusher_decisions.track import ServerTrack
 from persimmonusher_decisions.work import Dispatch, Outcome, OutcomeKind
@@ -24,10 +25,6 @@
 """Answers from which on the usual time is known; before, every failure counts as early."""
 USUAL_MEMORY: Final = 0.1
 """Weight of the newest answer in the usual time: some ten answers make it up."""
-DOUBT_SECONDS: Final = 1.5
-"""Time within which a second late failure of a server, whoever sees it, makes it suspected. One
-that fails half its work at two requests a second does so; one whose work fails once in a hundred
-times fails again by chance in one case out of thirty."""
 LONGEST_ROW: Final = 3
 """Suspicions in a row that still lengthen the time: four times the first one at most."""
 MAX_NOTICES: Final = 256
@@ -51,6 +48,15 @@
     mostly fails at once. Well servers show such failures too, one in a hundred requests; each would
     pass a well server by, and so many that the floor would bring back ill ones. So it takes two.
 
+    A server that can't be reached from one instance may be reached from all others: where links fail
+    and not servers, all would soon be passed by everywhere, and those that are ill brought back. So
+    the one that can't reach it passes it by, and the others once several of them have told so.
+
+    A server that was passed by and does a lookup well is used again at once, everywhere. While the
+    others are busy, lookups go to those that failed the longest ago: such a request can be sent
+    again when it fails. At four fifths of the slots taken, with a third of the servers ill at a
+    time, 84% of the answers came within a second, and 72% with a fixed time only.
+
     A server that fails again soon after its time is passed by for twice as long: how long an
     illness lasts isn't known, and each return of a server that is still ill costs a request.
     """
@@ -92,10 +98,26 @@
             dispatch.request.request_id,
         )
         self._notices.append(notice)
-        self.take(notice, track, tracks, profile, now)
+        if notice.kind is NoticeKind.UNREACHED:
+            # From here it can't be reached, whatever the others find.
+            self.suspect(track, tracks, profile, now)
+        else:
+            self.take(notice, track, tracks, profile, now)
 
-    def record_answer(self, latency: float) -> None:
-        """Take the time of a good answer."""
+    def record_answer(self, dispatch: Dispatch, track: ServerTrack, now: float) -> None:
+        """Take a good answer: its time, and what it says of a server that is passed by."""
+        latency = now - dispatch.started
+        if self._restore(track, dispatch.started, now):
+            self._notices.append(
+                Notice(
+                    NoticeKind.RECOVERED,
+                    self._service,
+                    track.server_id,
+                    track.server.boot_id,
+                    request_id=dispatch.request.request_id,
+                    seconds=latency,
+                )
+            )
         self._answers += 1
         weight = max(USUAL_MEMORY, 1.0 / self._answers)
         self._usual += weight * (latency - self._usual)
@@ -108,14 +130,12 @@
         profile: Profile,
         now: float,
     ) -> bool:
-        """Take a failure that was seen here or elsewhere; tell whether the server was trusted."""
-        if notice.kind is not NoticeKind.FAILED_LATE:
-            return self.suspect(track, tracks, profile, now)
-        if track.doubted_until > now and track.doubted_by != notice.request_id:
-            return self.suspect(track, tracks, profile, now)
-        track.doubted_by = notice.request_id
-        track.doubted_until = now + DOUBT_SECONDS
-        return False
+        """Take what was seen here or elsewhere; tell whether it changes how the server is used."""
+        if notice.kind is NoticeKind.RECOVERED:
+            return self._restore(track, now - notice.seconds, now)
+        if notice.kind in NEEDED and not track.doubts.add(notice.kind, notice.request_id, now):
+            return False
+        return self.suspect(track, tracks, profile, now)
 
     def suspect(
         self, track: ServerTrack, tracks: Collection[ServerTrack], profile: Profile, now: float
@@ -139,9 +159,19 @@
                 item.spared = True
         return is_news
 
+    @staticmethod
+    def _restore(track: ServerTrack, proved_at: float, now: float) -> bool:
+        """Use a server again that was well at a moment; tell whether that is news."""
+        is_news = track.is_suspected(now) and track.suspected_at < proved_at
+        if is_news:
+            track.suspect_until = now
+        return is_news
+
     def _classify(self, outcome: Outcome) -> NoticeKind:
         if outcome.kind is OutcomeKind.BROKEN:
             return NoticeKind.CRASHED
+        if outcome.kind is OutcomeKind.UNREACHED:
+            return NoticeKind.UNREACHED
         is_known = self._answers >= FEWEST_ANSWERS
         late = is_known and outcome.latency > EARLY_SHARE * self._usual
         if outcome.kind is OutcomeKind.FAILURE and late:
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -1,5 +1,6 @@
 """What one entry instance keeps about one server while it places work on it."""
 
+from persimmonusher_decisions.doubts import Doubts
 from persimmonusher_decisions.evidence_messages import EjectionState, ServerEvidence
 from persimmonusher_decisions.server import BackendServer, ServerState
 
@@ -12,8 +13,7 @@
         "base",
         "bias",
         "connection_limit",
-        "doubted_by",
-        "doubted_until",
+        "doubts",
         "draining",
         "failed",
         "inverse",
@@ -59,9 +59,7 @@
         self.timed = 0
         self.slow = 0
         self.told_at = now
-        self.doubted_by = ""
-        """The request that failed late on this server, until `doubted_until`."""
-        self.doubted_until = now
+        self.doubts = Doubts()
         self.suspect_until = now
         """Passed by until then, as some instance has just seen it fail."""
         self.suspected_at = now
@@ -76,6 +74,11 @@
         """Return the load for each slot that one more request would bring about."""
         return (self.outstanding + 1 + self.base) * self.inverse
 
+    @property
+    def known_load(self) -> float:
+        """Return the requests in progress for each slot that are known of."""
+        return (self.outstanding + (self.others or 0.0)) / self.slots
+
     def is_suspected(self, now: float) -> bool:
         """Tell whether an instance has just seen it fail."""
         return self.suspect_until > now
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -19,7 +19,7 @@
 from persimmonusher_decisions.hedging import may_hedge
 from persimmonusher_decisions.locality import Locality
 from persimmonusher_decisions.notices import Notice, NoticeKind
-from persimmonusher_decisions.placement import Placement
+from persimmonusher_decisions.placement import PROVING_SHARE, Placement
 from persimmonusher_decisions.quarantine import Quarantine
 from persimmonusher_decisions.retries import RetryBudget
 from persimmonusher_decisions.server import BackendServer
@@ -93,6 +93,7 @@
         self._evidence = EvidenceLog()
         self._placement = Placement(failure_domain, random)
         self._placement.ramp_seconds = profile.ramp_ms / 1000.0
+        self._placement.proving_seconds = PROVING_SHARE * profile.suspect_ms / 1000.0
         self._locality = Locality(profile)
         self._window = ConcurrencyWindow()
         self._admission = Admission(profile, random)
@@ -108,6 +109,7 @@
         """Take a new profile; requests in flight keep the deadline they have."""
         self._profile = profile
         self._placement.ramp_seconds = profile.ramp_ms / 1000.0
+        self._placement.proving_seconds = PROVING_SHARE * profile.suspect_ms / 1000.0
         self._locality.replace_profile(profile)
         self._admission.replace_profile(profile)
         self._retries.replace_percent(profile.retry_budget_percent)
@@ -174,7 +176,8 @@
             return self._retry_unreached(dispatch, now)
         allowed = request.max_attempts or self._profile.max_retries + 1
         spent = dispatch.attempt - dispatch.unreached >= allowed
-        late = now + self._evidence.find_usual_latency(request.request_class) > request.deadline
+        usual = self._evidence.find_usual_latency(request.request_class)
+        late = now + usual > request.deadline
         crashing = self._quarantine.find_seconds_left(request.fingerprint, now) > 0.0
         may_go = not (spent or late or crashing)
         if may_go and self._retries.spend(now):
@@ -183,12 +186,9 @@
             again = self._place(request, dispatch.attempt + 1, tried, now, dispatch.unreached)
             if again is not None:
                 return again
+        if outcome.kind in (OutcomeKind.REFUSED, OutcomeKind.DRAINING):
+            return self._admission.refuse_shed(request, usual, now)
         reason = RefusalReason.RETRY_BUDGET if may_go else RefusalReason.RETRIES_EXHAUSTED
-        if dispatch.attempt - dispatch.unreached == 1 and outcome.kind in (
-            OutcomeKind.REFUSED,
-            OutcomeKind.DRAINING,
-        ):
-            reason = RefusalReason.OVERLOAD
         return self._admission.refuse(request, reason, now)
 
     def _retry_unreached(self, dispatch: Dispatch, now: float) -> Decision:
@@ -208,7 +208,7 @@
         return self._suspicion.take_notices()
 
     def apply_notice(self, notice: Notice, now: float) -> bool:
-        """Take a failure that another instance saw; tell whether the server was trusted before."""
+        """Take what another instance saw; tell whether it changes how the server is used."""
         track = self._tracks.get(notice.server_id)
         if track is None or track.server.boot_id != notice.boot_id:
             return False
@@ -246,12 +246,14 @@
             return ()
         track = attempt.track
         kind = outcome.kind
+        if kind is not OutcomeKind.CANCELLED:
+            self._admission.record_attempt(kind is OutcomeKind.REFUSED)
         if kind is OutcomeKind.SUCCESS:
             self._quarantine.record_success(
                 dispatch.request.fingerprint, track.server_id, dispatch.started
             )
             self._evidence.learn(attempt, outcome)
-            self._suspicion.record_answer(outcome.latency)
+            self._suspicion.record_answer(dispatch, track, now)
             if outcome.answer_bytes is not None:
                 self._locality.record(outcome.answer_bytes)
                 self._placement.far_load = self._locality.far_load
@@ -375,7 +377,7 @@
         if outcome.kind is OutcomeKind.BROKEN:
             self._quarantine.record_break(dispatch.request.fingerprint, track.server_id, now)
         elif outcome.kind is OutcomeKind.REFUSED:
-            self._window.record_refusal(track.server_id, now)
+            self._window.record_refusal(track.server_id, track.known_load, now)
         silent_refusal = outcome.kind is OutcomeKind.REFUSED and outcome.reported_load is None
         share = SILENT_REFUSAL_PENALTY if silent_refusal else PENALTIES[outcome.kind]
         self._placement.penalize(track, share)
--- a/packages/decisions/src/persimmonusher_decisions/window.py
+++ b/packages/decisions/src/persimmonusher_decisions/window.py
@@ -19,6 +19,10 @@
 ALONE_SECONDS: Final = 1.0
 """Refusals of one server alone say that it is ill, or unlucky. Only when another one refused within
 this time is the service full."""
+FULL: Final = 1.0
+"""Known load for each slot from which on a server's refusal may be for being full. What is known is
+this failure domain's share of its load, and a server that is full has several times its slots
+waiting."""
 LARGEST_SHARE: Final = 2.0
 """Upper limit in times the service's slots: what a single instance could ever need."""
 
@@ -72,12 +76,16 @@
             step = 1.0 if pressure is not None and pressure < LOW_PRESSURE else 1.0 / self._limit
             self._limit = min(self._largest, self._limit + step)
 
-    def record_refusal(self, server_id: ServerId, now: float) -> None:
-        """Take a server's own refusal for being full.
+    def record_refusal(self, server_id: ServerId, known_load: float, now: float) -> None:
+        """Take a server's own refusal, and its load for each slot as far as it is known here.
 
-        The load it is for: a gray server that refuses half its work while all others idle. The
-        harm: each of its refusals would shrink the limit, until requests wait for no reason.
+        The load it is for: servers that refuse half their work for seconds, one of them or all,
+        while their slots are free. The harm: each refusal would shrink the limit, and for a minute
+        after they are well requests would wait here for no reason: up to 0.95 s, on instances
+        whose callers come in clumps.
         """
+        if known_load < FULL:
+            return
         former, self._refused_by, at = self._refused_by, server_id, self._refused_at
         self._refused_at = now
         if former not in (None, server_id) and now - at <= ALONE_SECONDS:
--- a/packages/decisions/tests/fleet_simulation.py
+++ b/packages/decisions/tests/fleet_simulation.py
@@ -2,7 +2,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -18,7 +18,7 @@
     OutcomeKind,
     Refusal,
 )
-from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServerId
+from persimmonusher_model.identifiers import FailureDomain, InstanceId, RequestId, ServerId
 from persimmonusher_model.profile import Profile
 
 WAY_SECONDS = 0.0015
@@ -33,12 +33,13 @@
     """What callers ask and how servers ail."""
 
     instances: int = 48
+    domains: int = 4
     servers: int = 14
     slots: int = 4
     requests_a_second: float = 80.0
     work_seconds: float = 0.32
     work_spread: float = 0.3
-    idempotent: bool = False
+    idempotent_share: float = 0.0
     seconds: float = 40.0
     burst_factor: float = 1.0
     """Times as many requests for the first `burst_seconds` of every `burst_every`."""
@@ -49,9 +50,22 @@
     ill_seconds: float = 2.7
     ill_share: float = 0.75
     """Part of the requests that an ill server fails at once."""
+    shed_share: float = 0.0
+    """Part of the requests that every server refuses, from `shed_from` on for `shed_seconds`."""
+    shed_from: float = 10.0
+    shed_seconds: float = 8.5
+    returns: int = 0
+    """How often a caller that is refused as not run comes back when it was told to."""
+    patience: float = 6.0
+    """Seconds that a caller waits in all."""
     unlucky_share: float = 0.012
     """Part of the requests that fail by themselves, after their work."""
 
+    def is_shed(self, now: float, random: Random) -> bool:
+        """Tell whether a server refuses a request that reaches it now."""
+        shedding = self.shed_from <= now < self.shed_from + self.shed_seconds
+        return shedding and random.random() < self.shed_share
+
     def find_rate(self, now: float) -> float:
         """Return requests a second at a moment."""
         in_burst = now % self.burst_every < self.burst_seconds
@@ -71,12 +85,25 @@
         """Return the part of all requests that weren't served."""
         return 1.0 - self.ends["success"] / sum(self.ends.values())
 
+    def find_share_within(self, seconds: float) -> float:
+        """Return the part of all requests that were served within so many seconds."""
+        return sum(taken <= seconds for taken in self.seconds) / sum(self.ends.values())
+
     def find_quantile(self, share: float) -> float:
         """Return a quantile of the time to a good answer, in seconds."""
         ordered = sorted(self.seconds)
         return ordered[int(share * (len(ordered) - 1))]
 
 
+@dataclass
+class Caller:
+    """Who waits for an answer, over all its tries."""
+
+    arrived: float
+    idempotent: bool
+    returns: int = 0
+
+
 class SimulatedServer:
     """Slots, a queue, and spells of illness."""
 
@@ -103,11 +130,15 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._now = 0.0
         self.served = Served()
-        announced = [make_server(index) for index in range(load.servers)]
+        self._callers: dict[RequestId, Caller] = {}
+        announced = [
+            replace(make_server(index), failure_domain=FailureDomain(f"d{index % load.domains}"))
+            for index in range(load.servers)
+        ]
         self._servers = {
             server.server_id: SimulatedServer(load, self._random) for server in announced
         }
-        self._domains = [f"d{index % 4}" for index in range(load.instances)]
+        self._domains = [f"d{index % load.domains}" for index in range(load.instances)]
         self._instances = [
             ServiceTraffic(
                 profile,
@@ -142,12 +173,30 @@
         self._after(self._random.expovariate(rate), self._arrive)
         instance = self._random.choice(self._instances)
         name = f"r{next(self._numbers)}"
-        request = make_request(name, self._now, idempotent=self._load.idempotent, seconds=3.0)
+        idempotent = self._random.random() < self._load.idempotent_share
+        self._ask(Caller(self._now, idempotent), instance, name)
+
+    def _ask(self, caller: Caller, instance: ServiceTraffic, name: str) -> None:
+        seconds = min(3.0, caller.arrived + self._load.patience - self._now)
+        request = make_request(name, self._now, idempotent=caller.idempotent, seconds=seconds)
+        self._callers[request.request_id] = caller
         self._follow(instance, instance.offer(request, self._now))
 
+    def _refuse(self, refusal: Refusal) -> None:
+        """Let the caller come back, at any instance, when it is told to and has time left."""
+        caller = self._callers[refusal.request.request_id]
+        back = self._now + refusal.retry_after
+        caller.returns += 1
+        if caller.returns > self._load.returns or back > caller.arrived + self._load.patience:
+            self.served.ends["refused"] += 1
+            return
+        instance = self._random.choice(self._instances)
+        name = f"r{next(self._numbers)}"
+        self._after(refusal.retry_after, lambda: self._ask(caller, instance, name))
+
     def _follow(self, instance: ServiceTraffic, decision: Decision) -> None:
         if isinstance(decision, Refusal):
-            self.served.ends["refused"] += 1
+            self._refuse(decision)
         elif isinstance(decision, Dispatch):
             self.served.arrivals += 1
             self._after(WAY_SECONDS, lambda: self._reach(instance, decision))
@@ -158,7 +207,9 @@
         def run() -> None:
             self._work(instance, dispatch, server)
 
-        if server.is_ill(self._now) and self._random.random() < self._load.ill_share:
+        if self._load.is_shed(self._now, self._random):
+            self._end(instance, dispatch, OutcomeKind.REFUSED)
+        elif server.is_ill(self._now) and self._random.random() < self._load.ill_share:
             self._end(instance, dispatch, OutcomeKind.FAILURE)
         elif server.running < self._load.slots:
             run()
@@ -191,15 +242,19 @@
         for notice in instance.take_notices():
             self._tell(notice)
         again = kind is OutcomeKind.REFUSED or (
-            kind is OutcomeKind.FAILURE and self._load.idempotent
+            kind is OutcomeKind.FAILURE and dispatch.request.idempotent
         )
         decision = instance.retry(dispatch, outcome, self._now) if again else None
         if isinstance(decision, Dispatch):
             self._follow(instance, decision)
             return
+        if isinstance(decision, Refusal) and kind is OutcomeKind.REFUSED:
+            self._refuse(decision)
+            return
         self.served.ends[kind.value] += 1
         if kind is OutcomeKind.SUCCESS:
-            self.served.seconds.append(self._now - dispatch.request.arrived)
+            arrived = self._callers[dispatch.request.request_id].arrived
+            self.served.seconds.append(self._now - arrived)
 
     def _tell(self, notice: Notice) -> None:
         def apply() -> None:
--- /dev/null
+++ b/packages/decisions/tests/test_heavy_load.py
@@ -0,0 +1,164 @@
+"""Heavy days in virtual time: what callers get while servers shed, ail, or can't be reached."""
+
+import unittest
+from dataclasses import replace
+from unittest.mock import patch
+
+from decisions_helpers import GOOD, SERVICE, dispatched, make_request, make_traffic
+from fleet_simulation import FleetSimulation, Load, Served
+
+from persimmonusher_decisions import placement
+from persimmonusher_decisions.admission import SHORTEST_RETRY_AFTER, SHORTEST_RETURN
+from persimmonusher_decisions.notices import Notice, NoticeKind
+from persimmonusher_decisions.work import Outcome, OutcomeKind, Refusal
+from persimmonusher_model.identifiers import RequestId, ServerId
+from persimmonusher_model.profile import Profile
+
+PROFILE = Profile(
+    suspect_ms=4_000,
+    health_floor_percent=44,
+    retry_budget_percent=18,
+    retry_slack=64,
+    fewest_in_progress=4,
+    queue_limit=256,
+    queue_wait_ms=3_000,
+    far_load_percent=80,
+)
+LOOKUPS_AND_PURCHASES = Load(
+    domains=3,
+    servers=33,
+    slots=6,
+    requests_a_second=200.0,
+    work_seconds=0.35,
+    work_spread=0.4,
+    idempotent_share=1 / 3,
+    ill_share=0.9,
+    seconds=20.0,
+)
+"""Two purchases for each lookup at two fifths of the slots; a third of the servers ill at a time."""
+SHED = Outcome(OutcomeKind.REFUSED, 0.002)
+
+
+def play(load: Load, profile: Profile = PROFILE) -> Served:
+    total = Served()
+    for seed in range(2):
+        served = FleetSimulation(load, profile, seed).run()
+        total.ends += served.ends
+        total.seconds += served.seconds
+    return total
+
+
+class SheddingTest(unittest.TestCase):
+    """Every server turns away half of its requests for seconds, whatever its load."""
+
+    def test_callers_come_back_soon_and_are_served_in_time(self) -> None:
+        """Half of all requests are turned away and the budget for asking others is spent at once.
+
+        The next try of a caller is as likely to be taken as the first was. Told to come back after
+        a second or more, two of five had their answer only after a second, or never.
+        """
+        load = replace(
+            LOOKUPS_AND_PURCHASES, shed_share=0.55, shed_from=2.0, shed_seconds=18.0, returns=3
+        )
+        served = play(load)
+        self.assertGreater(served.find_share_within(1.0), 0.7)
+        self.assertLess(served.ends["refused"], 0.05 * sum(served.ends.values()))
+
+    def test_the_more_is_refused_the_later_callers_come_back(self) -> None:
+        traffic = make_traffic(6, Profile(retry_budget_percent=0))
+        for number in range(40):
+            dispatch = dispatched(traffic.offer(make_request(f"w{number}"), 0.0))
+            traffic.finish(dispatch, GOOD, 0.02)
+        seconds = []
+        for number in range(30):
+            dispatch = dispatched(traffic.offer(make_request(f"r{number}"), 1.0))
+            traffic.finish(dispatch, SHED, 1.0)
+            refusal = traffic.retry(dispatch, SHED, 1.0)
+            assert isinstance(refusal, Refusal)
+            seconds.append(refusal.retry_after)
+        self.assertLess(max(seconds[:3]), 2 * SHORTEST_RETURN)
+        self.assertGreater(min(seconds[-3:]), 1.3 * SHORTEST_RETURN)
+        self.assertLess(max(seconds), SHORTEST_RETRY_AFTER)
+
+
+class BusyAndIllTest(unittest.TestCase):
+    def test_lookups_prove_servers_well_while_the_others_are_busy(self) -> None:
+        """At four fifths of the slots, a third of the servers is ill, each for 2.7 s.
+
+        Passed by for a fixed time of 4 s, 44% stand idle and the rest is crowded: more than one
+        answer in four takes longer than a second.
+        """
+        load = replace(LOOKUPS_AND_PURCHASES, requests_a_second=285.0)
+        with patch.object(placement, "BUSY", 1_000.0):
+            fixed = play(load)
+        proved = play(load)
+        self.assertGreater(proved.find_share_within(1.0), fixed.find_share_within(1.0) + 0.06)
+        self.assertLess(proved.failed_share, fixed.failed_share + 0.005)
+
+
+class RecoveryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.traffic = make_traffic(3, PROFILE)
+        self.ill = self.tell(NoticeKind.FAILED, "f", 1.0).server_id
+
+    def tell(self, kind: NoticeKind, name: str, now: float, seconds: float = 0.0) -> Notice:
+        server = "s0"
+        notice = Notice(kind, SERVICE, ServerId(server), 1, "", RequestId(name), seconds)
+        self.traffic.apply_notice(notice, now)
+        return notice
+
+    def find_seconds(self, now: float) -> float:
+        return self.traffic.find_seconds_passed_by(self.ill, now)
+
+    def test_a_recovery_is_believed_unless_a_failure_is_newer(self) -> None:
+        """A server does one lookup well, and fails the next before the answer has arrived."""
+        self.tell(NoticeKind.FAILED, "g", 3.0)
+        self.tell(NoticeKind.RECOVERED, "w", 3.2, seconds=0.4)
+        self.assertGreater(self.find_seconds(3.3), 0.0)
+        self.tell(NoticeKind.RECOVERED, "x", 5.2, seconds=0.4)
+        self.assertEqual(self.find_seconds(5.3), 0.0)
+
+    def test_a_good_answer_to_a_lookup_sent_before_the_failure_proves_nothing(self) -> None:
+        dispatch = dispatched(self.traffic.offer(make_request("r", 1.1), 1.1))
+        self.traffic.finish(dispatch, GOOD, 1.2)
+        self.tell(NoticeKind.FAILED, "g", 1.3)
+        self.assertGreater(self.find_seconds(1.4), 0.0)
+        self.assertEqual(self.traffic.take_notices(), ())
+
+
+class UnreachedTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.traffic = make_traffic(6, PROFILE)
+
+    def tell(self, name: str, now: float) -> float:
+        notice = Notice(NoticeKind.UNREACHED, SERVICE, ServerId("s0"), 1, "", RequestId(name))
+        self.traffic.apply_notice(notice, now)
+        return self.traffic.find_seconds_passed_by(ServerId("s0"), now)
+
+    def test_what_one_instance_cannot_reach_the_others_go_on_using(self) -> None:
+        """Links of some instances to some servers fail, one way, for seconds.
+
+        Each such instance told all others, and soon nearly every server was passed by everywhere;
+        the floor then brought back those that were really ill.
+        """
+        self.assertEqual(self.tell("a", 1.0), 0.0)
+        self.assertEqual(self.tell("b", 1.1), 0.0)
+        self.assertEqual(self.tell("c", 2.3), 0.0, "a second later")
+
+    def test_what_several_cannot_reach_is_gone(self) -> None:
+        self.assertEqual(self.tell("a", 1.0), 0.0)
+        self.assertEqual(self.tell("a", 1.1), 0.0, "the same, told twice")
+        self.assertEqual(self.tell("b", 1.2), 0.0)
+        self.assertGreater(self.tell("c", 1.3), 0.0)
+
+    def test_the_instance_that_cannot_reach_a_server_passes_it_by(self) -> None:
+        dispatch = dispatched(self.traffic.offer(make_request("r", 1.0), 1.0))
+        self.traffic.finish(dispatch, Outcome(OutcomeKind.UNREACHED, 0.2), 1.2)
+        server = dispatch.server.server_id
+        self.assertGreater(self.traffic.find_seconds_passed_by(server, 1.3), 0.0)
+        (notice,) = self.traffic.take_notices()
+        self.assertIs(notice.kind, NoticeKind.UNREACHED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/decisions/tests/test_window.py
+++ b/packages/decisions/tests/test_window.py
@@ -1,6 +1,6 @@
 import unittest
 
-from persimmonusher_decisions.window import ALONE_SECONDS, ConcurrencyWindow
+from persimmonusher_decisions.window import ALONE_SECONDS, FULL, ConcurrencyWindow
 from persimmonusher_model.identifiers import ServerId
 
 
@@ -24,13 +24,23 @@
         """A gray server refuses half its work, while all others have room."""
         before = self.window.limit
         for number in range(20):
-            self.window.record_refusal(ServerId("ill"), number * 0.1)
+            self.window.record_refusal(ServerId("ill"), FULL, number * 0.1)
         self.assertEqual(self.window.limit, before)
 
     def test_refusals_of_several_servers_say_that_the_service_is_full(self) -> None:
         before = self.window.limit
-        self.window.record_refusal(ServerId("a"), 0.0)
-        self.window.record_refusal(ServerId("b"), 2 * ALONE_SECONDS)
+        self.window.record_refusal(ServerId("a"), FULL, 0.0)
+        self.window.record_refusal(ServerId("b"), FULL, 2 * ALONE_SECONDS)
         self.assertEqual(self.window.limit, before)
-        self.window.record_refusal(ServerId("c"), 2 * ALONE_SECONDS + 0.1)
+        self.window.record_refusal(ServerId("c"), FULL, 2 * ALONE_SECONDS + 0.1)
         self.assertLess(self.window.limit, before)
+
+    def test_refusals_of_idle_servers_hold_nobody_back(self) -> None:
+        """All servers refuse half of their work for some seconds, with most of their slots free.
+
+        Shrunk to its equal part, the limit would make requests wait long after that is over.
+        """
+        before = self.window.limit
+        for number in range(40):
+            self.window.record_refusal(ServerId(f"s{number % 8}"), 0.5, number * 0.05)
+        self.assertEqual(self.window.limit, before)
--- a/packages/node/src/persimmonusher_node/answers.py
+++ b/packages/node/src/persimmonusher_node/answers.py
@@ -115,8 +115,12 @@
     *,
     retry_after: float | None = None,
     outcome: CallerOutcome | None = None,
+    decimals: int = 0,
 ) -> Answer:
-    """Make the entry's own error answer; `outcome` only ever replaces `not run`."""
+    """Make the entry's own error answer; `outcome` only ever replaces `not run`.
+
+    `retry_after` is rounded up to `decimals` places, as many as callers read.
+    """
     form = FORMS[code]
     outcome = outcome or form.outcome
     status = form.status
@@ -125,7 +129,7 @@
     seconds = form.retry_after if retry_after is None else retry_after
     headers = [("Content-Type", "application/json"), (OUTCOME, outcome.value)]
     if seconds is not None:
-        headers.append((RETRY_AFTER, str(max(1, ceil(seconds)))))
+        headers.append((RETRY_AFTER, format_retry_after(seconds, decimals)))
     headers.append((REQUEST_ID, request_id))
     document = {
         "code": code.value,
@@ -136,6 +140,16 @@
     return Answer(status, tuple(headers), json.dumps(document).encode() + b"\n", outcome, code)
 
 
+def format_retry_after(seconds: float, decimals: int) -> str:
+    """Return a time to come back as callers read it, never 0.
+
+    >>> format_retry_after(0.234, 0), format_retry_after(0.234, 2), format_retry_after(3.0, 2)
+    ('1', '0.24', '3')
+    """
+    unit = 10**decimals
+    return f"{max(1, ceil(seconds * unit)) / unit:g}"
+
+
 def make_replay(stored: StoredAnswer, request_id: str) -> Answer:
     """Make the answer to a resend from the stored answer of the first run."""
     answer = Answer(stored.status, stored.headers, stored.body, CallerOutcome.RAN)
--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -11,7 +11,7 @@
 from eventlet.queue import Empty, Queue
 from structlog import get_logger
 
-from persimmonusher_decisions.notices import Notice
+from persimmonusher_decisions.notices import Notice, NoticeKind
 from persimmonusher_decisions.server import BackendServer
 from persimmonusher_decisions.work import Decision, Dispatch, Outcome, OutcomeKind
 from persimmonusher_model.clock import Clock
@@ -100,7 +100,7 @@
             if self._lines.take():
                 seconds = live.traffic.find_seconds_passed_by(notice.server_id, now)
                 _log.info(
-                    "server-passed-by" if seconds else "server-doubted",
+                    name_event(notice, seconds),
                     server=notice.server_id,
                     service=notice.service,
                     boot=notice.boot_id,
@@ -180,6 +180,13 @@
         run.cancel_attempts(OutcomeKind.CANCELLED, but=winner.dispatch)
 
 
+def name_event(notice: Notice, seconds_passed_by: float) -> str:
+    """Return the name under which a notice is logged."""
+    if notice.kind is NoticeKind.RECOVERED:
+        return "server-recovered"
+    return "server-passed-by" if seconds_passed_by else "server-doubted"
+
+
 def drop_notices(notices: Sequence[Notice]) -> None:
     """Tell nobody, where an assessor pools the evidence instead."""
 
--- a/packages/node/src/persimmonusher_node/dialect.py
+++ b/packages/node/src/persimmonusher_node/dialect.py
@@ -34,6 +34,8 @@
     an answer was cut off; a server that dies between two writes doesn't show."""
     refuses_encoded: bool = False
     """Whether an answer in a content coding, which callers never ask for, is a garbled one."""
+    retry_after_decimals: int = 0
+    """Decimal places of Retry-After that callers read; the standard knows whole seconds only."""
 
 
 OWN_DIALECT: Final = Dialect()
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -209,7 +209,12 @@
             code = AnswerCode.OVERLOAD
         message = REFUSAL_MESSAGES[refusal.reason]
         return make_error(
-            code, message, run.call.request_id, retry_after=refusal.retry_after, outcome=known
+            code,
+            message,
+            run.call.request_id,
+            retry_after=refusal.retry_after,
+            outcome=known,
+            decimals=self._dialect.retry_after_decimals,
         )
 
     def _abandon(self, run: Run) -> Answer:
--- a/packages/node/src/persimmonusher_node/tiers/notice_relay.py
+++ b/packages/node/src/persimmonusher_node/tiers/notice_relay.py
@@ -22,8 +22,8 @@
 REPEAT_SECONDS: Final = 1.0
 """Notices of the same failing server within this time are told once: a fraction of the time for
 which it is passed by."""
-LATE_NOTICES: Final = 2
-"""Late failures of one server that are told within that time: the second one decides."""
+NOTICES_TOLD: Final = {pb.EARLY: 1, pb.LATE: 2, pb.UNREACHED: 3, pb.NONE: 1}
+"""Notices of one server that are told within that time: the last of them decides."""
 TOLD_KEPT: Final = 4_096
 """Servers remembered as told; with more, all are told anew."""
 WAITING: Final = 256
@@ -54,7 +54,7 @@
         self._channels = channels
         self._tell_followers = tell_followers
         self._clock = clock
-        self._told: dict[tuple[str, str, bool], Told] = {}
+        self._told: dict[tuple[str, str, int], Told] = {}
         self._waiting: dict[str, deque[pb.Notice]] = {}
         self._busy: dict[str, asyncio.Task[None]] = {}
 
@@ -77,11 +77,11 @@
         further notice only renews what the first has brought about everywhere.
         """
         now = self._clock.monotonic()
-        what = (notice.server, notice.crashed_by, notice.late)
+        what = (notice.server, notice.crashed_by, notice.failure)
         told = self._told.get(what)
         if told is not None and now - told.since < REPEAT_SECONDS:
             told.times += 1
-            return told.times <= (LATE_NOTICES if notice.late else 1)
+            return told.times <= NOTICES_TOLD.get(notice.failure, 1)
         if len(self._told) >= TOLD_KEPT:
             self._told.clear()
         self._told[what] = Told(now)
--- a/packages/node/src/persimmonusher_node/tiers/notice_wire.py
+++ b/packages/node/src/persimmonusher_node/tiers/notice_wire.py
@@ -1,9 +1,25 @@
 """Conversion between notices and their protobuf form."""
 
+from typing import Final
+
 from persimmonusher_decisions.notices import Notice, NoticeKind
 from persimmonusher_model.identifiers import RequestId, ServerId, ServiceName
 from persimmonusher_protocol import control_pb2 as pb
 
+FAILURES: Final = {
+    NoticeKind.FAILED: pb.EARLY,
+    NoticeKind.FAILED_LATE: pb.LATE,
+    NoticeKind.UNREACHED: pb.UNREACHED,
+    NoticeKind.CRASHED: pb.EARLY,
+    NoticeKind.RECOVERED: pb.NONE,
+}
+KINDS: Final = {
+    pb.EARLY: NoticeKind.FAILED,
+    pb.LATE: NoticeKind.FAILED_LATE,
+    pb.UNREACHED: NoticeKind.UNREACHED,
+    pb.NONE: NoticeKind.RECOVERED,
+}
+
 
 def encode_notice(notice: Notice) -> pb.Notice:
     """Return the wire form of a notice."""
@@ -12,14 +28,16 @@
         server=notice.server_id,
         boot=notice.boot_id,
         crashed_by=notice.fingerprint,
-        late=notice.kind is NoticeKind.FAILED_LATE,
+        failure=FAILURES[notice.kind],
         request=notice.request_id,
+        milliseconds=round(notice.seconds * 1000),
     )
 
 
 def decode_notice(wire: pb.Notice) -> Notice:
     """Return the notice of a wire message."""
-    kind = NoticeKind.FAILED_LATE if wire.late else NoticeKind.FAILED
+    # A kind that a later release tells of is taken as the plain one.
+    kind = KINDS.get(wire.failure, NoticeKind.FAILED)
     return Notice(
         NoticeKind.CRASHED if wire.crashed_by else kind,
         ServiceName(wire.service),
@@ -27,4 +45,5 @@
         wire.boot,
         wire.crashed_by,
         RequestId(wire.request),
+        wire.milliseconds / 1000.0,
     )
--- a/packages/node/tests/test_notice_relay.py
+++ b/packages/node/tests/test_notice_relay.py
@@ -59,7 +59,11 @@
 
     def test_notices_come_out_as_they_went_in(self) -> None:
         crashed = Notice(NoticeKind.CRASHED, ENTRIES, ServerId("s1"), 7, "poison", RequestId("r"))
-        for notice in (make_notice("r"), make_notice("r", NoticeKind.FAILED), crashed):
+        recovered = Notice(
+            NoticeKind.RECOVERED, ENTRIES, ServerId("s1"), 7, "", RequestId("r"), 0.25
+        )
+        kinds = (NoticeKind.FAILED, NoticeKind.FAILED_LATE, NoticeKind.UNREACHED)
+        for notice in (*(make_notice("r", kind) for kind in kinds), recovered, crashed):
             with self.subTest(notice.kind):
                 self.assertEqual(decode_notice(encode_notice(notice)), notice)
 
