Pass a server by, here only, while a request to it is overdue

Cause: what a one-way cut swallows shows only when its time is over; until then further requests went the same way.

--- a/packages/decisions/src/persimmonusher_decisions/evidence.py
+++ b/packages/decisions/src/persimmonusher_decisions/evidence.py
@@ -42,13 +42,15 @@
 class Attempt:
     """One attempt in flight."""
 
-    __slots__ = ("dispatch", "overdue", "stuck", "track")
+    __slots__ = ("dispatch", "overdue", "stuck", "taken", "track")
 
     def __init__(self, dispatch: Dispatch, track: ServerTrack) -> None:
         self.dispatch = dispatch
         self.track = track
         self.overdue = False
         self.stuck = False
+        self.taken = False
+        """Whether `take_overdue` has returned it."""
 
 
 class EvidenceLog:
@@ -131,6 +133,21 @@
             return SLOW_FACTOR * self.recent_latency
         return limit
 
+    def take_overdue(self, now: float) -> list[Attempt]:
+        """Return the attempts that became overdue since the last call, none in saturation."""
+        if self._slow_share >= SATURATED_SHARE:
+            return []
+        overdue = [item for item in self._attempts.values() if self._is_overdue(item, now)]
+        for attempt in overdue:
+            attempt.taken = True
+        return overdue
+
+    def _is_overdue(self, attempt: Attempt, now: float) -> bool:
+        if attempt.taken:
+            return False
+        limit = self.find_slow_limit(attempt.dispatch.request.request_class)
+        return limit is not None and now - attempt.dispatch.started > limit
+
     def mark_overdue(self, now: float) -> None:
         """Count attempts as slow that are in flight for longer than is usual."""
         if now < self._overdue_at:
--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -52,6 +52,10 @@
     and not servers, all would soon be passed by everywhere, and those that are ill brought back. So
     the one that can't reach it passes it by, and the others once several of them have told so.
 
+    A request that is overdue says the same before it fails, to the instance that sent it: the way
+    between the two may swallow what is sent, and each further request there would be lost as well
+    before the first one's time is over. It is not told, since one in forty is slow by itself.
+
     A server that was passed by and does a lookup well is used again at once, everywhere. While the
     others are busy, lookups go to those that failed the longest ago: such a request can be sent
     again when it fails. At four fifths of the slots taken, with a third of the servers ill at a
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -274,6 +274,8 @@
     def advance(self, now: float) -> tuple[Decision, ...]:
         """Let time pass: refuse waiting requests that are late, release those that may go."""
         self._evidence.mark_overdue(now)
+        for attempt in self._evidence.take_overdue(now):
+            self._suspicion.suspect(attempt.track, self._tracks.values(), self._profile, now)
         if self._lease.expire(now):
             self._rebuild(now)
         if not len(self._admission.queue):
--- a/packages/decisions/tests/test_heavy_load.py
+++ b/packages/decisions/tests/test_heavy_load.py
@@ -9,6 +9,7 @@
 
 from persimmonusher_decisions import placement
 from persimmonusher_decisions.admission import SHORTEST_RETRY_AFTER, SHORTEST_RETURN
+from persimmonusher_decisions.evidence import EvidenceLog
 from persimmonusher_decisions.notices import Notice, NoticeKind
 from persimmonusher_decisions.work import Outcome, OutcomeKind, Refusal
 from persimmonusher_model.identifiers import RequestId, ServerId
@@ -89,13 +90,35 @@
         answer in four takes longer than a second.
         """
         load = replace(LOOKUPS_AND_PURCHASES, requests_a_second=285.0)
-        with patch.object(placement, "BUSY", 1_000.0):
+        with (
+            patch.object(placement, "BUSY", 1_000.0),
+            patch.object(EvidenceLog, "take_overdue", return_value=[]),
+        ):
             fixed = play(load)
         proved = play(load)
         self.assertGreater(proved.find_share_within(1.0), fixed.find_share_within(1.0) + 0.06)
         self.assertLess(proved.failed_share, fixed.failed_share + 0.005)
 
 
+class OverdueTest(unittest.TestCase):
+    def test_a_way_that_swallows_a_request_gets_no_second_one(self) -> None:
+        """What one instance sends to one server is lost on the way, for seconds.
+
+        A purchase sent there shows nothing for 3 s, when its caller's time is over. Until then the
+        next ones went the same way, as the server had only one request in progress.
+        """
+        traffic = make_traffic(6, PROFILE)
+        for number in range(10):
+            dispatch = dispatched(traffic.offer(make_request(f"w{number}"), 0.0))
+            traffic.finish(dispatch, Outcome(OutcomeKind.SUCCESS, 0.3), 0.3)
+        lost = dispatched(traffic.offer(make_request("r", 1.0, idempotent=False), 1.0))
+        traffic.advance(1.8)
+        self.assertEqual(traffic.find_seconds_passed_by(lost.server.server_id, 1.8), 0.0)
+        traffic.advance(2.1)
+        self.assertGreater(traffic.find_seconds_passed_by(lost.server.server_id, 2.1), 0.0)
+        self.assertEqual(traffic.take_notices(), (), "one in forty is slow by itself")
+
+
 class RecoveryTest(unittest.TestCase):
     def setUp(self) -> None:
         self.traffic = make_traffic(3, PROFILE)
