Leave it to lookups to prove servers in a burst

Cause: in a burst of 430 requests a second 75 to 111 purchases a second failed at servers that were passed by and tried for want of room.

--- a/packages/decisions/tests/test_heavy_load.py
+++ b/packages/decisions/tests/test_heavy_load.py
@@ -121,6 +121,27 @@
         self.assertEqual(ill & set(chosen), {ServerId("s0")}, "the one whose failure is oldest")
 
 
+class BurstTest(unittest.TestCase):
+    def test_entries_wait_for_lookups_to_prove_servers(self) -> None:
+        """Bursts beyond all slots, while a third of the servers is ill for 9 s at a time.
+
+        An entry that finds the well servers crowded and tries one that is passed by is mostly lost;
+        a lookup that does so is sent again.
+        """
+        load = replace(
+            LOOKUPS_AND_PURCHASES,
+            requests_a_second=260.0,
+            burst_factor=1.6,
+            ill_seconds=9.0,
+            ill_chance=0.3,
+        )
+        with patch.object(placement, "LOOKUP_SECONDS", 0.0):
+            tried = play(load)
+        proved = play(load)
+        self.assertLess(proved.failed_share, 0.8 * tried.failed_share)
+        self.assertGreater(proved.find_share_within(1.0), tried.find_share_within(1.0))
+
+
 class OverdueTest(unittest.TestCase):
     def test_a_way_that_swallows_a_request_gets_no_second_one(self) -> None:
         """What one instance sends to one server is lost on the way, for seconds.
