Refuse at once what has waited until it can't be served

Cause: requests left the queue with less time than any answer takes, since an instance with a few requests a second has no baseline of its class for half a minute.

--- a/packages/decisions/src/persimmonusher_decisions/evidence.py
+++ b/packages/decisions/src/persimmonusher_decisions/evidence.py
@@ -24,6 +24,9 @@
 """Slow answers of one server, and most of its answers, that a digest doesn't wait for."""
 SLOW_MEMORY: Final = 0.05
 """Weight of the newest answer in this instance's share of slow answers: some 20 count."""
+QUICK_SHARE: Final = 0.5
+"""Part of the recent latency below which hardly any answer comes: one in twenty where work spreads
+by a factor of one and a half about its middle."""
 RECENT_MEMORY: Final = 0.1
 """Weight of the newest answer in the service's recent latency: some ten make it up."""
 SATURATED_SHARE: Final = 0.5
@@ -119,8 +122,13 @@
             track.failed += 1
 
     def find_usual_latency(self, request_class: str) -> float:
-        """Return the median latency of a class, 0 where it isn't known yet."""
-        return self._find_baseline(request_class).median or 0.0
+        """Return the median latency of a class, 0 where nothing is known yet.
+
+        Until the class has a baseline, a part of the service's recent latency stands in for it: a
+        request that has waited until it has less time than that would only use a slot in vain.
+        """
+        median = self._find_baseline(request_class).median
+        return QUICK_SHARE * (self.recent_latency or 0.0) if median is None else median
 
     def find_slow_limit(self, request_class: str) -> float | None:
         """Return the latency from which on an answer of a class is slow, None where unknown.
