Keep the reason of a refusal, and measure each mechanism alone

The reason of a request that several servers refused is that its attempts are used up, as a test of the metrics says; only its time to come back is new. The ablation is run by hand.

--- a/packages/decisions/src/persimmonusher_decisions/admission.py
+++ b/packages/decisions/src/persimmonusher_decisions/admission.py
@@ -103,7 +103,9 @@
         """Take the end of an attempt: whether its server refused to run the request."""
         self._shed_share += SHED_MEMORY * (refused - self._shed_share)
 
-    def refuse_shed(self, request: Request, recent_latency: float, now: float) -> Refusal:
+    def refuse_shed(
+        self, request: Request, reason: RefusalReason, recent_latency: float, now: float
+    ) -> Refusal:
         """Refuse a request that servers turned away, with no budget left to ask another one.
 
         The load it is for: all servers of a service turn away half of their requests for seconds,
@@ -115,10 +117,10 @@
         overload. While requests wait here, they go first.
         """
         if len(self.queue):
-            return self.refuse(request, RefusalReason.OVERLOAD, now)
+            return self.refuse(request, reason, now)
         share = min(LARGEST_SHED_SHARE, self._shed_share)
         seconds = max(SHORTEST_RETURN, RETURN_SHARE * recent_latency * share / (1.0 - share))
-        return Refusal(request, RefusalReason.OVERLOAD, seconds * self._choose_spread())
+        return Refusal(request, reason, seconds * self._choose_spread())
 
     def find_lateness(
         self, request: Request, usual_latency: float, now: float
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -186,11 +186,13 @@
             again = self._place(request, dispatch.attempt + 1, tried, now, dispatch.unreached)
             if again is not None:
                 return again
-        if outcome.kind in (OutcomeKind.REFUSED, OutcomeKind.DRAINING):
-            recent = self._evidence.recent_latency or 0.0
-            return self._admission.refuse_shed(request, recent, now)
         reason = RefusalReason.RETRY_BUDGET if may_go else RefusalReason.RETRIES_EXHAUSTED
-        return self._admission.refuse(request, reason, now)
+        if outcome.kind not in (OutcomeKind.REFUSED, OutcomeKind.DRAINING):
+            return self._admission.refuse(request, reason, now)
+        if dispatch.attempt - dispatch.unreached == 1:
+            reason = RefusalReason.OVERLOAD
+        recent = self._evidence.recent_latency or 0.0
+        return self._admission.refuse_shed(request, reason, recent, now)
 
     def _retry_unreached(self, dispatch: Dispatch, now: float) -> Decision:
         """Place a request again of which no byte left; that costs no server any work."""
--- /dev/null
+++ b/packages/decisions/tests/ablation.py
@@ -0,0 +1,156 @@
+"""What each mechanism is worth: the same loads with one of them switched off at a time.
+
+Run it by hand, `python ablation.py [SEEDS]` with the packages on the path; it prints a table of the
+share of requests that weren't served, and of those answered within a second, with the smallest and
+largest of the seeds. It is no test: what must hold stands in test_suspicion and test_heavy_load.
+"""
+
+import sys
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field, replace
+from math import inf
+from statistics import mean
+from typing import Any
+from unittest.mock import patch
+
+from fleet_simulation import FleetSimulation, Load
+
+from persimmonusher_decisions import doubts, placement, suspicion, traffic
+from persimmonusher_decisions.evidence import EvidenceLog
+from persimmonusher_decisions.notices import NoticeKind
+from persimmonusher_decisions.traffic import ServiceTraffic
+from persimmonusher_model.profile import Profile
+
+PROFILE = Profile(
+    suspect_ms=4_000,
+    health_floor_percent=44,
+    retry_budget_percent=18,
+    retry_slack=64,
+    fewest_in_progress=4,
+    queue_limit=256,
+    queue_wait_ms=3_000,
+    far_load_percent=80,
+    ramp_ms=3_000,
+)
+MIXED = Load(
+    domains=3,
+    servers=33,
+    slots=6,
+    requests_a_second=285.0,
+    work_seconds=0.35,
+    work_spread=0.4,
+    idempotent_share=1 / 3,
+    ill_seconds=9.0,
+    ill_chance=0.3,
+    ill_share=0.9,
+    seconds=30.0,
+)
+ENTRIES = Load(requests_a_second=56.0, ill_seconds=9.0, ill_chance=0.3)
+FILINGS = Load(
+    instances=36,
+    servers=9,
+    slots=6,
+    requests_a_second=36.0,
+    work_seconds=0.5,
+    ill_every=12.0,
+    ill_seconds=12.0,
+    ill_chance=0.3,
+    ill_share=0.9,
+)
+LOADS = {
+    "33 servers, mixed, busy": MIXED,
+    "14 servers, entries": ENTRIES,
+    "9 servers, filings": FILINGS,
+    "9 servers, filings in bursts": replace(FILINGS, requests_a_second=50.0, burst_factor=1.7),
+}
+
+
+@dataclass(frozen=True)
+class Ablation:
+    """One mechanism and how it is switched off."""
+
+    name: str
+    profile: dict[str, Any] = field(default_factory=dict)
+    patches: tuple[tuple[Any, str, Any], ...] = ()
+
+
+def take_trusted(self: Any, servers: Any, now: float) -> Any:
+    """Compare servers that the floor spares like all others."""
+    trusted = [track for track in servers if not track.is_passed_by(now)]
+    return self._random.sample(trusted, min(placement.COMPARED, len(trusted)))
+
+
+def find_nothing(*arguments: Any) -> list[Any]:
+    """Find nothing."""
+    return []
+
+
+def ignore(*arguments: Any) -> None:
+    """Do nothing."""
+
+
+ABLATIONS = (
+    Ablation("all on"),
+    Ablation("passing by", {"suspect_ms": 0}),
+    Ablation("notices to others", patches=((ServiceTraffic, "apply_notice", ignore),)),
+    Ablation(
+        "doubt for late failures",
+        patches=((doubts, "NEEDED", {**doubts.NEEDED, NoticeKind.FAILED_LATE: 1}),),
+    ),
+    Ablation("longer in a row", patches=((suspicion, "LONGEST_ROW", 1),)),
+    Ablation("learned time", patches=((suspicion, "LONGER", 1.0), (suspicion, "SHORTER", 1.0))),
+    Ablation("relief of crowded servers", patches=((placement, "CROWDED", inf),)),
+    Ablation("lookups prove servers", patches=((placement, "PROVING_SHARE", inf),)),
+    Ablation(
+        "spared servers last", patches=((placement.Placement, "_take_unsuspected", take_trusted),)
+    ),
+    Ablation("two compared", patches=((placement, "COMPARED", 16),)),
+    Ablation("floor", {"health_floor_percent": 0}),
+    Ablation("overdue requests", patches=((EvidenceLog, "take_overdue", find_nothing),)),
+    Ablation("shared loads", patches=((ServiceTraffic, "apply_loads", ignore),)),
+    Ablation("far servers weighed", {"far_load_percent": 0}),
+    Ablation("penalty", patches=((placement.Placement, "penalize", ignore),)),
+    Ablation("queue", {"queue_limit": 0}),
+)
+
+
+@contextmanager
+def switch_off(ablation: Ablation) -> Iterator[None]:
+    """Have one mechanism off."""
+    with ExitStack() as stack:
+        for target, name, value in ablation.patches:
+            stack.enter_context(patch.object(target, name, value))
+        if any(name == "PROVING_SHARE" for _, name, _ in ablation.patches):
+            stack.enter_context(patch.object(traffic, "PROVING_SHARE", inf))
+        yield
+
+
+def play(job: tuple[Load, int, int]) -> tuple[float, float]:
+    """Return the shares of requests that weren't served, and that were answered in a second."""
+    load, number, seed = job
+    ablation = ABLATIONS[number]
+    with switch_off(ablation):
+        served = FleetSimulation(load, PROFILE.model_copy(update=ablation.profile), seed).run()
+    return served.failed_share, served.find_share_within(1.0)
+
+
+def describe(values: list[float]) -> str:
+    """Return the mean and the spread in percent."""
+    return f"{100 * mean(values):.1f} ({100 * min(values):.1f} to {100 * max(values):.1f})"
+
+
+def print_table(seeds: int, write: Callable[[str], object] = print) -> None:
+    """Play all loads without each mechanism and print the table."""
+    with ProcessPoolExecutor(3) as pool:
+        for title, load in LOADS.items():
+            write(f"\n| {title}: off | not served, % | within 1 s, % |\n| --- | --- | --- |")
+            for number, ablation in enumerate(ABLATIONS):
+                jobs = [(load, number, seed) for seed in range(seeds)]
+                lost, quick = zip(*pool.map(play, jobs), strict=True)
+                write(f"| {ablation.name} | {describe(list(lost))} | {describe(list(quick))} |")
+
+
+if __name__ == "__main__":
+    print_table(int(sys.argv[1]) if len(sys.argv) > 1 else 6)
