--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -48,8 +48,8 @@
 COMPARED: Final = 2
 """Servers without suspicion compared for a first attempt, of the near ones and of the others each.
 What is known of other instances' work is up to half a second old: told of the same idle server, all
-of them send there until they are told again. Of 14 simulated servers with half of the slots taken,
-99 of 100 answers came within 1.16 s, and within 1.40 s with all servers compared."""
+of them send there until they are told again. Of 33 simulated servers at four fifths of the slots,
+96% of the requests were answered within a second, and 79% with all servers compared."""
 
 
 class Placement:
--- a/packages/decisions/src/persimmonusher_decisions/window.py
+++ b/packages/decisions/src/persimmonusher_decisions/window.py
@@ -80,7 +80,7 @@
         """Take a server's own refusal, and its load for each slot as far as it is known here.
 
         The load it is for: servers that refuse half their work for seconds, one of them or all,
-        while their slots are free. The harm: each refusal would shrink the limit, and for a minute
+        while their slots are free. The harm: each refusal would shrink the limit, and for seconds
         after they are well requests would wait here for no reason: up to 0.95 s, on instances
         whose callers come in clumps.
         """
