--- a/packages/decisions/tests/ablation.py
+++ b/packages/decisions/tests/ablation.py
@@ -16,35 +16,18 @@
 from unittest.mock import patch
 
 from fleet_simulation import FleetSimulation, Load
+from heavy_loads import LOOKUPS_AND_PURCHASES, PROFILE
 
 from persimmonusher_decisions import doubts, placement, suspicion, traffic
 from persimmonusher_decisions.evidence import EvidenceLog
 from persimmonusher_decisions.notices import NoticeKind
 from persimmonusher_decisions.traffic import ServiceTraffic
-from persimmonusher_model.profile import Profile
-
-PROFILE = Profile(
-    suspect_ms=4_000,
-    health_floor_percent=44,
-    retry_budget_percent=18,
-    retry_slack=64,
-    fewest_in_progress=4,
-    queue_limit=256,
-    queue_wait_ms=3_000,
-    far_load_percent=80,
-    ramp_ms=3_000,
-)
-MIXED = Load(
-    domains=3,
-    servers=33,
-    slots=6,
+
+MIXED = replace(
+    LOOKUPS_AND_PURCHASES,
     requests_a_second=285.0,
-    work_seconds=0.35,
-    work_spread=0.4,
-    idempotent_share=1 / 3,
     ill_seconds=9.0,
     ill_chance=0.3,
-    ill_share=0.9,
     seconds=30.0,
 )
 ENTRIES = Load(requests_a_second=56.0, ill_seconds=9.0, ill_chance=0.3)
--- a/packages/decisions/tests/test_heavy_load.py
+++ b/packages/decisions/tests/test_heavy_load.py
@@ -6,6 +6,7 @@
 
 from decisions_helpers import GOOD, SERVICE, dispatched, make_request, make_traffic
 from fleet_simulation import FleetSimulation, Load, Served
+from heavy_loads import LOOKUPS_AND_PURCHASES, PROFILE
 
 from persimmonusher_decisions import placement
 from persimmonusher_decisions.admission import SHORTEST_RETRY_AFTER, SHORTEST_RETURN
@@ -15,28 +16,6 @@
 from persimmonusher_model.identifiers import RequestId, ServerId
 from persimmonusher_model.profile import Profile
 
-PROFILE = Profile(
-    suspect_ms=4_000,
-    health_floor_percent=44,
-    retry_budget_percent=18,
-    retry_slack=64,
-    fewest_in_progress=4,
-    queue_limit=256,
-    queue_wait_ms=3_000,
-    far_load_percent=80,
-)
-LOOKUPS_AND_PURCHASES = Load(
-    domains=3,
-    servers=33,
-    slots=6,
-    requests_a_second=200.0,
-    work_seconds=0.35,
-    work_spread=0.4,
-    idempotent_share=1 / 3,
-    ill_share=0.9,
-    seconds=20.0,
-)
-"""Two purchases for each lookup at two fifths of the slots; a third of the servers ill."""
 SHED = Outcome(OutcomeKind.REFUSED, 0.002)
 
 
