Take no connection between a stop's last accept and its close

Cause: the kernel goes on completing connections until the listening socket is closed, and the close resets what waits in it. Ruled out: that killing the accept loop closes the socket (a script on the hub shows it doesn't). Now a filter drops the packets that open connections, 50 ms later the last ones are accepted, then the socket closes. AcceptGapTest connects in the gap: connected before, never now.

--- /dev/null
+++ b/packages/node/src/persimmonusher_node/connection_filter.py
@@ -0,0 +1,45 @@
+"""Lets a listening socket take no new connections while it still completes those under way."""
+
+import ctypes
+import socket
+import struct
+from typing import Final
+
+from structlog import get_logger
+
+SO_ATTACH_FILTER: Final = 26
+"""Linux's socket option for a classic BPF program; Python's socket module has no name for it."""
+FLAGS_OFFSET: Final = 13
+"""Byte of the TCP header that holds its flags, where a TCP socket's filter sees that header first."""
+SYN: Final = 0x02
+LOAD_BYTE: Final = 0x30
+JUMP_IF_SET: Final = 0x45
+RETURN: Final = 0x06
+WHOLE_PACKET: Final = 0xFFFF_FFFF
+DROP_SYN: Final = (
+    (LOAD_BYTE, 0, 0, FLAGS_OFFSET),
+    (JUMP_IF_SET, 0, 1, SYN),
+    (RETURN, 0, 0, 0),
+    (RETURN, 0, 0, WHOLE_PACKET),
+)
+"""Operation, jump if true, jump if false, operand: a packet that opens a connection is dropped."""
+
+_log = get_logger(__name__)
+
+
+def drop_new_connections(listening: socket.socket) -> bool:
+    """Drop the packets that would open a connection; tell whether the kernel does.
+
+    Guards against a caller that connects between the last accept and the close of the socket: the
+    close would reset it, with a request that it may have sent. A dropped packet is sent again about
+    a second later, and meets a closed port, which says plainly that nothing was taken.
+    """
+    code = b"".join(struct.pack("=HBBI", *instruction) for instruction in DROP_SYN)
+    buffer = ctypes.create_string_buffer(code)
+    program = struct.pack("HP", len(DROP_SYN), ctypes.addressof(buffer))
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+    except OSError as error:
+        _log.info("connections-not-filtered", error=repr(error))
+        return False
+    return True
--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -14,6 +14,7 @@
 from eventlet.wsgi import STATE_IDLE, Server
 
 from persimmonusher_node.caller_reader import CallerReader
+from persimmonusher_node.connection_filter import drop_new_connections
 from persimmonusher_node.protocol import LAST_REQUEST_SECONDS, HttpProtocol
 
 WsgiApplication: TypeAlias = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
@@ -22,6 +23,9 @@
 ACCEPT_PAUSE_SECONDS: Final = 0.05
 """Pause after a failed accept, such as for want of file descriptors, so as not to spin."""
 STOP_POLL_SECONDS: Final = 0.02
+HANDSHAKE_SECONDS: Final = 0.05
+"""Time for connections that were being opened to reach the accept queue, some round trips of the
+balancer that opens them."""
 
 FULL_BODY: Final = (
     b'{"code": "overload", "message": "too many connections", "outcome": "not-run"}\n'
@@ -115,10 +119,13 @@
         """Close the listening socket and idle connections; requests in flight go on.
 
         Connections that the kernel has taken already are accepted first: closing the socket would
-        reset them, with the requests that their callers may have sent. An idle connection is shut
+        reset them, with the requests that their callers may have sent. None can come between the
+        last accept and the close, as new ones are dropped from here on. An idle connection is shut
         for reading only: a request whose bytes have arrived is still read and answered.
         """
         self.close_after_answers()
+        if drop_new_connections(self._socket):
+            eventlet.sleep(HANDSHAKE_SECONDS)
         if self._thread is not None:
             self._thread.kill()
             self._thread = None
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -52,6 +52,37 @@
         self.assertEqual(len(self.ran), 1)
 
 
+class AcceptGapTest(EntryTestCase):
+    def test_no_caller_is_let_in_between_the_last_accept_and_the_close(self) -> None:
+        """A caller connects and sends its entry just after the stop's last accept.
+
+        The close that follows would reset it, and the caller couldn't know whether its entry ran.
+        It must either be answered or never be connected.
+        """
+        plain = eventlet.patcher.original("socket")
+        accept_last = self.listener._accept_waiting
+        address = ("127.0.0.1", self.listener.port)
+        connected = []
+
+        def connect_after_the_last_accept() -> None:
+            accept_last()
+            try:
+                connected.append(plain.create_connection(address, 0.3))
+            except (TimeoutError, ConnectionRefusedError):
+                return
+
+        self.listener._accept_waiting = connect_after_the_last_accept  # type: ignore[method-assign]
+        self.listener.stop_accepting()
+        self.assertEqual(connected, [])
+
+    def test_callers_that_come_after_the_close_are_refused(self) -> None:
+        plain = eventlet.patcher.original("socket")
+        port = self.listener.port
+        self.listener.stop_accepting()
+        with self.assertRaises(ConnectionRefusedError):
+            plain.create_connection(("127.0.0.1", port), 3.0)
+
+
 class LastAnswerTest(EntryTestCase):
     def test_a_connection_that_is_answered_late_in_the_stop_is_not_kept(self) -> None:
         """An entry takes longer than the stop gives idle connections to send their last request.
