Derive settings from the bounds that the surroundings state, fractions included

Cause: no process of a small twin started, since retry_slack was 20.476 there and had to be whole. And the template held constants of the first sites: a stop that ends after 5.2 s cuts requests off where the supervisor leaves 10 s, 2 s stood for the time in which a change is to be in force, 18% for nine tenths of the retries allowed. Now the bounds are settings of their own, any may be a fraction or missing, and what the file leaves out follows from them. test_settings_template failed before on three of four bounds (by reading of the model) and on stop_seconds.

--- a/packages/decisions/src/persimmonusher_decisions/retries.py
+++ b/packages/decisions/src/persimmonusher_decisions/retries.py
@@ -46,7 +46,7 @@
         self._firsts: deque[FirstAttempts] = deque()
         self._further: deque[float] = deque()
 
-    def share_slack(self, slack: int, instances: int) -> None:
+    def share_slack(self, slack: float, instances: int) -> None:
         """Take the fleet's slack for each window, and the number of instances that share it.
 
         An instance always keeps one attempt, or it could never retry: with more instances than
--- a/packages/model/src/persimmonusher_model/profile.py
+++ b/packages/model/src/persimmonusher_model/profile.py
@@ -55,12 +55,12 @@
         description="Retries and hedges as a share of first attempts, so that retries can't "
         "amplify an overload beyond 1.1 times.",
     )
-    retry_slack: int = Field(
+    retry_slack: float = Field(
         default=100,
         ge=0,
         le=100_000,
         description="Retries in any ten seconds that all instances together may send beyond the "
-        "percentage; shared out among them, and never more than ten each.",
+        "percentage; shared out among them, and never more than ten each. May be a fraction.",
     )
     hedge_after_ms: int = Field(
         default=0,
--- a/packages/node/src/persimmonusher_node/settings.py
+++ b/packages/node/src/persimmonusher_node/settings.py
@@ -78,6 +78,24 @@
     whole fleet at once, keyed requests are refused, as not run, for so long."""
 
 
+class Bounds(BaseModel):
+    """What the surroundings state, in their own units; settings that are left out follow from it.
+
+    Any of them may be a fraction, or be unknown.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    change_in_force_ms: float | None = Field(default=None, gt=0, le=600_000)
+    """Time within which an accepted change is to be in force everywhere."""
+    kill_after_seconds: float | None = Field(default=None, gt=0, le=3_600)
+    """Time after which the supervisor kills a process that it has told to stop."""
+    retry_ratio: float | None = Field(default=None, ge=0, le=1)
+    """Further attempts of a service in a window of time, as a part of its requests."""
+    retry_slack: float | None = Field(default=None, ge=0, le=100_000)
+    """The same beyond that part, of all instances together."""
+
+
 class Keeper(BaseModel):
     """One of the first keepers of the configuration log."""
 
@@ -110,6 +128,7 @@
     stale_seconds: float = Field(default=2.0, gt=0, le=600)
     """An entry that has heard of no majority of keepers for longer says of no route that there is
     none; the time in which an accepted change is to be in force."""
+    bounds: Bounds = Bounds()
     default_profile: dict[str, Any] = {}
     """The profile document of the routing document's services that have none of their own."""
     stop_seconds: float | None = Field(default=None, gt=0, le=3600)
