Share a keeper's messages among its followers, and pace them

Cause of the collapse on the large site: a keeper sent each notice to each follower in a message of its own, with all loads, all peers and all keepers in it.

Keepers tell each other ten times a second at most. Entries ask which keepers there are before they fetch the configuration, and those of a domain without a keeper follow the same one, by rendezvous. A stale keeper is left only when the next is asked, so that the count of entries, by which retries are shared, doesn't fall meanwhile. Without a keeper each entry tells other peers than its neighbour does.

--- a/packages/node/src/persimmonusher_node/connection_filter.py
+++ b/packages/node/src/persimmonusher_node/connection_filter.py
@@ -10,7 +10,7 @@
 SO_ATTACH_FILTER: Final = 26
 """Linux's socket option for a classic BPF program; Python's socket module has no name for it."""
 FLAGS_OFFSET: Final = 13
-"""Byte of the TCP header that holds its flags, where a TCP socket's filter sees that header first."""
+"""Byte of the TCP header that holds its flags; filters of TCP sockets see that header first."""
 SYN: Final = 0x02
 LOAD_BYTE: Final = 0x30
 JUMP_IF_SET: Final = 0x45
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/tiers/follow_feed.py
@@ -0,0 +1,99 @@
+"""The messages that the followers of one keeper share."""
+
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from persimmonusher_model.clock import Clock
+from persimmonusher_model.identifiers import Revision
+from persimmonusher_node.configuration_client import ConfigurationClient
+from persimmonusher_node.keeper import KeeperRole
+from persimmonusher_node.keeper_wire import PART_ITEMS, encode_parts
+from persimmonusher_node.tiers.load_book import LoadBook
+from persimmonusher_protocol import control_pb2
+
+SHARED_SECONDS: Final = 0.1
+"""How old a status may be that is sent to a further follower: far below the time after which a
+follower holds a keeper for stale."""
+LONGEST_AGE_MS: Final = 3_600_000
+
+
+class FollowFeed:
+    """Makes each message once for all followers that are to hear the same."""
+
+    def __init__(
+        self, role: KeeperRole, view: ConfigurationClient, loads: LoadBook, clock: Clock
+    ) -> None:
+        self._role = role
+        self._view = view
+        self._loads = loads
+        self._clock = clock
+        self.places_version = 0
+        """Rises when the keepers or the peers change."""
+        self._places: tuple[tuple[str, str], ...] = ()
+        self._peers: tuple[str, ...] = ()
+        self._status = control_pb2.FollowUpdate()
+        self._status_at = float("-inf")
+        self._parts: dict[Revision, tuple[control_pb2.FollowUpdate, ...]] = {}
+        """Updates to the revision below, by the one that they begin at."""
+        self._parts_revision = Revision(0)
+        self._parts_at = float("-inf")
+
+    def replace_peers(self, addresses: Iterable[str]) -> None:
+        """Take who follows; keepers that came or went since are told along with it."""
+        peers, places = tuple(sorted(addresses)), self._list_places()
+        if (peers, places) != (self._peers, self._places):
+            self._peers, self._places = peers, places
+            self.places_version += 1
+
+    def make_places(self) -> control_pb2.FollowUpdate:
+        """Return the keepers, and the peers of the followers."""
+        return control_pb2.FollowUpdate(keepers=self.list_keepers(), peers=self._peers)
+
+    def list_keepers(self) -> list[control_pb2.KeeperPlace]:
+        """Return the keepers as they are now."""
+        return [
+            control_pb2.KeeperPlace(address=address, failure_domain=domain)
+            for address, domain in self._list_places()
+        ]
+
+    def make_status(self) -> control_pb2.FollowUpdate:
+        """Return how fresh this keeper is, the size of the fleet, and what is in progress."""
+        now = self._clock.monotonic()
+        if now - self._status_at > SHARED_SECONDS:
+            self._status, self._status_at = self._describe(now), now
+        return self._status
+
+    def make_parts(self, since: Revision) -> Sequence[control_pb2.FollowUpdate]:
+        """Return what a follower at a revision lacks; a large batch is not kept for others."""
+        now, revision = self._clock.monotonic(), self._view.revision()
+        if revision != self._parts_revision or now - self._parts_at > SHARED_SECONDS:
+            self._parts, self._parts_revision, self._parts_at = {}, revision, now
+        known = self._parts.get(since)
+        if known is not None:
+            return known
+        batch = self._view.collect_since(since)
+        parts = tuple(control_pb2.FollowUpdate(part=part) for part in encode_parts(batch))
+        self._add_freshness(parts[-1], now)
+        if len(batch.records) <= PART_ITEMS:
+            self._parts[since] = parts
+        return parts
+
+    def _describe(self, now: float) -> control_pb2.FollowUpdate:
+        sums = self._loads.find_sums(now)
+        loads = (
+            control_pb2.Load(server=server, in_progress=count)
+            for server, count in (sums or {}).items()
+        )
+        update = control_pb2.FollowUpdate(loads=loads, has_loads=sums is not None)
+        self._add_freshness(update, now)
+        return update
+
+    def _add_freshness(self, update: control_pb2.FollowUpdate, now: float) -> None:
+        replica = self._role.keeper.replica
+        age = min(LONGEST_AGE_MS, replica.find_majority_age(now) * 1000.0)
+        update.majority_age_ms = int(age)
+        update.entries = self._role.followers.find_total(replica.is_leader, now)
+
+    def _list_places(self) -> tuple[tuple[str, str], ...]:
+        members = self._role.keeper.replica.log.members.members
+        return tuple((member.address, member.failure_domain) for member in members)
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -2,14 +2,14 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from random import Random
 from typing import Final
 
 import structlog
 
 from persimmonusher_agreement.configuration_objects import Batch, Record
+from persimmonusher_agreement.keeper_choice import KeeperChoice, KeeperPlace
 from persimmonusher_decisions.notices import Notice
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import Revision, ServerId
@@ -49,15 +49,7 @@
 REPORTS_KEPT: Final = 256
 """Notices that wait for the call under way; of more, the oldest go."""
 HOME_SECONDS: Final = 5.0
-"""How often an entry that follows a keeper elsewhere looks for one in its own failure domain."""
-
-
-@dataclass(frozen=True)
-class KeeperPlace:
-    """Where a keeper's peer interface listens, and its failure domain where that is known."""
-
-    address: str
-    failure_domain: str = ""
+"""How long an entry follows a keeper elsewhere before it looks for a better one again."""
 
 
 def ignore_notice(notice: Notice) -> None:
@@ -73,7 +65,7 @@
 
 
 class HomewardError(Exception):
-    """A keeper in the entry's own failure domain is there to be followed."""
+    """A better keeper is there to be followed, such as one in the own failure domain."""
 
 
 class KeeperFollower(Component):
@@ -93,7 +85,9 @@
         self._clock = clock
         self._random = random
         self._places = tuple(KeeperPlace(seed) for seed in settings.seed_peers)
-        self._avoid_until: dict[str, float] = {}
+        self._knows_keepers = False
+        """Whether a keeper has told which keepers there are; before, only seeds are known."""
+        self._choice = KeeperChoice(settings.failure_domain, random)
         self._majority_at = float("-inf")
         self._records: list[Record] = []
         self._task: asyncio.Task[None] | None = None
@@ -181,39 +175,54 @@
 
     async def _run(self) -> None:
         while True:
-            place = self._choose()
+            place = self._choice.choose(self._places, self._clock.monotonic())
             try:
-                await self._follow(place)
+                if self._knows_keepers:
+                    await self._follow(place)
+                else:
+                    await self._ask_keepers(place)
+                    continue
             except HomewardError:
                 self._place = None
                 continue
-            except (StaleKeeperError, *CALL_ERRORS) as error:
-                logger.info(
-                    "keeper-lost",
-                    keeper=place.address,
-                    error=repr(error),
-                    revision=self._view.revision(),
-                )
-                stale = isinstance(error, StaleKeeperError)
-                seconds = STALE_AVOID_SECONDS if stale else AVOID_SECONDS
-                self._avoid_until[place.address] = self._clock.monotonic() + seconds
+            except StaleKeeperError as error:
+                self._note_lost(place, error, STALE_AVOID_SECONDS)
+                continue
+            except CALL_ERRORS as error:
+                self._note_lost(place, error, AVOID_SECONDS)
                 if isinstance(error, TimeoutError):
                     self._channels.forget(place.address)
             except Exception:
                 # Without its stream the entry would work on with an old configuration for ever.
                 logger.exception("following-failed", keeper=place.address)
             self._place = None
-            await asyncio.sleep(RETRY_SECONDS * self._random.uniform(0.5, 1.5))
+            await self._pause()
+
+    def _note_lost(self, place: KeeperPlace, error: Exception, avoid_seconds: float) -> None:
+        logger.info(
+            "keeper-lost",
+            keeper=place.address,
+            error=repr(error),
+            revision=self._view.revision(),
+        )
+        self._place = None
+        self._choice.avoid(place.address, self._clock.monotonic() + avoid_seconds)
 
-    def _choose(self) -> KeeperPlace:
-        now = self._clock.monotonic()
-        own = self._settings.failure_domain
+    async def _pause(self) -> None:
+        await asyncio.sleep(RETRY_SECONDS * self._random.uniform(0.5, 1.5))
 
-        def rank(place: KeeperPlace) -> tuple[float, bool, float]:
-            avoided = max(0.0, self._avoid_until.get(place.address, now) - now)
-            return (avoided, place.failure_domain != own, self._random.random())
+    async def _ask_keepers(self, seed: KeeperPlace) -> None:
+        """Learn which keepers there are before one is followed.
 
-        return min(self._places, key=rank)
+        A follower gets the whole configuration: fetched from a seed elsewhere, only to turn to a
+        keeper at home then, it would cross failure domains at each start of an entry.
+        """
+        stub = ControlStub(self._channels.get(seed.address))
+        request = control_pb2.KeeperListRequest()
+        told = await stub.ListKeepers(request, timeout=SILENCE_SECONDS)
+        if not told.keepers:
+            raise ConnectionError(f"{seed.address} names no keepers")
+        self._take_keepers(told.keepers)
 
     async def _follow(self, place: KeeperPlace) -> None:
         stub = ControlStub(self._channels.get(place.address))
@@ -230,24 +239,36 @@
                 update = await asyncio.wait_for(stream.recv_message(), SILENCE_SECONDS)
                 if update is None:
                     raise ConnectionError(f"{place.address} ended the stream")
-                self._take(place, update)
+                try:
+                    self._take(place, update)
+                except StaleKeeperError:
+                    # Left only now, so that the keepers go on counting this entry: by their count
+                    # the live entries share the retries of all.
+                    await self._pause()
+                    raise
                 self._check_home(place, followed)
 
     def _take(self, place: KeeperPlace, update: control_pb2.FollowUpdate) -> None:
         self._place = place
-        self._peers.replace_peers(update.peers)
         if update.HasField("part"):
             self._take_part(update)
         if update.has_loads:
             self.take_loads({ServerId(load.server): load.in_progress for load in update.loads})
         for notice in update.notices:
             self.take_notice(decode_notice(notice))
-        self.entries = update.entries
         if update.keepers:
-            keepers = (KeeperPlace(one.address, one.failure_domain) for one in update.keepers)
-            self._places = tuple(keepers)
+            self._peers.replace_peers(update.peers)
+            self._take_keepers(update.keepers)
+        if update.HasField("majority_age_ms"):
+            self.entries = update.entries
+            self._take_age(place, update.majority_age_ms / 1000.0)
+
+    def _take_keepers(self, keepers: Iterable[control_pb2.KeeperPlace]) -> None:
+        self._places = tuple(KeeperPlace(one.address, one.failure_domain) for one in keepers)
+        self._knows_keepers = True
+
+    def _take_age(self, place: KeeperPlace, age: float) -> None:
         now = self._clock.monotonic()
-        age = update.majority_age_ms / 1000.0
         self._majority_at = max(self._majority_at, now - age)
         is_stale = age > self._settings.stale_seconds * STALE_SHARE
         if is_stale and self._has_alternative(place, now):
@@ -257,7 +278,7 @@
     def _has_alternative(self, place: KeeperPlace, now: float) -> bool:
         """Tell whether another keeper was not found lost or stale lately."""
         return any(
-            other.address != place.address and self._avoid_until.get(other.address, now) <= now
+            other.address != place.address and not self._choice.is_avoided(other.address, now)
             for other in self._places
         )
 
@@ -270,12 +291,9 @@
             self._view.take(Batch(part.lineage, since, revision, records, part.whole))
 
     def _check_home(self, place: KeeperPlace, followed: float) -> None:
-        """Turn to a keeper in the own domain: bytes between domains are dear."""
-        own = self._settings.failure_domain
+        """Turn to a better keeper, as the choice has it, once this one was followed for a while."""
         now = self._clock.monotonic()
-        if place.failure_domain == own or (place.failure_domain and now - followed < HOME_SECONDS):
+        if now - followed < HOME_SECONDS:
             return
-        for other in self._places:
-            is_near = other.failure_domain == own and other.address != place.address
-            if is_near and self._avoid_until.get(other.address, now) <= now:
-                raise HomewardError
+        if self._choice.find_better(place, self._places, now) is not None:
+            raise HomewardError
--- a/packages/node/src/persimmonusher_node/tiers/notice_relay.py
+++ b/packages/node/src/persimmonusher_node/tiers/notice_relay.py
@@ -26,6 +26,9 @@
 """Notices of one server that are told within that time: the last of them decides."""
 TOLD_KEPT: Final = 4_096
 """Servers remembered as told; with more, all are told anew."""
+PAUSE_SECONDS: Final = 0.1
+"""Time between two calls to one keeper: what comes meanwhile goes along with the next, as each call
+between failure domains costs several times the bytes of a notice."""
 WAITING: Final = 256
 """Notices kept for one keeper while a call to it is under way; of more, the oldest go."""
 
@@ -106,6 +109,7 @@
                 waiting.clear()
                 stub = ControlStub(self._channels.get(address))
                 await stub.Report(batch, timeout=SEND_SECONDS)
+                await asyncio.sleep(PAUSE_SECONDS)
         except CALL_ERRORS as error:
             waiting.clear()
             logger.debug("notices-not-relayed", keeper=address, error=repr(error))
--- a/packages/node/src/persimmonusher_node/tiers/peer_notices.py
+++ b/packages/node/src/persimmonusher_node/tiers/peer_notices.py
@@ -20,8 +20,8 @@
 TELL_SECONDS: Final = 0.5
 """A notice that took longer to arrive has lost most of its worth."""
 PEERS_TOLD: Final = 16
-"""Peers that one entry tells directly: the entries of one failure domain today. In larger domains
-each tells as many of them, and those see failures of their own."""
+"""Peers that one entry tells directly. In larger domains each tells as many of them, others than
+its neighbour does, and those see failures of their own."""
 CALLS_IN_FLIGHT: Final = 64
 """Calls at one time, so that peers that hang don't gather them without bound."""
 
@@ -43,7 +43,7 @@
 
     def replace_peers(self, addresses: Sequence[str]) -> None:
         """Take the peers that a keeper named."""
-        self._peers = tuple(a for a in addresses if a != self._own_address)[:PEERS_TOLD]
+        self._peers = choose_peers(addresses, self._own_address)
 
     def tell(self, notices: Sequence[Notice]) -> None:
         """Tell all peers, without waiting for any."""
@@ -62,6 +62,16 @@
             logger.debug("peer-not-told", peer=address, error=repr(error))
 
 
+def choose_peers(addresses: Sequence[str], own: str) -> tuple[str, ...]:
+    """Return those that follow the own address in a ring of all.
+
+    Were they the same few for all, the others of a large domain would never be told of anything.
+    """
+    later = sorted(address for address in addresses if address > own)
+    earlier = sorted(address for address in addresses if address < own)
+    return (*later, *earlier)[:PEERS_TOLD]
+
+
 class PeerNoticeService(PeersBase):
     """Takes what other entries tell."""
 
--- /dev/null
+++ b/packages/node/tests/test_follow_service.py
@@ -0,0 +1,143 @@
+"""What a keeper sends to its followers, with streams and the log's state faked."""
+
+from persimmonusher_node import loop
+
+loop.install()
+
+import unittest  # noqa: E402
+from collections.abc import Callable  # noqa: E402
+from types import SimpleNamespace  # noqa: E402
+from typing import Any, cast  # noqa: E402
+
+import eventlet  # noqa: E402
+
+from persimmonusher_agreement.configuration_objects import (  # noqa: E402
+    Batch,
+    ObjectKey,
+    ObjectKind,
+    Record,
+)
+from persimmonusher_model.identifiers import Revision  # noqa: E402
+from persimmonusher_node.clock import SystemClock  # noqa: E402
+from persimmonusher_node.keeper_followers import FollowerCount  # noqa: E402
+from persimmonusher_node.loop import start_coroutine  # noqa: E402
+from persimmonusher_node.tiers.follow_service import FollowService  # noqa: E402
+from persimmonusher_protocol import control_pb2 as pb  # noqa: E402
+
+FOLLOWERS = 58
+
+
+class FakeView:
+    """The configuration at a revision, each with one record."""
+
+    def __init__(self) -> None:
+        self.at = Revision(1)
+        self.collected = 0
+        self.changed: Callable[[Revision, list[ObjectKey]], None] = lambda revision, keys: None
+
+    def on_change(self, listener: Callable[[Revision, list[ObjectKey]], None]) -> None:
+        self.changed = listener
+
+    def revision(self) -> Revision:
+        return self.at
+
+    def collect_since(self, since: Revision) -> Batch:
+        self.collected += 1
+        key = ObjectKey(ObjectKind.SERVER, f"s{self.at}")
+        record = Record(key, self.at, "{}", f"c{self.at}", "k1")
+        return Batch("log", since, self.at, (record,), False)
+
+    def commit(self) -> None:
+        self.at = Revision(self.at + 1)
+        self.changed(self.at, [])
+
+
+class FakeStream:
+    """One follower's stream, which keeps what was sent."""
+
+    def __init__(self, number: int) -> None:
+        self.request = pb.FollowRequest(instance=f"e{number}", address=f"10.0.0.{number}:7000")
+        self.sent: list[pb.FollowUpdate] = []
+
+    async def recv_message(self) -> pb.FollowRequest:
+        return self.request
+
+    async def send_message(self, update: pb.FollowUpdate) -> None:
+        self.sent.append(update)
+
+
+def make_role() -> Any:
+    member = SimpleNamespace(address="10.1.0.1:7000", failure_domain="north", keeper="k1")
+    log = SimpleNamespace(members=SimpleNamespace(members=(member,)))
+    replica = SimpleNamespace(log=log, is_leader=True, find_majority_age=lambda now: 0.02)
+    keeper = SimpleNamespace(replica=replica)
+    return SimpleNamespace(keeper=keeper, followers=FollowerCount(), identity="k1")
+
+
+class FollowServiceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.view = FakeView()
+        view, channels = cast("Any", self.view), cast("Any", None)
+        self.service = FollowService(make_role(), view, channels, SystemClock())
+        self.streams = [FakeStream(number) for number in range(FOLLOWERS)]
+        for stream in self.streams:
+            task = start_coroutine(self.service.Follow(cast("Any", stream)))
+            self.addCleanup(task.cancel)
+        eventlet.sleep(0.1)
+
+    def report(self, number: int) -> None:
+        notice = pb.Notice(service="entries", server=f"s{number}", boot=1, request=f"r{number}")
+        batch = pb.NoticeBatch(notices=[notice], relayed=True)
+        self.service._relay.take(batch)
+
+    def test_notices_in_quick_succession_share_their_messages(self) -> None:
+        """A hundred servers fail within a second, and each failure is told to each follower."""
+        before = sum(len(stream.sent) for stream in self.streams)
+        for number in range(100):
+            self.report(number)
+            eventlet.sleep(0.01)
+        eventlet.sleep(0.2)
+        sent = sum(len(stream.sent) for stream in self.streams) - before
+        self.assertLess(sent, FOLLOWERS * 30)
+        for stream in self.streams:
+            told = [notice.server for update in stream.sent for notice in update.notices]
+            self.assertEqual(told, [f"s{number}" for number in range(100)])
+
+    def test_one_notice_is_told_at_once(self) -> None:
+        eventlet.sleep(0.2)
+        self.report(1)
+        eventlet.sleep(0.05)
+        told = [update for stream in self.streams for update in stream.sent if update.notices]
+        self.assertEqual(len(told), FOLLOWERS)
+
+    def test_a_change_is_collected_once_for_all_followers(self) -> None:
+        before = self.view.collected
+        self.view.commit()
+        eventlet.sleep(0.3)
+        for stream in self.streams:
+            self.assertEqual(max(update.part.revision for update in stream.sent), 2)
+        self.assertEqual(self.view.collected, before + 1)
+
+    def test_news_says_nothing_of_freshness(self) -> None:
+        """A message that all followers share may leave late, behind a reader that is slow.
+
+        An entry that took it for a sign of a majority would trust an old configuration.
+        """
+        self.report(1)
+        eventlet.sleep(0.3)
+        news = [update for update in self.streams[0].sent if update.notices]
+        self.assertTrue(news)
+        for update in news:
+            self.assertFalse(update.HasField("majority_age_ms"))
+
+    def test_keepers_and_peers_are_told_when_they_change(self) -> None:
+        eventlet.sleep(1.2)
+        told = [update for update in self.streams[0].sent if update.keepers]
+        self.assertLessEqual(len(told), 2)
+        self.assertEqual(len(told[-1].peers), FOLLOWERS)
+        eventlet.sleep(1.2)
+        self.assertEqual(len([u for u in self.streams[0].sent if u.keepers]), len(told))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -53,6 +53,13 @@
         finally:
             self.followers -= 1
 
+    async def ListKeepers(  # noqa: N802
+        self, stream: "Stream[control_pb2.KeeperListRequest, control_pb2.KeeperList]"
+    ) -> None:
+        await stream.recv_message()
+        keepers = [control_pb2.KeeperPlace(address=peer) for peer in self.peers]
+        await stream.send_message(control_pb2.KeeperList(keepers=keepers))
+
     async def Report(  # noqa: N802
         self, stream: "Stream[control_pb2.NoticeBatch, keeper_pb2.Ack]"
     ) -> None:
--- a/packages/protocol/src/persimmonusher_protocol/control_grpc.py
+++ b/packages/protocol/src/persimmonusher_protocol/control_grpc.py
@@ -43,6 +43,10 @@
 
 class ControlBase(abc.ABC):
 
+    @abc.abstractmethod
+    async def ListKeepers(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.KeeperListRequest, persimmonusher_protocol.control_pb2.KeeperList]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Follow(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.FollowRequest, persimmonusher_protocol.control_pb2.FollowUpdate]') -> None:
         pass
@@ -57,6 +61,12 @@
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
+            '/persimmonusher.control.Control/ListKeepers': grpclib.const.Handler(
+                self.ListKeepers,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonusher_protocol.control_pb2.KeeperListRequest,
+                persimmonusher_protocol.control_pb2.KeeperList,
+            ),
             '/persimmonusher.control.Control/Follow': grpclib.const.Handler(
                 self.Follow,
                 grpclib.const.Cardinality.UNARY_STREAM,
@@ -81,6 +91,12 @@
 class ControlStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.ListKeepers = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonusher.control.Control/ListKeepers',
+            persimmonusher_protocol.control_pb2.KeeperListRequest,
+            persimmonusher_protocol.control_pb2.KeeperList,
+        )
         self.Follow = grpclib.client.UnaryStreamMethod(
             channel,
             '/persimmonusher.control.Control/Follow',
