--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	$(BIN)/black --check --quiet packages platform tools deploy
 	$(BIN)/ruff check packages platform tools deploy
 	$(BIN)/lint-imports --no-cache
+	$(BIN)/python tools/check_comments.py
 
 types: setup
 	$(BIN)/mypy packages/*/src platform/src tools
--- a/packages/agreement/src/persimmonusher_agreement/membership.py
+++ b/packages/agreement/src/persimmonusher_agreement/membership.py
@@ -7,8 +7,7 @@
 Arithmetic at the target size, for each of 2,500 instances, in bytes a second sent with headers:
 one ping and one answer a second, 2 x 110 = 220; changes 1.25/s x 14 sends x (110 + 110) = 3,850
 when each travels alone, less when several share a datagram; heartbeats at most 2,000 by
-`choose_stride`; an exchange of digests each 5 s, 2,500 / 5 = 500. Together 6.6 KB/s of 8. Measured
-on virtual time: probes, changes and exchanges of 2,500 records take 1.9 KB/s together; see
+`choose_stride`; an exchange of digests each 5 s, 2,500 / 5 = 500. Together 6.6 KB/s of 8; see
 docs/design/membership.md.
 """
 
--- a/packages/agreement/src/persimmonusher_agreement/watchers.py
+++ b/packages/agreement/src/persimmonusher_agreement/watchers.py
@@ -9,7 +9,7 @@
 from persimmonusher_model.rendezvous import choose_spread, weigh
 
 HASHES_PER_STEP: Final = 20_000
-"""Hashes for choosing anew in one step, some 20 ms; at 48 instances all shards fit one step."""
+"""Hashes for choosing anew in one step, so that a step of a large fleet holds up no datagram."""
 MIN_SHARDS_PER_STEP: Final = 8
 MANY_ADDED: Final = 16
 """Above this, comparing each new instance with each shard costs more than choosing anew."""
--- a/packages/decisions/src/persimmonusher_decisions/admission.py
+++ b/packages/decisions/src/persimmonusher_decisions/admission.py
@@ -21,8 +21,7 @@
 and enough for the answer and a new connection."""
 RETURN_SHARE: Final = 0.5
 """Part of the recent latency after which such a caller comes back where half of the attempts are
-refused: three tries fit into what callers call in time, two and a half times the work. With the
-whole latency 73% instead of 82% of simulated requests were served within a second."""
+refused: three tries fit into what callers call in time, two and a half times the work."""
 LARGEST_SHED_SHARE: Final = 0.95
 """Share of attempts refused by servers up to which the time to come back grows with it."""
 SHED_MEMORY: Final = 0.1
--- a/packages/decisions/src/persimmonusher_decisions/detection.py
+++ b/packages/decisions/src/persimmonusher_decisions/detection.py
@@ -32,8 +32,8 @@
     failing_slices: int
     slow_slices: int
     least_failing: float
-    """The failing share that the test is made to find; shares below about 5% are let be. With a
-    smaller one a natural blip was remembered for 10 s, and a second one in that time ejected."""
+    """The failing share that the test is made to find; smaller ones are let be. With a much smaller
+    one a natural blip would be remembered for seconds, and a second one in that time ejects."""
 
     @classmethod
     def derive(cls, sensitivity: float) -> "Sensitivity":
--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -24,22 +24,17 @@
 mean divided by it."""
 CROWDED: Final = 2.0
 """Load for each slot of the least loaded trusted server from which on suspected ones are used: a
-request would wait for about one answer. Of nine simulated servers with a third ill at a time, 4.1%
-of all requests met an ill one and failed with 1.5, 3.0% with 2.0; with 2.5 more were refused in
-bursts."""
+request would wait for about one answer. Earlier more of them meet an ill one, later more are
+refused in bursts."""
 BUSY: Final = 1.0
 """Load for each slot of the least loaded trusted server from which on a request would have to wait:
 then lookups, which can be sent again, try suspected servers, and all requests the spared ones."""
 LOOKUP_SECONDS: Final = 4.0
 """Time since the last lookup for which other requests leave it to lookups to try suspected servers.
-In bursts of 1.6 times four fifths of the slots, with two entries for each lookup, 1.7% of all
-requests weren't served, and 2.5% where entries tried them too; a service without lookups has no
-other way."""
+A service without lookups has no other way."""
 SPARED_LOAD: Final = 0.5
 """Load for each slot by which a server that the floor spares must be less loaded than a trusted
-one. It may well be ill, and one that fails at once looks idle. Of nine simulated servers, 30% of
-which are ill at a time, 2.9% of the requests failed instead of 4.4% where spared ones were used
-like all others; in the run in which six were ill together, 6% instead of 13%."""
+one. It may well be ill, and one that fails at once looks idle."""
 PROVING_SHARE: Final = 0.5
 """Part of the time for which a server is passed by, from its failure on, after which a lookup may
 try it: before, most are still ill."""
@@ -48,8 +43,7 @@
 COMPARED: Final = 2
 """Servers without suspicion compared for a first attempt, of the near ones and of the others each.
 What is known of other instances' work is up to half a second old: told of the same idle server, all
-of them send there until they are told again. Of 33 simulated servers at four fifths of the slots,
-96% of the requests were answered within a second, and 79% with all servers compared."""
+of them send there until they are told again."""
 
 
 class Placement:
--- a/packages/decisions/src/persimmonusher_decisions/readmission.py
+++ b/packages/decisions/src/persimmonusher_decisions/readmission.py
@@ -11,7 +11,7 @@
 """A server that was in place for so long starts with the first wait again."""
 GOOD_PROBES: Final = 20
 BAD_PROBES: Final = 2
-"""Failed probes that end a probation: one may be noise, at 1% it is in one probation of five."""
+"""Failed probes that end a probation: one may be noise."""
 PEERS_FACTOR: Final = 2.0
 """Failed probes are let pass up to so many times the peers' share: while a shared dependency fails,
 a server that is well again can't prove more than its peers do."""
--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -31,9 +31,7 @@
 SHORTER: Final = 0.95
 """Factors on the time for which servers are passed by: when one fails again on its return, and when
 one fails that had been well since. The time settles where a fifth of the returns come too early:
-each of those costs a request, each late one leaves a well server idle. Of 14 simulated servers
-with illnesses of 9 s, 2.2% of the requests failed instead of 2.9% with a fixed 4 s. On nine
-servers with 12 s the seeds differ by more than that."""
+each of those costs a request, each late one leaves a well server idle."""
 LARGEST_FACTOR: Final = 4.0
 """Bound of what is learned upwards. Downwards it is the profile's time: while the others have slots
 free, an earlier return wins nothing, and while they are busy lookups bring it about."""
@@ -68,8 +66,7 @@
 
     A server that was passed by and does two lookups well is used again at once, everywhere. While
     the others are busy, lookups go to those that failed the longest ago: such a request can be sent
-    again when it fails. At four fifths of the slots taken, with a third of the servers ill at a
-    time, 96% of the requests were answered within a second, and 55% without.
+    again when it fails.
 
     A server that fails again soon after its time is passed by for twice as long: how long an
     illness lasts isn't known, and each return of a server that is still ill costs a request.
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -56,8 +56,8 @@
 }
 """Share of its slots by which a server is taken to be busier after an outcome. A refusal for being
 full is no fault, but the next request had better go elsewhere. A failure's is small on purpose:
-at 1.0 a server that fails half its work lost nearly all of it within 0.4 s, and with it the answers
-by which the assessor can tell: it was out after 2.0 s (p95), at 0.3 after 1.0 s."""
+a server that fails half its work would otherwise lose nearly all of it, and with it the answers by
+which the assessor can tell, so that it would be out later."""
 SILENT_REFUSAL_PENALTY: Final = 1.0
 """The same share for a refusal that tells no load: the server's queue, several times its slots, is
 full or it is ill, and nothing else will say when it has room again."""
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -44,8 +44,7 @@
 REPORT_SECONDS: Final = 0.5
 """A notice that took longer to arrive has lost most of its worth."""
 LOAD_SECONDS: Final = 0.4
-"""Time between reports of what is in progress: about the work of one request. With 12 entries to a
-keeper, 30 small calls a second within one failure domain."""
+"""Time between reports of what is in progress: about the work of one request."""
 REPORTS_KEPT: Final = 256
 """Notices that wait for the call under way; of more, the oldest go."""
 HOME_SECONDS: Final = 5.0
--- a/packages/node/src/persimmonusher_node/watch.py
+++ b/packages/node/src/persimmonusher_node/watch.py
@@ -19,7 +19,7 @@
 
 TICK_SECONDS: Final = 0.05
 """How late a queued request may be refused, or the deadline of a trickling answer enforced; a
-silent server's ends with its socket's timeout. At 20 ms an idle instance took 2.2% of a core."""
+silent server's ends with its socket's timeout. Shorter, an idle instance is busy with its ticks."""
 CALLER_CHECK_TICKS: Final = 2
 """A caller that left is noticed within 0.1 s; each check is one system call a request."""
 HOUSEKEEPING_TICKS: Final = 20
