--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -17,6 +17,7 @@
 from persimmonusher_decisions.evidence import SILENT_KINDS, EvidenceLog
 from persimmonusher_decisions.evidence_messages import EjectionSet, EvidenceDigest
 from persimmonusher_decisions.hedging import find_hedge_delay, may_hedge
+from persimmonusher_decisions.learning import OutcomeLearning
 from persimmonusher_decisions.locality import Locality
 from persimmonusher_decisions.notices import Notice, NoticeKind
 from persimmonusher_decisions.placement import PROVING_SHARE, Placement
@@ -47,20 +48,6 @@
 of a connection, and a cut that hides so many hides them all."""
 PROBES_A_SECOND: Final = 16.0
 """Probes of one server on probation, all instances together."""
-PENALTIES: Final = {
-    OutcomeKind.FAILURE: 0.3,
-    OutcomeKind.TIMEOUT: 1.0,
-    OutcomeKind.BROKEN: 1.0,
-    OutcomeKind.REFUSED: 0.25,
-    OutcomeKind.UNREACHED: 1.0,
-}
-"""Share of its slots by which a server is taken to be busier after an outcome. A refusal for being
-full is no fault, but the next request had better go elsewhere. A failure's is small on purpose:
-a server that fails half its work would otherwise lose nearly all of it, and with it the answers by
-which the assessor can tell, so that it would be out later."""
-SILENT_REFUSAL_PENALTY: Final = 1.0
-"""The same share for a refusal that tells no load: the server's queue, several times its slots, is
-full or it is ill, and nothing else will say when it has room again."""
 
 
 @dataclass(frozen=True)
@@ -104,6 +91,14 @@
         self._lease = EjectionLease(failure_domain)
         self._digests = DigestMaker(service, instance_id, incarnation, failure_domain)
         self._suspicion = Suspicion(service)
+        self._learning = OutcomeLearning(
+            self._evidence,
+            self._placement,
+            self._locality,
+            self._window,
+            self._quarantine,
+            self._suspicion,
+        )
 
     def replace_profile(self, profile: Profile) -> None:
         """Take a new profile; requests in flight keep the deadline they have."""
@@ -252,21 +247,12 @@
         if kind is not OutcomeKind.CANCELLED:
             self._admission.record_attempt(kind is OutcomeKind.REFUSED)
         if kind is OutcomeKind.SUCCESS:
-            self._quarantine.record_success(
-                dispatch.request.fingerprint, track.server_id, dispatch.started
-            )
-            self._evidence.learn(attempt, outcome)
-            self._suspicion.record_answer(dispatch, track, now)
-            if outcome.answer_bytes is not None:
-                self._locality.record(outcome.answer_bytes)
-                self._placement.far_load = self._locality.far_load
+            self._learning.take_success(attempt, outcome, now)
         elif kind not in SILENT_KINDS:
-            self._learn_failure(dispatch, track, outcome, now)
-            if not self._is_excused(dispatch, kind):
-                self._evidence.learn(attempt, outcome)
+            self._learning.take_failure(attempt, outcome, self._tracks.values(), self._profile, now)
         elif kind is OutcomeKind.DRAINING:
             self._drop_draining(dispatch, now)
-        self._learn_load(track, outcome, now)
+        self._learning.take_load(track, outcome, now)
         return self._release(now) if len(self._admission.queue) else ()
 
     def withdraw(self, request: Request) -> None:
@@ -376,33 +362,6 @@
         reason = self._admission.find_lateness(request, usual, now)
         return self._admission.refuse(request, reason, now) if reason else None
 
-    def _learn_failure(
-        self, dispatch: Dispatch, track: ServerTrack, outcome: Outcome, now: float
-    ) -> None:
-        if outcome.kind is OutcomeKind.BROKEN:
-            self._quarantine.record_break(dispatch.request.fingerprint, track.server_id, now)
-        elif outcome.kind is OutcomeKind.REFUSED:
-            self._window.record_refusal(track.server_id, track.known_load, now)
-        silent_refusal = outcome.kind is OutcomeKind.REFUSED and outcome.reported_load is None
-        share = SILENT_REFUSAL_PENALTY if silent_refusal else PENALTIES[outcome.kind]
-        self._placement.penalize(track, share)
-        tracks = self._tracks.values()
-        self._suspicion.record(dispatch, track, outcome, tracks, self._profile, now)
-
-    def _is_excused(self, dispatch: Dispatch, kind: OutcomeKind) -> bool:
-        """Tell whether a request, and not the server that it broke, is to blame."""
-        server_id = dispatch.server.server_id
-        fingerprint = dispatch.request.fingerprint
-        return kind is OutcomeKind.BROKEN and self._quarantine.is_suspected(fingerprint, server_id)
-
-    def _learn_load(self, track: ServerTrack, outcome: Outcome, now: float) -> None:
-        load = outcome.reported_load
-        if load is not None:
-            self._placement.learn_load(track, load)
-        if outcome.kind is OutcomeKind.SUCCESS:
-            ratio = None if load is None else load / track.slots
-            self._window.record_answer(ratio, len(self._evidence), now)
-
     def _drop_draining(self, dispatch: Dispatch, now: float) -> None:
         """Stop work for a server whose answer says that it is leaving.
 
