Keep well servers in use, and send no copies into queues

The floor of 44% was made for nine servers, of which five are ill together now and then; of 21 never 12.

Simulations of hedging: none. CopiesInSaturationTest fails with the bound taken away.

Tried and not kept: telling all of overdue requests, two needed, where the server had a slot.

--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -35,10 +35,24 @@
 LARGEST_FACTOR: Final = 4.0
 """Bound of what is learned upwards. Downwards it is the profile's time: while the others have slots
 free, an earlier return wins nothing, and while they are busy lookups bring it about."""
+LARGEST_FEW_SHARE: Final = 0.56
+"""Part of a service's servers that may be passed by whatever its floor, in a small service."""
 MAX_NOTICES: Final = 256
 """Notices that wait to be told; more are dropped, as thousands of failures say no more."""
 
 
+def find_most_suspects(servers: int, profile: Profile) -> int:
+    """Return how many of a service's servers may be passed by at one time.
+
+    The more servers, the nearer the share of ill ones stays to its mean: of a hundred, half are
+    never ill together by chance, and to pass by as many would leave well ones idle. Of nine, five
+    are at times, and a floor made for a hundred would send work to two of them.
+    """
+    allowed = servers - ceil(servers * profile.health_floor_percent / 100)
+    largest = int(servers * LARGEST_FEW_SHARE)
+    return max(allowed, min(profile.fewest_suspects, largest))
+
+
 class Suspicion:
     """Passes a server by after a single failure, within a floor.
 
@@ -176,7 +190,7 @@
         track.suspect_until = now + min(longest, seconds * 2 ** (track.suspicions - 1))
         track.spared = False
         suspected = [item for item in tracks if item.is_passed_by(now)]
-        allowed = len(tracks) - ceil(len(tracks) * profile.health_floor_percent / 100)
+        allowed = find_most_suspects(len(tracks), profile)
         if len(suspected) > allowed:
             suspected.sort(key=lambda item: item.suspected_at)
             for item in suspected[: len(suspected) - allowed]:
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -46,6 +46,8 @@
 UNREACHED_ATTEMPTS: Final = 5
 """Servers in a row that may be out of reach before a request is given up on: each costs the time
 of a connection, and a cut that hides so many hides them all."""
+FREE_SLOT: Final = 1.0
+"""Load for each slot up to which one more request begins at once."""
 PROBES_A_SECOND: Final = 16.0
 """Probes of one server on probation, all instances together."""
 
@@ -284,12 +286,19 @@
     def hedge(self, dispatch: Dispatch, now: float) -> Dispatch | None:
         """Decide on a second copy of an idempotent request in flight; None is no.
 
+        The load it is for: a service whose slots are all taken, so that answers are slow. The harm:
+        copies of what waits in one queue wait in another, and take the place of first attempts. So
+        a copy goes only to a server that has a slot for it.
+
         Both copies are finished exactly once each; the one that lost as CANCELLED.
         """
+        track = self._placement.choose(True, dispatch.server.server_id, now)
+        if track is None or track.load > FREE_SLOT:
+            return None
         waiting = len(self._admission.queue)
         if not may_hedge(self._profile, dispatch, self._retries, waiting, now):
             return None
-        return self._place(dispatch.request, dispatch.attempt + 1, dispatch.server.server_id, now)
+        return self._dispatch(dispatch.request, track, dispatch.attempt + 1, now)
 
     def digest(self, now: float) -> EvidenceDigest | None:
         """Return evidence for the assessor, None where there is none or it isn't due.
@@ -326,8 +335,16 @@
         unreached: int = 0,
     ) -> Dispatch | None:
         track = self._placement.choose(request.idempotent, tried, now)
-        if track is None:
-            return None
+        return None if track is None else self._dispatch(request, track, attempt, now, unreached)
+
+    def _dispatch(
+        self,
+        request: Request,
+        track: ServerTrack,
+        attempt: int,
+        now: float,
+        unreached: int = 0,
+    ) -> Dispatch:
         if attempt == 1:
             self._retries.earn(now)
             self._admission.record_start(request, now)
--- /dev/null
+++ b/packages/decisions/tests/test_well_servers.py
@@ -0,0 +1,112 @@
+"""Load: a fleet of hundreds whose servers are ill in turn; the well ones must be used."""
+
+import unittest
+from collections import defaultdict
+
+from decisions_helpers import dispatched, make_request, make_traffic
+from fleet_simulation import FleetSimulation, Load
+from heavy_loads import PROFILE
+
+from persimmonusher_decisions.suspicion import find_most_suspects
+from persimmonusher_decisions.traffic import ServiceTraffic
+from persimmonusher_decisions.work import Dispatch
+from persimmonusher_model.identifiers import ServerId
+from persimmonusher_model.profile import Profile
+
+WINDOW_SECONDS = 2.0
+LARGE_FLEET = PROFILE.model_copy(
+    update={"retry_slack": 430.0, "health_floor_percent": 56, "fewest_suspects": 7}
+)
+PAYMENTS = Load(
+    instances=291,
+    domains=6,
+    servers=21,
+    requests_a_second=120.0,
+    work_seconds=0.24,
+    ill_every=9.0,
+    ill_seconds=9.0,
+    ill_chance=0.3,
+    seconds=30.0,
+)
+"""Payments only, none of which can be sent again, on 21 servers of which six are ill at a time."""
+SEEDS = range(1, 5)
+FLOOR_SHARE = 0.7
+"""Part of the well servers that the users want in use."""
+
+
+HEDGING = Profile(hedge_after_ms=50)
+
+
+class RecordedFleet(FleetSimulation):
+    """A fleet that keeps which servers got requests, by window."""
+
+    def __init__(self, load: Load, profile: Profile, seed: int) -> None:
+        super().__init__(load, profile, seed)
+        self.reached: defaultdict[int, set[ServerId]] = defaultdict(set)
+
+    def _reach(self, instance: ServiceTraffic, dispatch: Dispatch) -> None:
+        self.reached[int(self._now / WINDOW_SECONDS)].add(dispatch.server.server_id)
+        super()._reach(instance, dispatch)
+
+    def find_shares_used(self) -> list[float]:
+        """Return, by window, the part of the servers that got requests, of those well for long."""
+        shares = []
+        for window in range(2, int(self._load.seconds / WINDOW_SECONDS)):
+            well = [name for name in self._servers if self._is_well(name, window)]
+            used = sum(name in self.reached[window] for name in well)
+            shares.append(used / len(well))
+        return shares
+
+    def _is_well(self, name: ServerId, window: int) -> bool:
+        """Tell whether a server was well in a window and the one before."""
+        begin = (window - 1) * WINDOW_SECONDS
+        moments = [begin + 0.25 * step for step in range(16)]
+        return not any(self._servers[name].is_ill(moment) for moment in moments)
+
+
+class WellServersTest(unittest.TestCase):
+    def test_well_servers_of_a_middling_service_are_used(self) -> None:
+        """A server that was ill is passed by for longer than it was, and so are others.
+
+        With a floor made for nine servers, 12 of 21 were passed by, most of them well again, while
+        payments waited in the queues of the others until their time was over.
+        """
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                fleet = RecordedFleet(PAYMENTS, LARGE_FLEET, seed)
+                served = fleet.run()
+                self.assertGreaterEqual(min(fleet.find_shares_used()), FLOOR_SHARE)
+                self.assertLess(served.failed_share, 0.04)
+
+    def test_more_servers_may_be_passed_by_where_chance_is_larger(self) -> None:
+        cases = {1: 0, 3: 1, 6: 3, 9: 5, 14: 7, 21: 9, 33: 14, 94: 41}
+        for servers, most in cases.items():
+            with self.subTest(servers=servers):
+                self.assertEqual(find_most_suspects(servers, LARGE_FLEET), most)
+
+    def test_without_the_exception_the_floor_alone_decides(self) -> None:
+        profile = replace_floor(60)
+        for servers, most in {1: 0, 5: 2, 10: 4, 100: 40}.items():
+            self.assertEqual(find_most_suspects(servers, profile), most)
+
+
+def replace_floor(percent: int) -> Profile:
+    return PROFILE.model_copy(update={"health_floor_percent": percent, "fewest_suspects": 0})
+
+
+class CopiesInSaturationTest(unittest.TestCase):
+    def test_no_copy_waits_behind_others(self) -> None:
+        """All servers have more requests than slots, and so every lookup is slow.
+
+        Copies of slow ones joined the same queues, and a tenth of all work was done twice.
+        """
+        for in_progress, has_copy in {9: False, 0: True}.items():
+            with self.subTest(in_progress=in_progress):
+                traffic = make_traffic(3, HEDGING)
+                first = dispatched(traffic.offer(make_request("r"), 0.0))
+                traffic.apply_loads({ServerId(f"s{n}"): in_progress for n in range(3)})
+                self.assertEqual(traffic.hedge(first, 0.1) is not None, has_copy)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/model/src/persimmonusher_model/profile.py
+++ b/packages/model/src/persimmonusher_model/profile.py
@@ -115,6 +115,14 @@
         "fail, within the floor; 0 leaves all to the assessor. For servers whose faults last some "
         "seconds: with less the next request finds the same fault, with more well servers idle.",
     )
+    fewest_suspects: int = Field(
+        default=0,
+        ge=0,
+        le=1_000,
+        description="Servers that may be passed by at one time though the floor leaves fewer, but "
+        "for more than 56% of them. Chance makes half of a few servers ill together, and "
+        "never half of many.",
+    )
     far_load_percent: Percent = Field(
         default=10,
         description="Load for each slot, in percent, that a server in another failure domain is "
