--- a/packages/node/src/persimmonusher_node/registered_servers.py
+++ b/packages/node/src/persimmonusher_node/registered_servers.py
@@ -40,6 +40,11 @@
         """Iterate over a service's servers."""
         return self._by_service.get(service, {}).values()
 
+    def is_in_domain(self, server_id: str, failure_domain: str) -> bool:
+        """Tell whether a server is known, and runs in a failure domain."""
+        server = self._by_id.get(server_id)
+        return server is not None and server.failure_domain == failure_domain
+
     def version(self, service: str) -> int:
         """Return a number that changes whenever `list_all` would."""
         return self._versions.get(service, 0)
--- a/packages/node/src/persimmonusher_node/tiers/follow_feed.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_feed.py
@@ -21,8 +21,14 @@
     """Makes each message once for all followers that are to hear the same."""
 
     def __init__(
-        self, role: KeeperRole, view: ConfigurationClient, loads: LoadBook, clock: Clock
+        self,
+        failure_domain: str,
+        role: KeeperRole,
+        view: ConfigurationClient,
+        loads: LoadBook,
+        clock: Clock,
     ) -> None:
+        self._failure_domain = failure_domain
         self._role = role
         self._view = view
         self._loads = loads
@@ -31,8 +37,9 @@
         """Rises when the keepers or the peers change."""
         self._places: tuple[tuple[str, str], ...] = ()
         self._peers: tuple[str, ...] = ()
-        self._status = control_pb2.FollowUpdate()
-        self._status_at = float("-inf")
+        self._statuses: dict[str, control_pb2.FollowUpdate] = {}
+        """The latest, by the failure domain that it is for."""
+        self._statuses_at = float("-inf")
         self._parts: dict[Revision, tuple[control_pb2.FollowUpdate, ...]] = {}
         """Updates to the revision below, by the one that they begin at."""
         self._parts_revision = Revision(0)
@@ -56,12 +63,19 @@
             for address, domain in self._list_places()
         ]
 
-    def make_status(self) -> control_pb2.FollowUpdate:
-        """Return how fresh this keeper is, the size of the fleet, and what is in progress."""
+    def make_status(self, failure_domain: str = "") -> control_pb2.FollowUpdate:
+        """Return how fresh this keeper is, the size of the fleet, and what is in progress.
+
+        A follower of another failure domain is told of the servers there only. It sends most of its
+        work to them, and bytes between domains are dear.
+        """
         now = self._clock.monotonic()
-        if now - self._status_at > SHARED_SECONDS:
-            self._status, self._status_at = self._describe(now), now
-        return self._status
+        if now - self._statuses_at > SHARED_SECONDS:
+            self._statuses, self._statuses_at = {}, now
+        domain = "" if failure_domain == self._failure_domain else failure_domain
+        if domain not in self._statuses:
+            self._statuses[domain] = self._describe(domain, now)
+        return self._statuses[domain]
 
     def make_parts(self, since: Revision) -> Sequence[control_pb2.FollowUpdate]:
         """Return what a follower at a revision lacks; a large batch is not kept for others."""
@@ -78,11 +92,13 @@
             self._parts[since] = parts
         return parts
 
-    def _describe(self, now: float) -> control_pb2.FollowUpdate:
+    def _describe(self, domain: str, now: float) -> control_pb2.FollowUpdate:
         sums = self._loads.find_sums(now)
+        servers = self._view.servers
         loads = (
             control_pb2.Load(server=server, in_progress=count)
             for server, count in (sums or {}).items()
+            if not domain or servers.is_in_domain(server, domain)
         )
         update = control_pb2.FollowUpdate(loads=loads, has_loads=sums is not None)
         self._add_freshness(update, now)
--- a/packages/node/src/persimmonusher_node/tiers/follow_service.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_service.py
@@ -35,8 +35,9 @@
 class Follower:
     """One entry's stream: what wakes it, and what it is to be told."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, failure_domain: str) -> None:
         self.address = address
+        self.failure_domain = failure_domain
         self.wake = asyncio.Event()
         self.notices: list[control_pb2.FollowUpdate] = []
         self.status_due = True
@@ -58,7 +59,12 @@
     """Serves the committed records to entries."""
 
     def __init__(
-        self, role: KeeperRole, view: ConfigurationClient, channels: ChannelPool, clock: Clock
+        self,
+        failure_domain: str,
+        role: KeeperRole,
+        view: ConfigurationClient,
+        channels: ChannelPool,
+        clock: Clock,
     ) -> None:
         self._role = role
         self._view = view
@@ -66,7 +72,7 @@
         self._followers: set[Follower] = set()
         self._relay = NoticeRelay(role, channels, self._tell_followers, clock)
         self._loads = LoadBook()
-        self._feed = FollowFeed(role, view, self._loads, clock)
+        self._feed = FollowFeed(failure_domain, role, view, self._loads, clock)
         self._pace = FanoutPace()
         self._news: list[control_pb2.Notice] = []
         self._round: asyncio.TimerHandle | None = None
@@ -80,7 +86,7 @@
         """Send updates until the follower leaves."""
         request = await stream.recv_message()
         assert request is not None
-        follower = Follower(request.address)
+        follower = Follower(request.address, request.failure_domain)
         self._followers.add(follower)
         self._count_followers()
         if self._ticker is None or self._ticker.done():
@@ -160,7 +166,7 @@
             yield self._feed.make_places()
         if follower.status_due:
             follower.status_due = False
-            yield self._feed.make_status()
+            yield self._feed.make_status(follower.failure_domain)
         yield from follower.take_notices()
 
     def _note_change(self, revision: Revision, keys: Sequence[ObjectKey]) -> None:
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -229,6 +229,7 @@
             instance=self._settings.instance_id,
             since=self._view.revision(),
             address=self._settings.listen.peers,
+            failure_domain=self._settings.failure_domain,
         )
         self._records = []
         async with stub.Follow.open() as stream:
--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -67,7 +67,9 @@
         self._control = edge.make_control(control)
         self._clock = clock
         self._metrics = KeeperMetrics(self._read_gauges)
-        self._follow = FollowService(self._role, self._view, channels, clock)
+        self._follow = FollowService(
+            settings.failure_domain, self._role, self._view, channels, clock
+        )
 
     def _read_gauges(self) -> KeeperGauges | None:
         try:
--- a/packages/node/tests/test_follow_service.py
+++ b/packages/node/tests/test_follow_service.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         self.at = Revision(1)
         self.collected = 0
+        self.servers = SimpleNamespace(is_in_domain=lambda name, domain: name.startswith(domain))
         self.changed: Callable[[Revision, list[ObjectKey]], None] = lambda revision, keys: None
 
     def on_change(self, listener: Callable[[Revision, list[ObjectKey]], None]) -> None:
@@ -56,7 +57,11 @@
     """One follower's stream, which keeps what was sent."""
 
     def __init__(self, number: int) -> None:
-        self.request = pb.FollowRequest(instance=f"e{number}", address=f"10.0.0.{number}:7000")
+        domain = "south" if number == 0 else "north"
+        address = f"10.0.0.{number}:7000"
+        self.request = pb.FollowRequest(
+            instance=f"e{number}", address=address, failure_domain=domain
+        )
         self.sent: list[pb.FollowUpdate] = []
 
     async def recv_message(self) -> pb.FollowRequest:
@@ -78,7 +83,7 @@
     def setUp(self) -> None:
         self.view = FakeView()
         view, channels = cast("Any", self.view), cast("Any", None)
-        self.service = FollowService(make_role(), view, channels, SystemClock())
+        self.service = FollowService("north", make_role(), view, channels, SystemClock())
         self.streams = [FakeStream(number) for number in range(FOLLOWERS)]
         for stream in self.streams:
             task = start_coroutine(self.service.Follow(cast("Any", stream)))
@@ -130,6 +135,17 @@
         for update in news:
             self.assertFalse(update.HasField("majority_age_ms"))
 
+    def test_a_follower_elsewhere_is_told_the_loads_of_its_own_servers(self) -> None:
+        """One domain has no keeper. The loads of all servers went to each of its entries, twice a
+        second, over links that are paid by the byte.
+        """
+        loads = {"south-1": 2, "north-1": 3}
+        self.service._loads.take("e1", loads, SystemClock().monotonic())
+        eventlet.sleep(0.7)
+        for number, servers in ((0, {"south-1"}), (1, {"south-1", "north-1"})):
+            told = [update for update in self.streams[number].sent if update.has_loads]
+            self.assertEqual({load.server for load in told[-1].loads}, servers)
+
     def test_keepers_and_peers_are_told_when_they_change(self) -> None:
         eventlet.sleep(1.2)
         told = [update for update in self.streams[0].sent if update.keepers]
--- a/packages/node/tests/test_tiers.py
+++ b/packages/node/tests/test_tiers.py
@@ -101,7 +101,7 @@
         self.control = KeeperControl(
             self.settings, self.role, self.view, leader, PlainCodec(), clock
         )
-        follow = FollowService(self.role, self.view, channels, clock)
+        follow = FollowService(self.settings.failure_domain, self.role, self.view, channels, clock)
         self.listener = GrpcListener(
             self.settings.listen.peers,
             [*self.role.list_peer_handlers(), follow],
