--- a/packages/decisions/src/persimmonusher_decisions/fanout.py
+++ b/packages/decisions/src/persimmonusher_decisions/fanout.py
@@ -30,3 +30,24 @@
     def record_round(self, now: float) -> None:
         """Take that a round goes out now."""
         self._told_at = now
+
+
+class CallPace:
+    """Bounds the calls to one receiver, and lets a few go at once after a quiet moment.
+
+    The load it is for: notices to another keeper, a few a second in a small fleet and dozens in a
+    large one. The harm: each call between failure domains costs several times the bytes of a
+    notice; and if each waited for the next, a small fleet would hear of failures late for nothing.
+    """
+
+    def __init__(self, calls_a_second: float, at_once: int) -> None:
+        self._seconds = 1.0 / calls_a_second
+        self._at_once = at_once
+        self._free_at = float("-inf")
+        """When as many calls as go at once may go again."""
+
+    def take(self, now: float) -> float:
+        """Count a call and return the seconds that it has to wait."""
+        begin = max(now, self._free_at)
+        self._free_at = begin + self._seconds
+        return max(0.0, begin - now - (self._at_once - 1) * self._seconds)
--- a/packages/decisions/tests/test_fanout.py
+++ b/packages/decisions/tests/test_fanout.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from persimmonusher_decisions.fanout import LONGEST_JOIN_SECONDS, MESSAGES_A_SECOND, FanoutPace
+from persimmonusher_decisions.fanout import (
+    LONGEST_JOIN_SECONDS,
+    MESSAGES_A_SECOND,
+    CallPace,
+    FanoutPace,
+)
 
 
 def play(followers: int, notices_a_second: int, seconds: float) -> tuple[int, float]:
@@ -48,5 +53,24 @@
         self.assertEqual(pace.find_due(98, 6.0), 6.0)
 
 
+class CallPaceTest(unittest.TestCase):
+    def test_a_few_notices_a_second_never_wait(self) -> None:
+        """A small fleet: a server fails, and three entries tell of it within 20 ms, each second."""
+        pace = CallPace(10.0, 4)
+        for second in range(20):
+            for number in range(3):
+                self.assertEqual(pace.take(second + 0.01 * number), 0.0)
+
+    def test_many_notices_a_second_share_calls(self) -> None:
+        """A large fleet: there is always another notice when a call has ended."""
+        pace = CallPace(10.0, 4)
+        now, calls = 0.0, 0
+        while now < 20.0:
+            now += pace.take(now) + 0.003
+            calls += 1
+        self.assertLessEqual(calls, 205)
+        self.assertGreaterEqual(calls, 190)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/node/src/persimmonusher_node/tiers/notice_relay.py
+++ b/packages/node/src/persimmonusher_node/tiers/notice_relay.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from persimmonusher_decisions.fanout import CallPace
 from persimmonusher_model.clock import Clock
 from persimmonusher_node.keeper import KeeperRole
 from persimmonusher_node.keeper_calls import CALL_ERRORS
@@ -26,9 +27,10 @@
 """Notices of one server that are told within that time: the last of them decides."""
 TOLD_KEPT: Final = 4_096
 """Servers remembered as told; with more, all are told anew."""
-PAUSE_SECONDS: Final = 0.1
-"""Time between two calls to one keeper: what comes meanwhile goes along with the next, as each call
-between failure domains costs several times the bytes of a notice."""
+CALLS_A_SECOND: Final = 10.0
+"""Calls to one keeper, on average: what comes meanwhile goes along with the next."""
+CALLS_AT_ONCE: Final = 4
+"""Calls that need not wait after a quiet moment, about those of one server's onset."""
 WAITING: Final = 256
 """Notices kept for one keeper while a call to it is under way; of more, the oldest go."""
 
@@ -59,6 +61,7 @@
         self._clock = clock
         self._told: dict[tuple[str, str, int], Told] = {}
         self._waiting: dict[str, deque[pb.Notice]] = {}
+        self._paces: dict[str, CallPace] = {}
         self._busy: dict[str, asyncio.Task[None]] = {}
 
     def take(self, batch: pb.NoticeBatch) -> None:
@@ -103,13 +106,14 @@
 
     async def _send(self, address: str) -> None:
         waiting = self._waiting[address]
+        pace = self._paces.setdefault(address, CallPace(CALLS_A_SECOND, CALLS_AT_ONCE))
         try:
             while waiting:
+                await asyncio.sleep(pace.take(self._clock.monotonic()))
                 batch = pb.NoticeBatch(notices=waiting, relayed=True)
                 waiting.clear()
                 stub = ControlStub(self._channels.get(address))
                 await stub.Report(batch, timeout=SEND_SECONDS)
-                await asyncio.sleep(PAUSE_SECONDS)
         except CALL_ERRORS as error:
             waiting.clear()
             logger.debug("notices-not-relayed", keeper=address, error=repr(error))
