--- a/packages/node/src/persimmonusher_node/tiers/follow_feed.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_feed.py
@@ -9,6 +9,7 @@
 from persimmonusher_node.keeper import KeeperRole
 from persimmonusher_node.keeper_wire import PART_ITEMS, encode_parts
 from persimmonusher_node.tiers.load_book import LoadBook
+from persimmonusher_node.tiers.packed_parts import pack_part
 from persimmonusher_protocol import control_pb2
 
 SHARED_SECONDS: Final = 0.1
@@ -78,7 +79,10 @@
         return self._statuses[domain]
 
     def make_parts(self, since: Revision) -> Sequence[control_pb2.FollowUpdate]:
-        """Return what a follower at a revision lacks; a large batch is not kept for others."""
+        """Return what a follower lacks from a revision to this keeper's.
+
+        A large batch is not kept for others.
+        """
         now, revision = self._clock.monotonic(), self._view.revision()
         if revision != self._parts_revision or now - self._parts_at > SHARED_SECONDS:
             self._parts, self._parts_revision, self._parts_at = {}, revision, now
@@ -86,7 +90,7 @@
         if known is not None:
             return known
         batch = self._view.collect_since(since)
-        parts = tuple(control_pb2.FollowUpdate(part=part) for part in encode_parts(batch))
+        parts = tuple(map(pack_part, encode_parts(batch)))
         self._add_freshness(parts[-1], now)
         if len(batch.records) <= PART_ITEMS:
             self._parts[since] = parts
--- a/packages/node/src/persimmonusher_node/tiers/follow_service.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_service.py
@@ -146,12 +146,12 @@
     ) -> None:
         while True:
             follower.wake.clear()
+            revision = self._view.revision()
             with refuse_as_unavailable():
                 due = list(self._list_due(since, follower))
             for update in due:
                 await stream.send_message(update)
-                if update.HasField("part") and update.part.last:
-                    since = Revision(update.part.revision)
+            since = max(since, revision)
             await follower.wake.wait()
 
     def _list_due(self, since: Revision, follower: Follower) -> Iterator[control_pb2.FollowUpdate]:
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -21,8 +21,9 @@
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.tiers.notice_wire import decode_notice, encode_notice
+from persimmonusher_node.tiers.packed_parts import unpack_part
 from persimmonusher_node.tiers.peer_notices import PeerNotices
-from persimmonusher_protocol import control_pb2
+from persimmonusher_protocol import control_pb2, keeper_pb2
 from persimmonusher_protocol.control_grpc import ControlStub
 
 logger = structlog.get_logger(__name__)
@@ -250,8 +251,9 @@
 
     def _take(self, place: KeeperPlace, update: control_pb2.FollowUpdate) -> None:
         self._place = place
-        if update.HasField("part"):
-            self._take_part(update)
+        part = unpack_part(update)
+        if part is not None:
+            self._take_part(part)
         if update.has_loads:
             self.take_loads({ServerId(load.server): load.in_progress for load in update.loads})
         for notice in update.notices:
@@ -282,8 +284,7 @@
             for other in self._places
         )
 
-    def _take_part(self, update: control_pb2.FollowUpdate) -> None:
-        part = update.part
+    def _take_part(self, part: keeper_pb2.PullPart) -> None:
         self._records.extend(map(decode_record, part.records))
         if part.last:
             records, self._records = tuple(self._records), []
--- a/packages/node/tests/test_follow_service.py
+++ b/packages/node/tests/test_follow_service.py
@@ -22,7 +22,9 @@
 from persimmonusher_node.keeper_followers import FollowerCount  # noqa: E402
 from persimmonusher_node.loop import start_coroutine  # noqa: E402
 from persimmonusher_node.tiers.follow_service import FollowService  # noqa: E402
+from persimmonusher_node.tiers.packed_parts import pack_part, unpack_part  # noqa: E402
 from persimmonusher_protocol import control_pb2 as pb  # noqa: E402
+from persimmonusher_protocol import keeper_pb2  # noqa: E402
 
 FOLLOWERS = 58
 
@@ -155,5 +157,33 @@
         self.assertEqual(len([u for u in self.streams[0].sent if u.keepers]), len(told))
 
 
+class PackedPartTest(unittest.TestCase):
+    def make_part(self, records: int) -> keeper_pb2.PullPart:
+        body = '{"service": "entries", "address": "10.0.0.%d:80", "state": "ready"}'
+        return keeper_pb2.PullPart(
+            lineage="log",
+            revision=records,
+            records=[keeper_pb2.Record(name=f"s{n}", body=body % n) for n in range(records)],
+            last=True,
+        )
+
+    def test_a_part_arrives_as_it_was(self) -> None:
+        for records in (0, 1, 500):
+            with self.subTest(records=records):
+                part = self.make_part(records)
+                self.assertEqual(unpack_part(pack_part(part)), part)
+
+    def test_all_servers_take_a_fraction_of_their_size(self) -> None:
+        """All processes were killed, and each entry of a domain without a keeper starts anew."""
+        part = self.make_part(500)
+        self.assertLess(pack_part(part).ByteSize(), part.ByteSize() / 4)
+
+    def test_bytes_that_are_no_part_are_refused(self) -> None:
+        packed = pack_part(self.make_part(500)).packed_part
+        for name, data in {"noise": b"noise", "cut": packed[:-9]}.items():
+            with self.subTest(name=name), self.assertRaises(ValueError):
+                unpack_part(pb.FollowUpdate(packed_part=data))
+
+
 if __name__ == "__main__":
     unittest.main()
