Keep no notices at a keeper that nobody follows

Found on reading the diff: they gathered without bound, and the first follower would have heard them all. A keeper whose log isn't open says so in place of ending the task that wakes its followers.

--- a/packages/node/src/persimmonusher_node/tiers/follow_service.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_service.py
@@ -5,6 +5,7 @@
 from contextlib import contextmanager
 from typing import Final
 
+import structlog
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
@@ -16,6 +17,7 @@
 from persimmonusher_model.identifiers import Revision
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.keeper import KeeperRole
+from persimmonusher_node.loop import start_coroutine
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.tiers.follow_feed import FollowFeed
 from persimmonusher_node.tiers.load_book import LoadBook
@@ -23,6 +25,8 @@
 from persimmonusher_protocol import control_pb2, keeper_pb2
 from persimmonusher_protocol.control_grpc import ControlBase
 
+logger = structlog.get_logger(__name__)
+
 UPDATE_SECONDS: Final = 0.5
 """Longest time between two updates of one follower, by which it sees that this keeper lives."""
 PLACES_SECONDS: Final = 1.0
@@ -90,7 +94,7 @@
         self._followers.add(follower)
         self._count_followers()
         if self._ticker is None or self._ticker.done():
-            self._ticker = asyncio.ensure_future(self._tick())
+            self._ticker = start_coroutine(self._tick())
         try:
             await self._send_updates(stream, Revision(request.since), follower)
         finally:
@@ -129,15 +133,23 @@
     async def _tick(self) -> None:
         """Let all followers hear at the same moments, so that one message serves them all."""
         while self._followers:
-            now = self._clock.monotonic()
-            if now - self._places_at >= PLACES_SECONDS:
-                self._places_at = now
-                self._feed.replace_peers([f.address for f in self._followers if f.address])
+            self._refresh_places()
             for follower in self._followers:
                 follower.status_due = True
                 follower.wake.set()
             await asyncio.sleep(UPDATE_SECONDS)
 
+    def _refresh_places(self) -> None:
+        now = self._clock.monotonic()
+        if now - self._places_at < PLACES_SECONDS:
+            return
+        self._places_at = now
+        try:
+            self._feed.replace_peers([f.address for f in self._followers if f.address])
+        except UsherError as error:
+            # The followers hear of it too, as their streams end for the same reason.
+            logger.info("keepers-unknown", error=error.message)
+
     async def _send_updates(
         self,
         stream: "Stream[control_pb2.FollowRequest, control_pb2.FollowUpdate]",
@@ -173,6 +185,8 @@
         self._plan_round()
 
     def _tell_followers(self, notices: Iterable[control_pb2.Notice]) -> None:
+        if not self._followers:
+            return
         self._news.extend(notices)
         self._plan_round()
 
--- a/packages/node/tests/test_follow_service.py
+++ b/packages/node/tests/test_follow_service.py
@@ -110,6 +110,26 @@
             told = [notice.server for update in stream.sent for notice in update.notices]
             self.assertEqual(told, [f"s{number}" for number in range(100)])
 
+    def test_a_keeper_without_followers_keeps_no_notices(self) -> None:
+        """All entries of a domain follow its other keeper, for days.
+
+        Notices that wait for a follower would fill the memory, and the first one that comes would
+        pass servers by for failures of long ago.
+        """
+        service = FollowService(
+            "north", make_role(), cast("Any", FakeView()), cast("Any", None), SystemClock()
+        )
+        notice = pb.Notice(service="entries", server="s1", boot=1, request="r1")
+        service._relay.take(pb.NoticeBatch(notices=[notice], relayed=True))
+        late = FakeStream(1)
+        task = start_coroutine(service.Follow(cast("Any", late)))
+        self.addCleanup(task.cancel)
+        eventlet.sleep(0.1)
+        service._relay.take(pb.NoticeBatch(notices=[pb.Notice(server="s2")], relayed=True))
+        eventlet.sleep(0.3)
+        told = [notice.server for update in late.sent for notice in update.notices]
+        self.assertEqual(told, ["s2"])
+
     def test_one_notice_is_told_at_once(self) -> None:
         eventlet.sleep(0.2)
         self.report(1)
