--- a/packages/node/src/persimmonusher_node/tiers/follow_feed.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_feed.py
@@ -7,7 +7,7 @@
 from persimmonusher_model.identifiers import Revision
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.keeper import KeeperRole
-from persimmonusher_node.keeper_wire import PART_ITEMS, encode_parts
+from persimmonusher_node.keeper_wire import encode_parts
 from persimmonusher_node.tiers.load_book import LoadBook
 from persimmonusher_node.tiers.packed_parts import pack_part
 from persimmonusher_protocol import control_pb2
@@ -15,6 +15,8 @@
 SHARED_SECONDS: Final = 0.1
 """How old a status may be that is sent to a further follower: far below the time after which a
 follower holds a keeper for stale."""
+REVISIONS_KEPT: Final = 64
+"""Revisions of followers for which what they lack is kept: nearly all hold the last one or none."""
 LONGEST_AGE_MS: Final = 3_600_000
 
 
@@ -44,7 +46,6 @@
         self._parts: dict[Revision, tuple[control_pb2.FollowUpdate, ...]] = {}
         """Updates to the revision below, by the one that they begin at."""
         self._parts_revision = Revision(0)
-        self._parts_at = float("-inf")
 
     def replace_peers(self, addresses: Iterable[str]) -> None:
         """Take who follows; keepers that came or went since are told along with it."""
@@ -81,20 +82,22 @@
     def make_parts(self, since: Revision) -> Sequence[control_pb2.FollowUpdate]:
         """Return what a follower lacks from a revision to this keeper's.
 
-        A large batch is not kept for others.
+        The load it is for: all entries start again at once, and each lacks everything. The harm:
+        encoding thousands of servers for one after the other, the keeper serves the last of them
+        seconds after the first. So a batch is kept until the next change; only its last update is
+        made anew, as it also tells how fresh this keeper is.
         """
-        now, revision = self._clock.monotonic(), self._view.revision()
-        if revision != self._parts_revision or now - self._parts_at > SHARED_SECONDS:
-            self._parts, self._parts_revision, self._parts_at = {}, revision, now
-        known = self._parts.get(since)
-        if known is not None:
-            return known
-        batch = self._view.collect_since(since)
-        parts = tuple(map(pack_part, encode_parts(batch)))
-        self._add_freshness(parts[-1], now)
-        if len(batch.records) <= PART_ITEMS:
-            self._parts[since] = parts
-        return parts
+        revision = self._view.revision()
+        if revision != self._parts_revision or len(self._parts) > REVISIONS_KEPT:
+            self._parts, self._parts_revision = {}, revision
+        if since not in self._parts:
+            batch = self._view.collect_since(since)
+            self._parts[since] = tuple(map(pack_part, encode_parts(batch)))
+        *first, last = self._parts[since]
+        fresh = control_pb2.FollowUpdate()
+        fresh.CopyFrom(last)
+        self._add_freshness(fresh, self._clock.monotonic())
+        return (*first, fresh)
 
     def _describe(self, domain: str, now: float) -> control_pb2.FollowUpdate:
         sums = self._loads.find_sums(now)
--- a/packages/node/tests/test_follow_service.py
+++ b/packages/node/tests/test_follow_service.py
@@ -35,6 +35,7 @@
     def __init__(self) -> None:
         self.at = Revision(1)
         self.collected = 0
+        self.servers_held = 1
         self.servers = SimpleNamespace(is_in_domain=lambda name, domain: name.startswith(domain))
         self.changed: Callable[[Revision, list[ObjectKey]], None] = lambda revision, keys: None
 
@@ -46,9 +47,11 @@
 
     def collect_since(self, since: Revision) -> Batch:
         self.collected += 1
-        key = ObjectKey(ObjectKind.SERVER, f"s{self.at}")
-        record = Record(key, self.at, "{}", f"c{self.at}", "k1")
-        return Batch("log", since, self.at, (record,), False)
+        records = tuple(
+            Record(ObjectKey(ObjectKind.SERVER, f"s{number}"), self.at, "{}", f"c{number}", "k1")
+            for number in range(self.servers_held)
+        )
+        return Batch("log", since, self.at, records, False)
 
     def commit(self) -> None:
         self.at = Revision(self.at + 1)
@@ -145,6 +148,29 @@
             self.assertEqual(max(update.part.revision for update in stream.sent), 2)
         self.assertEqual(self.view.collected, before + 1)
 
+    def test_all_that_start_again_share_one_batch(self) -> None:
+        """All processes were killed, and the entries come back over a second.
+
+        With three thousand servers, encoded for each follower in turn, the last one of sixty had
+        its configuration seconds after the first.
+        """
+        view = FakeView()
+        view.servers_held = 3_000
+        service = FollowService(
+            "north", make_role(), cast("Any", view), cast("Any", None), SystemClock()
+        )
+        streams = [FakeStream(number) for number in range(10)]
+        for stream in streams:
+            task = start_coroutine(service.Follow(cast("Any", stream)))
+            self.addCleanup(task.cancel)
+            eventlet.sleep(0.1)
+        for stream in streams:
+            parts = [part for part in map(unpack_part, stream.sent) if part is not None]
+            self.assertEqual(sum(len(part.records) for part in parts), 3_000)
+            fresh = [update.HasField("majority_age_ms") for update in stream.sent[: len(parts)]]
+            self.assertEqual(fresh, [False, False, True])
+        self.assertEqual(view.collected, 1)
+
     def test_news_says_nothing_of_freshness(self) -> None:
         """A message that all followers share may leave late, behind a reader that is slow.
 
