--- a/packages/decisions/src/persimmonusher_decisions/fanout.py
+++ b/packages/decisions/src/persimmonusher_decisions/fanout.py
@@ -3,8 +3,8 @@
 from typing import Final
 
 MESSAGES_A_SECOND: Final = 1_000.0
-"""Messages that one keeper sends to all its followers together. Each costs a tenth of a
-millisecond or so, and the keeper's one loop also serves heartbeats, operators and the log."""
+"""Messages that one keeper sends to all its followers together: its one loop also serves the log,
+backend servers and operators, and must have time for them."""
 LONGEST_JOIN_SECONDS: Final = 0.2
 """A notice that is told later than this has met most of the requests that it could have saved."""
 
--- a/packages/model/src/persimmonusher_model/profile.py
+++ b/packages/model/src/persimmonusher_model/profile.py
@@ -119,8 +119,8 @@
         default=0,
         ge=0,
         le=1_000,
-        description="Servers that may be passed by at one time though the floor leaves fewer, but "
-        "for more than 56% of them. Chance makes half of a few servers ill together, and "
+        description="Servers that may be passed by at one time even where the floor leaves fewer, "
+        "up to 56% of a service's servers. Chance makes half of a few servers ill together, and "
         "never half of many.",
     )
     far_load_percent: Percent = Field(
