Take a replica's time out of the log's state machine

log_replica.py did two jobs: the log's terms, votes and replication, and time as elections see it (bounded steps, the last word of a leader, the drawing of the next election). The second is ElectionClock now.

--- a/packages/agreement/src/persimmonusher_agreement/log_replica.py
+++ b/packages/agreement/src/persimmonusher_agreement/log_replica.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from persimmonusher_agreement.durable_log import DurableLog
+from persimmonusher_agreement.election_clock import ElectionClock
 from persimmonusher_agreement.log_leadership import Leadership, LogTiming
 from persimmonusher_agreement.log_messages import (
     AppendReply,
@@ -60,16 +61,11 @@
         self.commit = self.log.base_index
         self._applied = self.log.base_index
         self._timing = timing
-        self._random = random
-        self._now = now
-        self._reading = now
-        self._leader_seen = float("-inf")
-        self._leader_reading = float("-inf")
+        self._clock = ElectionClock(timing, random, now)
         self._outbox: list[LogMessage] = []
         self._installed = self.log.snapshot
         self._votes: set[KeeperId] = set()
         self._leadership: Leadership | None = None
-        self._draw_election_time(timing.first_election)
 
     @property
     def term(self) -> int:
@@ -94,7 +90,7 @@
         Guards against a wiped keeper: what was sent to the lost disk's identity means nothing to
         the new one, which must not answer for promises that it doesn't know.
         """
-        self._move_time(now)
+        self._clock.move(now)
         if message.target == self.keeper:
             self._handle(message)
 
@@ -117,17 +113,17 @@
 
     def advance(self, now: float) -> None:
         """Let time pass: heartbeats and the quorum check as leader, else the election timeout."""
-        self._move_time(now)
+        self._clock.move(now)
         if self._leadership is not None:
             self._advance_leader(self._leadership)
-        elif self._now >= self._election_at:
-            self._draw_election_time()
+        elif self._clock.is_election_due():
+            self._clock.draw_election_time()
             if self.keeper in self.log.members.list_voters():
                 self._start_pre_vote()
 
     def propose(self, command: Command, now: float) -> int:
         """Append a command as leader and return its index; raise NOT_LEADER otherwise."""
-        self._move_time(now)
+        self._clock.move(now)
         if self._leadership is None:
             raise UsherError(ErrorCode.NOT_LEADER, f"{self.keeper} does not lead the keepers")
         if isinstance(command, Members):
@@ -143,10 +139,10 @@
 
     def start_read(self, now: float) -> int:
         """Begin to confirm that this replica still leads; return the round to ask for."""
-        self._move_time(now)
+        self._clock.move(now)
         if self._leadership is None or not self.is_ready_leader:
             raise UsherError(ErrorCode.NOT_LEADER, f"{self.keeper} does not lead the keepers")
-        return self._leadership.start_round(self._now, self.commit)
+        return self._leadership.start_round(self._clock.now, self.commit)
 
     def is_confirmed(self, round: int) -> bool:
         """Tell whether a majority answered the round: all committed before it is known here."""
@@ -167,15 +163,10 @@
 
         A leader counts its voters' answers; anyone else the last word of a leader, which steps
         down an election timeout after it has lost its majority.
-
-        Guards against a pause of the process: the replica's own time leaves out what is beyond half
-        an election timeout, for good. Held against it, the clock would show a keeper as out of
-        touch by all its pauses together, for the rest of its life, and entries would leave it. So
-        the age is the difference of two readings of the clock.
         """
         if self._leadership is not None:
             return self._leadership.find_majority_age(reading)
-        return reading - self._leader_reading
+        return self._clock.find_leader_age(reading)
 
     def flush(self) -> tuple[LogMessage, ...]:
         """Make everything durable, advance the commit index, and return messages to send."""
@@ -264,7 +255,7 @@
         if granted and self.log.vote.voted_for is None:
             self.log.save_vote(self.term, message.source)
         if granted:
-            self._draw_election_time()
+            self._clock.draw_election_time()
         self._outbox.append(VoteReply(self.keeper, message.source, self.term, granted))
 
     def _on_vote_reply(self, message: VoteReply) -> None:
@@ -278,15 +269,13 @@
 
     def _hears_leader(self) -> bool:
         """Tell whether a leader is alive here: then elections are refused as a disturbance."""
-        if self.is_leader:
-            return True
-        return self._now - self._leader_seen < self._timing.election_timeout
+        return self.is_leader or self._clock.hears_leader()
 
     def _lead(self) -> None:
         self.role = ReplicaRole.LEADER
         self.leader = self.keeper
         leadership = Leadership(
-            self.keeper, self.log, self._outbox, self._timing, self._now, self._reading
+            self.keeper, self.log, self._outbox, self._timing, self._clock.now, self._clock.reading
         )
         self._leadership = leadership
         self._append_own(leadership, Noop())
@@ -297,7 +286,7 @@
         self.role = ReplicaRole.FOLLOWER
         self.leader = leader
         self._leadership = None
-        self._draw_election_time()
+        self._clock.draw_election_time()
 
     def _follow_higher_term(self, term: int) -> None:
         if term > self.term:
@@ -312,15 +301,15 @@
         another, and it must stop taking changes rather than keep operators waiting. An election
         timeout without answers from a majority shows the cut.
         """
-        if leadership.has_lost_quorum(self._now):
+        if leadership.has_lost_quorum(self._clock.now):
             self._follow(self.term, None)
         else:
-            leadership.advance(self._now, self.commit)
+            leadership.advance(self._clock.now, self.commit)
 
     def _on_append_reply(self, message: AppendReply) -> None:
         self._follow_higher_term(message.term)
         if self._leadership is not None and message.term == self.term:
-            self._leadership.take_reply(message, self._now, self._reading, self.commit)
+            self._leadership.take_reply(message, self._clock.now, self._clock.reading, self.commit)
 
     def _advance_commit(self, leadership: Leadership) -> None:
         """Commit what a majority holds durably, and only entries of the own term.
@@ -337,7 +326,7 @@
         if self.keeper not in self.log.members.list_voters() and index >= self.log.members_index:
             self._follow(self.term, None)
             return
-        leadership.broadcast(self._now, self.commit)
+        leadership.broadcast(self._clock.now, self.commit)
 
     def _check_members(self, members: Members) -> None:
         """Refuse a change of members that could split the vote.
@@ -386,9 +375,7 @@
             return False
         if term > self.term or self.leader != leader or self.role is not ReplicaRole.FOLLOWER:
             self._follow(term, leader)
-        self._leader_seen = self._now
-        self._leader_reading = self._reading
-        self._draw_election_time()
+        self._clock.hear_leader()
         return True
 
     def _reply_append(self, leader: KeeperId, success: bool, match: int, round: int) -> None:
@@ -399,24 +386,9 @@
     def _append_own(self, leadership: Leadership, command: Command) -> int:
         index = self.log.last_index + 1
         self.log.append((Entry(index, self.term, command),))
-        leadership.follow_members(self._now, self._reading)
-        leadership.broadcast(self._now, self.commit)
+        leadership.follow_members(self._clock.now, self._clock.reading)
+        leadership.broadcast(self._clock.now, self.commit)
         return index
 
     def _list_other_voters(self) -> list[KeeperId]:
         return [voter for voter in self.log.members.list_voters() if voter != self.keeper]
-
-    def _move_time(self, now: float) -> None:
-        """Take the time that passed since the last event, within bounds.
-
-        Guards against a clock that jumps. Back, it would stop heartbeats and elections until it
-        caught up; forward, it would depose a healthy leader. Times decide only when something is
-        tried, never what is true, so a wrong one costs at most a needless election.
-        """
-        passed = now - self._reading
-        self._reading = now
-        self._now += min(max(passed, 0.0), self._timing.election_timeout / 2)
-
-    def _draw_election_time(self, shortest: float | None = None) -> None:
-        shortest = self._timing.election_timeout if shortest is None else shortest
-        self._election_at = self._now + shortest * (1 + self._random.random())
