Take further attempts and dispatching out of a service's decisions

traffic.py was the face of a service's decisions and decided on retries and copies itself. FurtherAttempts decides these, Dispatcher starts attempts; limits of a profile are set in one place in place of two.

--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/dispatcher.py
@@ -0,0 +1,49 @@
+"""Sends a request to the server that placement chooses, and keeps count of it."""
+
+from persimmonusher_decisions.admission import Admission
+from persimmonusher_decisions.evidence import EvidenceLog
+from persimmonusher_decisions.placement import Placement
+from persimmonusher_decisions.retries import RetryBudget
+from persimmonusher_decisions.track import ServerTrack
+from persimmonusher_decisions.work import Dispatch, Request
+from persimmonusher_model.identifiers import ServerId
+
+
+class Dispatcher:
+    """Turns a choice of server into an attempt in flight; one for a service at an instance."""
+
+    def __init__(
+        self,
+        placement: Placement,
+        evidence: EvidenceLog,
+        admission: Admission,
+        retries: RetryBudget,
+    ) -> None:
+        self._placement = placement
+        self._evidence = evidence
+        self._admission = admission
+        self._retries = retries
+
+    def place(
+        self,
+        request: Request,
+        attempt: int,
+        tried: ServerId | None,
+        now: float,
+        unreached: int = 0,
+    ) -> Dispatch | None:
+        """Start an attempt, on another server than the one tried; None where none takes work."""
+        track = self._placement.choose(request.idempotent, tried, now)
+        return None if track is None else self.start(request, track, attempt, now, unreached)
+
+    def start(
+        self, request: Request, track: ServerTrack, attempt: int, now: float, unreached: int = 0
+    ) -> Dispatch:
+        """Start an attempt on a server."""
+        if attempt == 1:
+            self._retries.earn(now)
+            self._admission.record_start(request, now)
+        number = self._evidence.find_free_number(request.request_id, attempt)
+        dispatch = Dispatch(request, track.server, number, now, unreached)
+        self._evidence.start(dispatch, track)
+        return dispatch
--- a/packages/decisions/src/persimmonusher_decisions/evidence.py
+++ b/packages/decisions/src/persimmonusher_decisions/evidence.py
@@ -216,8 +216,9 @@
     """Decides when an instance sends a digest.
 
     The load it is for: an assessor that hears of dozens of instances. The harm: with a call from
-    each several times a second it is busy with digests, nearly all of which say that all is well. So they go out once a second, and at once,
-    but not within URGENT_SECONDS, when something failed or most of a server's answers were slow.
+    each several times a second it is busy with digests, nearly all of which say that all is well.
+    So they go out once a second, and at once, but not within URGENT_SECONDS, when something failed
+    or most of a server's answers were slow.
     """
 
     def __init__(self) -> None:
--- /dev/null
+++ b/packages/decisions/src/persimmonusher_decisions/further_attempts.py
@@ -0,0 +1,101 @@
+"""Attempts of a request after its first one: elsewhere after a failure, or a copy beside it."""
+
+from typing import Final
+
+from persimmonusher_decisions.admission import Admission
+from persimmonusher_decisions.dispatcher import Dispatcher
+from persimmonusher_decisions.evidence import EvidenceLog
+from persimmonusher_decisions.hedging import may_hedge
+from persimmonusher_decisions.placement import CROWDED, Placement
+from persimmonusher_decisions.quarantine import Quarantine
+from persimmonusher_decisions.retries import RetryBudget
+from persimmonusher_decisions.work import (
+    Decision,
+    Dispatch,
+    Outcome,
+    OutcomeKind,
+    RefusalReason,
+)
+from persimmonusher_model.profile import Profile
+
+UNREACHED_ATTEMPTS: Final = 5
+"""Servers in a row that may be out of reach before a request is given up on: each costs the time
+of a connection, and a cut that hides so many hides them all."""
+
+
+class FurtherAttempts:
+    """Decides whether a request is sent again; one for a service at an instance."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        placement: Placement,
+        evidence: EvidenceLog,
+        admission: Admission,
+        retries: RetryBudget,
+        quarantine: Quarantine,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._placement = placement
+        self._evidence = evidence
+        self._admission = admission
+        self._retries = retries
+        self._quarantine = quarantine
+
+    def retry(self, profile: Profile, dispatch: Dispatch, outcome: Outcome, now: float) -> Decision:
+        """Decide on another attempt of a request whose last one has ended, safely as to running."""
+        request = dispatch.request
+        if outcome.kind is OutcomeKind.UNREACHED:
+            return self._retry_unreached(dispatch, now)
+        allowed = request.max_attempts or profile.max_retries + 1
+        spent = dispatch.attempt - dispatch.unreached >= allowed
+        crashing = self._quarantine.find_seconds_left(request.fingerprint, now) > 0.0
+        may_go = not (spent or self._is_late(dispatch, now) or crashing)
+        if may_go and self._retries.spend(now):
+            may_go = False
+            tried = dispatch.server.server_id
+            again = self._dispatcher.place(
+                request, dispatch.attempt + 1, tried, now, dispatch.unreached
+            )
+            if again is not None:
+                return again
+        reason = RefusalReason.RETRY_BUDGET if may_go else RefusalReason.RETRIES_EXHAUSTED
+        if outcome.kind not in (OutcomeKind.REFUSED, OutcomeKind.DRAINING):
+            return self._admission.refuse(request, reason, now)
+        if dispatch.attempt - dispatch.unreached == 1:
+            reason = RefusalReason.OVERLOAD
+        recent = self._evidence.recent_latency or 0.0
+        return self._admission.refuse_shed(request, reason, recent, now)
+
+    def hedge(self, profile: Profile, dispatch: Dispatch, now: float) -> Dispatch | None:
+        """Decide on a second copy of an idempotent request in flight; None is no.
+
+        The load it is for: a service whose slots are all taken, so that answers are slow. The harm:
+        copies of what waits in one queue wait in another, and take the place of first attempts. So
+        a copy goes only to a server whose queue is short.
+
+        Both copies are finished exactly once each; the one that lost as CANCELLED.
+        """
+        track = self._placement.choose(True, dispatch.server.server_id, now)
+        if track is None or track.load > CROWDED:
+            return None
+        waiting = len(self._admission.queue)
+        if not may_hedge(profile, dispatch, self._retries, waiting, now):
+            return None
+        return self._dispatcher.start(dispatch.request, track, dispatch.attempt + 1, now)
+
+    def _retry_unreached(self, dispatch: Dispatch, now: float) -> Decision:
+        """Place a request again of which no byte left; that costs no server any work."""
+        request = dispatch.request
+        if not self._is_late(dispatch, now) and dispatch.unreached + 1 < UNREACHED_ATTEMPTS:
+            tried = dispatch.server.server_id
+            number, unreached = dispatch.attempt + 1, dispatch.unreached + 1
+            again = self._dispatcher.place(request, number, tried, now, unreached)
+            if again is not None:
+                return again
+        return self._admission.refuse(request, RefusalReason.OVERLOAD, now)
+
+    def _is_late(self, dispatch: Dispatch, now: float) -> bool:
+        """Tell whether usual work would end only after the request's deadline."""
+        usual = self._evidence.find_usual_latency(dispatch.request.request_class)
+        return now + usual > dispatch.request.deadline
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -13,14 +13,16 @@
 from persimmonusher_decisions.admission import Admission
 from persimmonusher_decisions.connections import ConnectionBudget
 from persimmonusher_decisions.digests import DigestMaker
+from persimmonusher_decisions.dispatcher import Dispatcher
 from persimmonusher_decisions.ejection import EjectionLease
 from persimmonusher_decisions.evidence import SILENT_KINDS, EvidenceLog
 from persimmonusher_decisions.evidence_messages import EjectionSet, EvidenceDigest
-from persimmonusher_decisions.hedging import find_hedge_delay, may_hedge
+from persimmonusher_decisions.further_attempts import FurtherAttempts
+from persimmonusher_decisions.hedging import find_hedge_delay
 from persimmonusher_decisions.learning import OutcomeLearning
 from persimmonusher_decisions.locality import Locality
 from persimmonusher_decisions.notices import Notice, NoticeKind
-from persimmonusher_decisions.placement import CROWDED, PROVING_SHARE, Placement
+from persimmonusher_decisions.placement import PROVING_SHARE, Placement
 from persimmonusher_decisions.quarantine import Quarantine
 from persimmonusher_decisions.retries import RetryBudget
 from persimmonusher_decisions.server import BackendServer
@@ -43,9 +45,6 @@
 NO_SERVICE: Final = ServiceName("")
 NO_INSTANCE: Final = InstanceId("")
 NO_SERVER_RETRY_AFTER: Final = 1.0
-UNREACHED_ATTEMPTS: Final = 5
-"""Servers in a row that may be out of reach before a request is given up on: each costs the time
-of a connection, and a cut that hides so many hides them all."""
 PROBES_A_SECOND: Final = 16.0
 """Probes of one server on probation, all instances together."""
 
@@ -79,18 +78,26 @@
         self._started: bool = False
         self._evidence = EvidenceLog()
         self._placement = Placement(failure_domain, random)
-        self._placement.ramp_seconds = profile.ramp_ms / 1000.0
-        self._placement.proving_seconds = PROVING_SHARE * profile.suspect_ms / 1000.0
         self._locality = Locality(profile)
         self._window = ConcurrencyWindow()
         self._admission = Admission(profile, random)
         self._retries = RetryBudget(profile.retry_budget_percent)
-        self._retries.share_slack(profile.retry_slack, self._live)
         self._quarantine = Quarantine(profile.crash_strikes, profile.quarantine_ms / 1000.0)
         self._connections = ConnectionBudget(instance_id)
         self._lease = EjectionLease(failure_domain)
         self._digests = DigestMaker(service, instance_id, incarnation, failure_domain)
         self._suspicion = Suspicion(service)
+        self._dispatcher = Dispatcher(
+            self._placement, self._evidence, self._admission, self._retries
+        )
+        self._further = FurtherAttempts(
+            self._dispatcher,
+            self._placement,
+            self._evidence,
+            self._admission,
+            self._retries,
+            self._quarantine,
+        )
         self._learning = OutcomeLearning(
             self._evidence,
             self._placement,
@@ -99,17 +106,16 @@
             self._quarantine,
             self._suspicion,
         )
+        self._set_limits()
 
     def replace_profile(self, profile: Profile) -> None:
         """Take a new profile; requests in flight keep the deadline they have."""
         self._profile = profile
-        self._placement.ramp_seconds = profile.ramp_ms / 1000.0
-        self._placement.proving_seconds = PROVING_SHARE * profile.suspect_ms / 1000.0
         self._locality.replace_profile(profile)
         self._admission.replace_profile(profile)
         self._retries.replace_percent(profile.retry_budget_percent)
-        self._retries.share_slack(profile.retry_slack, self._live)
         self._quarantine.replace_limits(profile.crash_strikes, profile.quarantine_ms / 1000.0)
+        self._set_limits()
 
     def replace_servers(self, servers: Iterable[BackendServer], now: float) -> None:
         """Take the announced servers; evidence on those that stay is kept.
@@ -157,7 +163,7 @@
         if now + usual > request.deadline:
             return self._admission.refuse(request, RefusalReason.DEADLINE, now)
         if not len(self._admission.queue) and len(self._evidence) < self._window.limit:
-            dispatch = self._place(request, 1, None, now)
+            dispatch = self._dispatcher.place(request, 1, None, now)
             if dispatch is not None:
                 return dispatch
             if not self._placement.open_slots:
@@ -166,40 +172,7 @@
 
     def retry(self, dispatch: Dispatch, outcome: Outcome, now: float) -> Decision:
         """Decide on another attempt after `finish`; the caller has checked that it is safe."""
-        request = dispatch.request
-        if outcome.kind is OutcomeKind.UNREACHED:
-            return self._retry_unreached(dispatch, now)
-        allowed = request.max_attempts or self._profile.max_retries + 1
-        spent = dispatch.attempt - dispatch.unreached >= allowed
-        usual = self._evidence.find_usual_latency(request.request_class)
-        late = now + usual > request.deadline
-        crashing = self._quarantine.find_seconds_left(request.fingerprint, now) > 0.0
-        may_go = not (spent or late or crashing)
-        if may_go and self._retries.spend(now):
-            may_go = False
-            tried = dispatch.server.server_id
-            again = self._place(request, dispatch.attempt + 1, tried, now, dispatch.unreached)
-            if again is not None:
-                return again
-        reason = RefusalReason.RETRY_BUDGET if may_go else RefusalReason.RETRIES_EXHAUSTED
-        if outcome.kind not in (OutcomeKind.REFUSED, OutcomeKind.DRAINING):
-            return self._admission.refuse(request, reason, now)
-        if dispatch.attempt - dispatch.unreached == 1:
-            reason = RefusalReason.OVERLOAD
-        recent = self._evidence.recent_latency or 0.0
-        return self._admission.refuse_shed(request, reason, recent, now)
-
-    def _retry_unreached(self, dispatch: Dispatch, now: float) -> Decision:
-        """Place a request again of which no byte left; that costs no server any work."""
-        request = dispatch.request
-        late = now + self._evidence.find_usual_latency(request.request_class) > request.deadline
-        if not late and dispatch.unreached + 1 < UNREACHED_ATTEMPTS:
-            tried = dispatch.server.server_id
-            number, unreached = dispatch.attempt + 1, dispatch.unreached + 1
-            again = self._place(request, number, tried, now, unreached)
-            if again is not None:
-                return again
-        return self._admission.refuse(request, RefusalReason.OVERLOAD, now)
+        return self._further.retry(self._profile, dispatch, outcome, now)
 
     def take_notices(self) -> tuple[Notice, ...]:
         """Return the failures that other instances are to be told of at once."""
@@ -282,21 +255,8 @@
         return find_hedge_delay(self._profile, request, limit, now)
 
     def hedge(self, dispatch: Dispatch, now: float) -> Dispatch | None:
-        """Decide on a second copy of an idempotent request in flight; None is no.
-
-        The load it is for: a service whose slots are all taken, so that answers are slow. The harm:
-        copies of what waits in one queue wait in another, and take the place of first attempts. So
-        a copy goes only to a server whose queue is short.
-
-        Both copies are finished exactly once each; the one that lost as CANCELLED.
-        """
-        track = self._placement.choose(True, dispatch.server.server_id, now)
-        if track is None or track.load > CROWDED:
-            return None
-        waiting = len(self._admission.queue)
-        if not may_hedge(self._profile, dispatch, self._retries, waiting, now):
-            return None
-        return self._dispatch(dispatch.request, track, dispatch.attempt + 1, now)
+        """Decide on a second copy of an idempotent request in flight; None is no."""
+        return self._further.hedge(self._profile, dispatch, now)
 
     def digest(self, now: float) -> EvidenceDigest | None:
         """Return evidence for the assessor, None where there is none or it isn't due.
@@ -324,33 +284,6 @@
             for track in self._tracks.values()
         )
 
-    def _place(
-        self,
-        request: Request,
-        attempt: int,
-        tried: ServerId | None,
-        now: float,
-        unreached: int = 0,
-    ) -> Dispatch | None:
-        track = self._placement.choose(request.idempotent, tried, now)
-        return None if track is None else self._dispatch(request, track, attempt, now, unreached)
-
-    def _dispatch(
-        self,
-        request: Request,
-        track: ServerTrack,
-        attempt: int,
-        now: float,
-        unreached: int = 0,
-    ) -> Dispatch:
-        if attempt == 1:
-            self._retries.earn(now)
-            self._admission.record_start(request, now)
-        number = self._evidence.find_free_number(request.request_id, attempt)
-        dispatch = Dispatch(request, track.server, number, now, unreached)
-        self._evidence.start(dispatch, track)
-        return dispatch
-
     def _release(self, now: float) -> tuple[Decision, ...]:
         released: list[Decision] = []
         queue = self._admission.queue
@@ -358,7 +291,7 @@
             request = queue.pop()
             decision: Decision | None = self._refuse_late(request, now)
             if decision is None:
-                decision = self._place(request, 1, None, now)
+                decision = self._dispatcher.place(request, 1, None, now)
             if decision is None:
                 reason = RefusalReason.NO_SERVER
                 decision = Refusal(request, reason, NO_SERVER_RETRY_AFTER)
@@ -409,6 +342,11 @@
             self._placement.open_slots, self._live, self._profile.fewest_in_progress
         )
 
+    def _set_limits(self) -> None:
+        self._placement.ramp_seconds = self._profile.ramp_ms / 1000.0
+        self._placement.proving_seconds = PROVING_SHARE * self._profile.suspect_ms / 1000.0
+        self._retries.share_slack(self._profile.retry_slack, self._live)
+
     def _share_connections(self) -> None:
         limit = self._profile.connections_per_server
         self._connections.share(self._tracks.values(), limit)
--- a/packages/decisions/tests/test_suspicion.py
+++ b/packages/decisions/tests/test_suspicion.py
@@ -16,9 +16,10 @@
 from fleet_simulation import FleetSimulation, Load, Served
 
 from persimmonusher_decisions import placement
+from persimmonusher_decisions.further_attempts import UNREACHED_ATTEMPTS
 from persimmonusher_decisions.notices import Notice, NoticeKind
 from persimmonusher_decisions.suspicion import LONGER
-from persimmonusher_decisions.traffic import UNREACHED_ATTEMPTS, ServiceTraffic
+from persimmonusher_decisions.traffic import ServiceTraffic
 from persimmonusher_decisions.work import Outcome, OutcomeKind, Refusal, RefusalReason
 from persimmonusher_model.identifiers import RequestId, ServerId
 from persimmonusher_model.profile import Profile
