--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -35,7 +35,7 @@
 LARGEST_FACTOR: Final = 4.0
 """Bound of what is learned upwards. Downwards it is the profile's time: while the others have slots
 free, an earlier return wins nothing, and while they are busy lookups bring it about."""
-LARGEST_FEW_SHARE: Final = 0.56
+SMALL_SERVICE_SHARE: Final = 0.56
 """Part of a service's servers that may be passed by whatever its floor, in a small service."""
 MAX_NOTICES: Final = 256
 """Notices that wait to be told; more are dropped, as thousands of failures say no more."""
@@ -49,7 +49,7 @@
     are at times, and a floor made for a hundred would send work to two of them.
     """
     allowed = servers - ceil(servers * profile.health_floor_percent / 100)
-    largest = int(servers * LARGEST_FEW_SHARE)
+    largest = int(servers * SMALL_SERVICE_SHARE)
     return max(allowed, min(profile.fewest_suspects, largest))
 
 
--- a/packages/node/src/persimmonusher_node/settings_bounds.py
+++ b/packages/node/src/persimmonusher_node/settings_bounds.py
@@ -7,6 +7,10 @@
 EXIT_SECONDS: Final = 0.8
 """Time between the last answer of a stop and the process's end, which the kill must not cut short:
 callers that are cut off by a reset know more than those whose peer is gone."""
+SHORTEST_STOP_SHARE: Final = 0.5
+"""Part of a very short time until the kill that a stop has all the same."""
+LARGEST_RETRY_PERCENT: Final = 50
+"""The most that a profile takes."""
 RETRY_SHARE: Final = 0.9
 """Part of the allowed retries that is used: instances count requests in windows of their own, which
 don't begin at the same moment as those of whoever holds them to it."""
@@ -19,7 +23,7 @@
     if bounds.change_in_force_ms is not None:
         derived["stale_seconds"] = bounds.change_in_force_ms / 1000.0
     if bounds.kill_after_seconds is not None:
-        shortest = bounds.kill_after_seconds / 2.0
+        shortest = SHORTEST_STOP_SHARE * bounds.kill_after_seconds
         derived["stop_seconds"] = max(shortest, bounds.kill_after_seconds - EXIT_SECONDS)
     derived = {
         name: value for name, value in derived.items() if name not in settings.model_fields_set
@@ -33,7 +37,7 @@
     fields: dict[str, Any] = {}
     if bounds.retry_ratio is not None:
         percent = int(100.0 * RETRY_SHARE * bounds.retry_ratio)
-        fields["retry_budget_percent"] = min(50, percent)
+        fields["retry_budget_percent"] = min(LARGEST_RETRY_PERCENT, percent)
     if bounds.retry_slack is not None:
         fields["retry_slack"] = bounds.retry_slack
     return fields
