--- a/packages/model/tests/test_comments.py
+++ b/packages/model/tests/test_comments.py
@@ -29,6 +29,8 @@
         planted = {
             "a comment": "SHARE = 0.5  # 82% of simulated requests\n",
             "a docstring of a constant": 'SHARE = 0.5\n"""Best in three runs."""\n',
+            "a cost": "LINES = 50  # takes a hundredth of a core\n",
+            "a share of a start": '"""Left out: it took a quarter of it."""\n',
             "a docstring's later line": 'def f():\n    """Do.\n\n    It was measured.\n    """\n',
         }
         for name, source in planted.items():
--- a/packages/node/src/persimmonusher_node/line_budget.py
+++ b/packages/node/src/persimmonusher_node/line_budget.py
@@ -5,7 +5,7 @@
 from persimmonusher_model.clock import Clock
 
 LINES_A_SECOND: Final = 50
-"""Writing a line costs as much as a fifth of a request, so that 50 take a hundredth of a core."""
+"""Few enough that writing them takes no noticeable part of an instance's time."""
 
 
 class LineBudget:
--- a/tools/check_comments.py
+++ b/tools/check_comments.py
@@ -24,7 +24,8 @@
 )
 TUNING: Final = re.compile(
     r"\b(simulated|benchmark|fleetbench|the bench|played days?|journal entr|"
-    r"in \w+ runs?\b|seeds? differ|was measured|were measured|measured on)",
+    r"in \w+ runs?\b|seeds? differ|was measured|were measured|measured on|"
+    r"ms of processor|of a core|seen so far|took (a|an|one) \w+|were ejected)",
     re.IGNORECASE,
 )
 
