Log how old the configuration was that decided a request, and when its caller left

Callers were answered by an old configuration, and work was sent on for callers that had left.

A request's line now has the age of the configuration with the keeper that told it and that keeper's own part, and a step at which the departure was seen. New lines: request-unrouted, keeper-followed, leader-changed. New gauge: configuration_age_seconds. No decision is changed.

--- a/packages/ctl/src/persimmonusher_ctl/request_story.py
+++ b/packages/ctl/src/persimmonusher_ctl/request_story.py
@@ -26,6 +26,9 @@
     "error",
     "version",
     "revision",
+    "configuration_age",
+    "told_by",
+    "told_age",
 )
 
 CAUSES: Final = {
--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -18,6 +18,8 @@
 from persimmonusher_node.calls import Call
 from persimmonusher_node.dialect import OWN_DIALECT, Dialect
 from persimmonusher_node.entry import Entry
+from persimmonusher_node.line_budget import LineBudget
+from persimmonusher_node.logs import describe_freshness
 from persimmonusher_node.protocol import ENVIRON_KEY, HttpProtocol
 from persimmonusher_node.services import LiveService, RoutedService
 
@@ -77,6 +79,7 @@
         self._prefix = f"{instance_id}-{int(clock.wall().timestamp() * 1000):x}"
         self._numbers = count(1)
         self._starting = 0
+        self._lines = LineBudget(clock)
         self.stopping = False
         """Whether the health path answers 503."""
         self.count_connections: Callable[[], int] = int
@@ -173,6 +176,21 @@
         return named
 
     def _refuse_unrouted(self, host: str, path: str, request_id: RequestId) -> Answer:
+        answer = self._make_unrouted(host, path, request_id)
+        if self._lines.take():
+            _log.info(
+                "request-unrouted",
+                request_id=request_id,
+                host=host,
+                path=path,
+                status=answer.status,
+                revision=self._entry.revision(),
+                **describe_freshness(self._entry.find_freshness()),
+                lines_left_out=self._lines.take_left_out(),
+            )
+        return answer
+
+    def _make_unrouted(self, host: str, path: str, request_id: RequestId) -> Answer:
         if not self._entry.is_ready():
             message = "this instance has no configuration yet"
             return make_error(AnswerCode.NO_CONFIGURATION, message, request_id)
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -14,6 +14,7 @@
 from persimmonusher_node.metrics import InstanceGauges, ObserverChain, RequestMetrics
 from persimmonusher_node.observer import RequestObserver
 from persimmonusher_node.parts import Parts
+from persimmonusher_node.ports import LONGEST_AGE_SECONDS
 from persimmonusher_node.records import RecordRing, RequestRecord
 from persimmonusher_node.services import ServiceBook
 from persimmonusher_node.settings import Settings
@@ -85,6 +86,7 @@
             statuses = live.traffic.describe(now)
             taking[live.name] = sum(status.taking_work for status in statuses)
             left_out[live.name] = len(statuses) - taking[live.name]
+        freshness = self.services.find_freshness()
         return InstanceGauges(
             self.forwarder.in_flight,
             self.application.count_connections(),
@@ -92,4 +94,5 @@
             len(self._parts.membership.list_live()),
             taking,
             left_out,
+            0.0 if freshness is None else min(LONGEST_AGE_SECONDS, freshness.age),
         )
--- a/packages/node/src/persimmonusher_node/entry.py
+++ b/packages/node/src/persimmonusher_node/entry.py
@@ -2,10 +2,12 @@
 
 from typing import Final
 
+from persimmonusher_model.identifiers import Revision
 from persimmonusher_node.answers import Answer, AnswerCode, make_error
 from persimmonusher_node.calls import Call
 from persimmonusher_node.forwarding import Forwarder
 from persimmonusher_node.keyed import KeyedForwarder
+from persimmonusher_node.ports import Freshness
 from persimmonusher_node.services import LiveService, RoutedService, ServiceBook
 
 LONGEST_KEY: Final = 256
@@ -40,6 +42,14 @@
         """
         return self._services.is_current()
 
+    def revision(self) -> Revision:
+        """Return the configuration revision in force here."""
+        return self._services.revision()
+
+    def find_freshness(self) -> Freshness | None:
+        """Return how old the knowledge of the configuration is; None where it isn't reckoned."""
+        return self._services.find_freshness()
+
     def handle(self, call: Call, live: LiveService) -> Answer:
         """Answer a whole request; waits for the answer."""
         if call.is_idempotent(live.profile):
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -122,6 +122,7 @@
             idempotent,
             call.arrived,
             self._services.revision(),
+            self._services.find_freshness(),
         )
         run = Run(call, live, request, record)
         self._runs[request_id] = run
--- a/packages/node/src/persimmonusher_node/keeper.py
+++ b/packages/node/src/persimmonusher_node/keeper.py
@@ -113,6 +113,8 @@
         self.followers = FollowerCount()
         self._courier = KeeperCourier(channels, settings.listen.peers)
         self._main: list[asyncio.Task[None]] = []
+        self._leader: KeeperId | None = None
+        """The leader that was logged last."""
 
     # Owned by the daemon
 
@@ -296,9 +298,25 @@
         for message in output.messages:
             self._courier.send(message, members, followers)
         self._calls.answer(keeper, output.verdicts)
+        self._note_leader(keeper)
         if keeper.configuration.revision > self._client.revision():
             self._client.take(keeper.configuration.collect_since(self._client.revision()))
 
+    def _note_leader(self, keeper: ConfigurationKeeper) -> None:
+        """Log who leads, whenever that changes."""
+        replica = keeper.replica
+        if replica.leader == self._leader:
+            return
+        self._leader = replica.leader
+        logger.info(
+            "leader-changed",
+            leader=replica.leader,
+            term=replica.term,
+            commit=replica.commit,
+            revision=keeper.configuration.revision,
+            majority_age=round(replica.find_majority_age(self._clock.monotonic()), 3),
+        )
+
     async def _run_snapshots(self) -> None:
         while True:
             await asyncio.sleep(SNAPSHOT_CHECK_SECONDS)
--- a/packages/node/src/persimmonusher_node/logs.py
+++ b/packages/node/src/persimmonusher_node/logs.py
@@ -15,6 +15,7 @@
 from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.log_pipe import open_standard_output
 from persimmonusher_node.observer import FinishedRequest, RequestObserver
+from persimmonusher_node.ports import LONGEST_AGE_SECONDS, Freshness
 from persimmonusher_node.records import DecisionStep
 from persimmonusher_node.settings import Settings
 
@@ -105,6 +106,7 @@
             reason=last.reason if last else None,
             server=last.server if last else None,
             revision=record.revision,
+            **describe_freshness(record.freshness),
             steps=[describe_step(step) for step in record.steps],
             seconds=round(finished.whole, 4),
             lines_left_out=self._budget.take_left_out(),
@@ -112,12 +114,26 @@
 
 
 def is_uneventful(finished: FinishedRequest) -> bool:
-    """Tell whether a request was served by its first server."""
+    """Tell whether a request was served by its first server, by a fresh configuration."""
+    freshness = finished.record.freshness
+    if freshness is not None and freshness.is_late:
+        return False
     if finished.outcome is not CallerOutcome.RAN or finished.code is not None:
         return False
     return finished.record.status < 500 and len(finished.record.steps) <= PLAIN_STEPS
 
 
+def describe_freshness(freshness: Freshness | None) -> dict[str, Any]:
+    """Return the fields of a line that say how old the configuration was; none where unknown."""
+    if freshness is None:
+        return {}
+    return {
+        "configuration_age": round(min(LONGEST_AGE_SECONDS, freshness.age), 3),
+        "told_by": freshness.keeper,
+        "told_age": round(freshness.keeper_age, 3),
+    }
+
+
 def describe_step(step: DecisionStep) -> str:
     """Write a step as one word of a line, such as `0.0003 dispatch s7: attempt 1`."""
     place = f" {step.server}" if step.server else ""
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -37,6 +37,8 @@
     live_instances: int
     servers_taking_work: dict[ServiceName, int]
     servers_left_out: dict[ServiceName, int]
+    configuration_age_seconds: float = 0.0
+    """0 where it isn't reckoned."""
 
 
 class MetricsSource(ABC):
@@ -123,6 +125,7 @@
         self._gauges["caller_connections"].set({}, gauges.caller_connections)
         self._gauges["revision"].set({}, gauges.revision)
         self._gauges["live_instances"].set({}, gauges.live_instances)
+        self._gauges["configuration_age_seconds"].set({}, gauges.configuration_age_seconds)
         for name in ("servers_taking_work", "servers_left_out"):
             by_service: dict[ServiceName, int] = getattr(gauges, name)
             for service, count in by_service.items():
@@ -133,6 +136,7 @@
     "in_flight": "Requests in flight.",
     "caller_connections": "Open connections of callers.",
     "revision": "The configuration revision in force here.",
+    "configuration_age_seconds": "Time since a majority stood behind the configuration known here.",
     "live_instances": "Instances believed alive, this one included.",
     "servers_taking_work": "Backend servers that get work from here.",
     "servers_left_out": "Backend servers that get none, such as ejected or draining ones.",
--- a/packages/node/src/persimmonusher_node/ports.py
+++ b/packages/node/src/persimmonusher_node/ports.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 from persimmonusher_decisions.server import BackendServer
 from persimmonusher_model.identifiers import (
@@ -20,6 +21,23 @@
 from persimmonusher_model.profile import Profile
 from persimmonusher_model.routing import RouteRule
 
+LONGEST_AGE_SECONDS: Final = 3_600.0
+"""The age shown for an instance that no keeper has told anything yet."""
+
+
+@dataclass(frozen=True)
+class Freshness:
+    """How old the knowledge of the configuration is, by each hop that it took. Ages are seconds."""
+
+    age: float
+    """Since a majority of the keepers stood behind what is known here."""
+    keeper: str
+    """Address of the keeper that told so last; empty before the first."""
+    keeper_age: float
+    """Since that keeper was in touch with a majority, as it said itself."""
+    is_late: bool
+    """Whether the age is a large part of the time in which a change is to be in force."""
+
 
 class ConfigurationView(ABC):
     """The committed configuration as this instance has applied it."""
@@ -36,6 +54,10 @@
         """Tell whether no later revision can have been in force for long."""
         return True
 
+    def find_freshness(self) -> Freshness | None:
+        """Return how old the knowledge here is; None where it isn't reckoned."""
+        return None
+
     def find_rule(self, host: str, path: str) -> RouteRule | None:
         """Return the routing document's longest route that matches, or None."""
         return None
--- a/packages/node/src/persimmonusher_node/records.py
+++ b/packages/node/src/persimmonusher_node/records.py
@@ -6,6 +6,7 @@
 
 from persimmonusher_decisions.work import Decision, Dispatch, Outcome, Refusal
 from persimmonusher_model.identifiers import CallerId, RequestId, ServerId, ServiceName
+from persimmonusher_node.ports import Freshness
 
 KEPT_RECORDS: Final = 4096
 """About 4 MB: some seconds of full load, and hours of a quiet service."""
@@ -34,6 +35,8 @@
     idempotent: bool
     arrived: float
     revision: int
+    freshness: Freshness | None = None
+    """How old the configuration was that the request was decided by."""
     status: int = 0
     """The status answered to the caller, 0 while the request is in flight."""
     result: str = "in-flight"
--- a/packages/node/src/persimmonusher_node/runs.py
+++ b/packages/node/src/persimmonusher_node/runs.py
@@ -29,6 +29,8 @@
         """Attempts that were sent, copies included."""
         self.settled = False
         """Whether one copy of a hedged request has won."""
+        self.is_left = False
+        """Whether the caller was seen to have left."""
         self._release: Event | None = None
 
     def add_attempt(self, dispatch: Dispatch, attempt: Attempt) -> None:
@@ -79,11 +81,14 @@
             self.release(None)
         self.cancel_attempts(kind)
 
-    def leave(self) -> None:
+    def leave(self, now: float) -> None:
         """Take note that the caller left.
 
         Idempotent work is cancelled, and so is what still waits here. Non-idempotent work that
         was dispatched runs to its end: cutting it off would only turn its outcome unknown.
         """
+        if not self.is_left:
+            self.is_left = True
+            self.record.add_note("left", "the caller closed its connection", now)
         if self.request.idempotent or self.is_waiting:
             self.stop(OutcomeKind.CANCELLED)
--- a/packages/node/src/persimmonusher_node/services.py
+++ b/packages/node/src/persimmonusher_node/services.py
@@ -14,7 +14,7 @@
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, Revision, ServiceName
 from persimmonusher_model.profile import Profile
 from persimmonusher_model.routing import RouteRule
-from persimmonusher_node.ports import ConfigurationView, Membership, ServerDirectory
+from persimmonusher_node.ports import ConfigurationView, Freshness, Membership, ServerDirectory
 
 FORGET_SECONDS: Final = 600.0
 """A service without requests for this long costs no more ticks; its evidence is stale by then."""
@@ -90,6 +90,10 @@
         """Tell whether no later revision can have been in force for long."""
         return self._view.is_current()
 
+    def find_freshness(self) -> Freshness | None:
+        """Return how old the knowledge of the configuration is; None where it isn't reckoned."""
+        return self._view.find_freshness()
+
     def open_with(self, opening: Callable[[LiveService], None]) -> None:
         """Have each service opened by a call, which may wait, before its first request."""
         self._opening = opening
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -24,7 +24,7 @@
 from persimmonusher_node.observer import RequestObserver
 from persimmonusher_node.parts import Parts
 from persimmonusher_node.peers import ChannelPool
-from persimmonusher_node.ports import Instance
+from persimmonusher_node.ports import Freshness, Instance
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.shutdown import GracefulStop, StopSignal
 from persimmonusher_node.tiers.edge import Edge
@@ -44,6 +44,10 @@
         """Tell whether no later revision can have been in force for long."""
         return self.follower is not None and self.follower.is_current()
 
+    def find_freshness(self) -> Freshness | None:
+        """Return how old the knowledge here is."""
+        return None if self.follower is None else self.follower.find_freshness()
+
 
 class EntryDaemon:
     """One entry, from its listeners to its stop."""
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -17,8 +17,10 @@
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.keeper_calls import CALL_ERRORS
 from persimmonusher_node.keeper_wire import decode_record
+from persimmonusher_node.logs import describe_freshness
 from persimmonusher_node.loop import start_coroutine
 from persimmonusher_node.peers import ChannelPool
+from persimmonusher_node.ports import Freshness
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.tiers.notice_wire import decode_notice, encode_notice
 from persimmonusher_node.tiers.packed_parts import unpack_part
@@ -89,6 +91,9 @@
         """Whether a keeper has told which keepers there are; before, only seeds are known."""
         self._choice = KeeperChoice(settings.failure_domain, random)
         self._majority_at = float("-inf")
+        self._told_by = ""
+        self._told_age = 0.0
+        """The age that the keeper stated last, in seconds."""
         self._records: list[Record] = []
         self._task: asyncio.Task[None] | None = None
         self._place: KeeperPlace | None = None
@@ -135,6 +140,12 @@
         """Tell whether a majority of keepers stood behind what is known here lately."""
         return self._clock.monotonic() - self._majority_at <= self._settings.stale_seconds
 
+    def find_freshness(self) -> Freshness:
+        """Return how old the knowledge of the configuration is, and whom it came from."""
+        age = self._clock.monotonic() - self._majority_at
+        is_late = age > self._settings.stale_seconds * STALE_SHARE
+        return Freshness(age, self._told_by, self._told_age, is_late)
+
     def replace_seeds(self, seeds: Sequence[str]) -> None:
         """Take other seeds, from changed settings, beside the keepers that are known."""
         known = {place.address for place in self._places}
@@ -204,6 +215,7 @@
             keeper=place.address,
             error=repr(error),
             revision=self._view.revision(),
+            **describe_freshness(self.find_freshness()),
         )
         self._place = None
         self._choice.avoid(place.address, self._clock.monotonic() + avoid_seconds)
@@ -250,6 +262,8 @@
                 self._check_home(place, followed)
 
     def _take(self, place: KeeperPlace, update: control_pb2.FollowUpdate) -> None:
+        if self._place is None:
+            logger.info("keeper-followed", keeper=place.address, revision=self._view.revision())
         self._place = place
         part = unpack_part(update)
         if part is not None:
@@ -271,6 +285,7 @@
 
     def _take_age(self, place: KeeperPlace, age: float) -> None:
         now = self._clock.monotonic()
+        self._told_by, self._told_age = place.address, age
         self._majority_at = max(self._majority_at, now - age)
         is_stale = age > self._settings.stale_seconds * STALE_SHARE
         if is_stale and self._has_alternative(place, now):
--- a/packages/node/src/persimmonusher_node/watch.py
+++ b/packages/node/src/persimmonusher_node/watch.py
@@ -80,7 +80,8 @@
                 run.stop(OutcomeKind.TIMEOUT)
 
     def _end_left_runs(self) -> None:
-        oldest = self._clock.monotonic() - TICK_SECONDS
+        now = self._clock.monotonic()
+        oldest = now - TICK_SECONDS
         for run in self._forwarder.list_runs():
             if run.call.arrived < oldest and run.call.has_caller_left():
-                run.leave()
+                run.leave(now)
