--- /dev/null
+++ b/packages/agreement/tests/test_freshness.py
@@ -0,0 +1,145 @@
+"""What keepers say of their freshness, held against what was acknowledged meanwhile."""
+
+import unittest
+from random import Random
+
+from persimmonusher_agreement.configuration_objects import Accepted
+from persimmonusher_lab.log_schedule import LogSchedule
+from persimmonusher_model.identifiers import Revision
+
+STEP_SECONDS = 0.02
+CHANGE_SECONDS = 0.3
+CALM_SECONDS = 3.0
+SEEDS = 30
+
+
+class FreshnessTest(unittest.TestCase):
+    """A keeper that states an age holds all that was acknowledged longer ago than that."""
+
+    def setUp(self) -> None:
+        self.begin(seed=1)
+
+    def begin(self, seed: int) -> None:
+        self.schedule = LogSchedule(seed)
+        self.cluster = self.schedule.cluster
+        self.number = 0
+        self.change_at = 0.0
+        self.acknowledged: dict[str, tuple[float, Revision]] = {}
+        self.run_for(CALM_SECONDS)
+
+    def run_for(self, seconds: float) -> None:
+        """Let time pass under changes, and check each keeper that runs at each step."""
+        end = self.schedule.now + seconds
+        while self.schedule.now < end:
+            self.schedule.run(STEP_SECONDS)
+            if self.schedule.now >= self.change_at:
+                self.change_at = self.schedule.now + CHANGE_SECONDS
+                self.number += 1
+                self.schedule.change(self.number, "clerk")
+            self.note_acknowledged()
+            self.check_keepers()
+
+    def note_acknowledged(self) -> None:
+        for change_id, verdict in self.cluster.invariants.verdicts.items():
+            if isinstance(verdict, Accepted) and change_id not in self.acknowledged:
+                self.acknowledged[change_id] = (self.schedule.now, verdict.revision)
+
+    def check_keepers(self) -> None:
+        now = self.schedule.now
+        for name, keeper in self.cluster.keepers.items():
+            if keeper.running is None:
+                continue
+            age = keeper.running.replica.find_majority_age(now)
+            due = [revision for at, revision in self.acknowledged.values() if at < now - age]
+            held = keeper.running.configuration.revision
+            if due and max(due) > held:
+                self.fail(
+                    f"{now:.2f} s: {name} says {age:.2f} s and holds {held}, not {max(due)}\n"
+                    + "\n".join(self.schedule.trace[-20:])
+                )
+
+    def find_leader(self) -> str:
+        leader = self.cluster.find_leader()
+        assert leader is not None
+        return leader.replica.keeper.partition("#")[0]
+
+    def find_ages(self) -> list[float]:
+        running = self.cluster.list_running()
+        return [keeper.replica.find_majority_age(self.schedule.now) for keeper in running]
+
+    # Guards against messages that were long on their way being taken for fresh.
+    def test_a_way_that_becomes_slow_counts_as_age(self) -> None:
+        leader = self.find_leader()
+        followers = [name for name in self.cluster.keepers if name != leader]
+        for step in range(60):
+            self.schedule.slow(leader, followers[0], step * 0.05)
+            self.run_for(0.2)
+
+    # Guards against answers that were long on their way counting as a majority of now.
+    def test_slow_answers_make_a_leader_old(self) -> None:
+        leader = self.find_leader()
+        for step in range(12):
+            for name in self.cluster.keepers:
+                self.schedule.slow(name, leader, step * 0.05)
+            self.run_for(0.2)
+        replica = self.cluster.keepers[leader].running
+        assert replica is not None
+        self.assertGreater(replica.replica.find_majority_age(self.schedule.now), 0.5)
+
+    # Guards against followers of a leader without a majority calling themselves fresh.
+    def test_a_follower_of_a_leader_that_lost_its_majority_is_not_fresh(self) -> None:
+        self.schedule = LogSchedule(2, size=5)
+        self.cluster = self.schedule.cluster
+        self.run_for(CALM_SECONDS)
+        leader = self.find_leader()
+        near, *far = [name for name in self.cluster.keepers if name != leader]
+        for name in far:
+            for side in (leader, near):
+                self.schedule.cut(name, side, 4.0)
+                self.schedule.cut(side, name, 4.0)
+        self.run_for(0.9)
+        keeper = self.cluster.keepers[near].running
+        assert keeper is not None
+        self.assertGreater(keeper.replica.find_majority_age(self.schedule.now), 0.8)
+        self.run_for(6.0)
+
+    # Guards against a thawed leader, which others have replaced, calling itself fresh.
+    def test_a_leader_that_was_frozen_is_not_fresh(self) -> None:
+        for seconds in (0.5, 1.5, 4.0):
+            self.schedule.freeze(self.find_leader(), seconds)
+            self.run_for(seconds + 4.0)
+
+    # Guards against keepers that never are fresh enough to be followed.
+    def test_without_faults_every_keeper_stays_fresh(self) -> None:
+        for _ in range(50):
+            self.run_for(0.1)
+            self.assertLess(max(self.find_ages()), 0.6)
+
+    # Guards against orders of cuts, slow ways, pauses and restarts that no single test has.
+    def test_stated_ages_are_true_under_series_of_faults(self) -> None:
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                self.begin(seed)
+                self.strike(Random(seed))
+
+    def strike(self, random: Random) -> None:
+        names = list(self.cluster.keepers)
+        for _ in range(12):
+            source, target = random.sample(names, 2)
+            fault = random.randrange(5)
+            if fault == 0:
+                self.schedule.cut(source, target, random.uniform(0.2, 3.0))
+            elif fault == 1:
+                self.schedule.slow(source, target, random.choice([0.0, 0.3, 0.8, 1.5]))
+            elif fault == 2:
+                self.schedule.freeze(source, random.uniform(0.2, 3.0))
+            elif fault == 3:
+                self.schedule.stop(source, random.uniform(0.1, 2.0))
+            else:
+                self.schedule.isolate(source, random.uniform(0.2, 3.0))
+            self.run_for(random.uniform(0.1, 1.5))
+        self.run_for(CALM_SECONDS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/lab/src/persimmonusher_lab/log_schedule.py
+++ b/packages/lab/src/persimmonusher_lab/log_schedule.py
@@ -127,6 +127,7 @@
         self._number = 0
         self._lineage = ""
         self._cut_until: dict[tuple[str, str], float] = {}
+        self._delays: dict[tuple[str, str], float] = {}
         self._down_until: dict[str, float] = {}
         self._frozen_until: dict[str, float] = {}
         self._crash_on_receipt: dict[int, FaultKind] = {}
@@ -229,6 +230,8 @@
     def _put(self, message: LogMessage, delay: float = 0.0) -> None:
         self._number += 1
         latency = self.cluster.random.uniform(*LATENCY)
+        link = (find_instance(message.source), find_instance(message.target))
+        delay += self._delays.get(link, 0.0)
         due = _Due(self.now + delay + latency, self._number, message, self._lineage)
         heapq.heappush(self._due, due)
 
@@ -257,6 +260,11 @@
         self._note(f"{source} -> {target} is cut for {seconds} s")
         self._cut_until[(source, target)] = self.now + seconds
 
+    def slow(self, source: str, target: str, delay_seconds: float) -> None:
+        """Delay what is sent from one keeper to another from now on."""
+        self._note(f"{source} -> {target} is slowed by {delay_seconds:.2f} s")
+        self._delays[(source, target)] = delay_seconds
+
     def isolate(self, name: str, seconds: float) -> None:
         """Cut a keeper off from all others, both ways."""
         for other in self.cluster.keepers:
--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -3,6 +3,7 @@
 loop.install()
 
 import asyncio  # noqa: E402
+import contextlib  # noqa: E402
 import socket  # noqa: E402
 import time  # noqa: E402
 import unittest  # noqa: E402
@@ -31,6 +32,8 @@
             probe.bind(("127.0.0.1", 0))
             self.address = f"127.0.0.1:{probe.getsockname()[1]}"
         self.age_ms = FRESH_MS
+        self.delay_seconds = 0.0
+        """Time on the way for all that it says."""
         self.peers: list[str] = []
         self.followers = 0
         self.streams = 0
@@ -48,11 +51,20 @@
                 update = control_pb2.FollowUpdate(
                     majority_age_ms=self.age_ms, entries=1, keepers=places
                 )
-                await stream.send_message(update)
+                loop.start_coroutine(self.deliver(stream, update))
                 await asyncio.sleep(0.1)
         finally:
             self.followers -= 1
 
+    async def deliver(
+        self,
+        stream: "Stream[control_pb2.FollowRequest, control_pb2.FollowUpdate]",
+        update: control_pb2.FollowUpdate,
+    ) -> None:
+        await asyncio.sleep(self.delay_seconds)
+        with contextlib.suppress(Exception):
+            await stream.send_message(update)
+
     async def ListKeepers(  # noqa: N802
         self, stream: "Stream[control_pb2.KeeperListRequest, control_pb2.KeeperList]"
     ) -> None:
@@ -70,6 +82,7 @@
         self, stream: "Stream[control_pb2.LoadReport, keeper_pb2.Ack]"
     ) -> None:
         await stream.recv_message()
+        await asyncio.sleep(self.delay_seconds)
         await stream.send_message(keeper_pb2.Ack())
 
 
@@ -126,6 +139,18 @@
                 self.set_ages(*ages)
                 self.wait_until_current(1.5)
 
+    # Guards against time on the way, which grows without a gap, not counting as age.
+    def test_what_was_long_on_its_way_is_not_taken_for_fresh(self) -> None:
+        self.wait_until_current(3.0)
+        bound = Settings.model_fields["stale_seconds"].default
+        while self.keepers[0].delay_seconds < bound + 1.0:
+            for keeper in self.keepers:
+                keeper.delay_seconds += 0.03
+            eventlet.sleep(0.1)
+        for _ in range(20):
+            self.assertFalse(self.follower.is_current())
+            eventlet.sleep(0.05)
+
     def test_without_any_leader_the_keepers_are_not_flooded(self) -> None:
         self.wait_until_current(3.0)
         self.set_ages(STALE_MS, STALE_MS, STALE_MS)
