Begin nothing for a caller that has left

Callers that had left had their purchases and entries run all the same: a server refused the request after the departure, and it was sent to the next ones, in the record 0.57 s after the caller had gone.

The decision on a further attempt asked only whether the request was stopped. The class: a decision taken anew on something that has ended meanwhile.

One call, Run.may_begin, now answers for each attempt whether it may begin, by the deadline and by the caller's connection itself, at the last moment before the first byte. A request that ends there is certainly not run: its claim, where it has a key, is given back, and an opened connection is kept.

--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -115,14 +115,19 @@
         request = make_upstream_request(
             run.call, run.request, dispatch.server, started, self._dialect
         )
-        attempt = self._upstream.start_attempt(dispatch.server, request, run.request.deadline)
+        attempt = self._upstream.start_attempt(
+            dispatch.server,
+            request,
+            run.request.deadline,
+            lambda: run.may_begin(self._clock.monotonic()),
+        )
         run.add_attempt(dispatch, attempt)
         outcome = Outcome(OutcomeKind.CANCELLED, 0.0)
         ended: Ended | None = None
         try:
             result = run_attempt(attempt)
             outcome = judge(result, self._clock.monotonic() - started, self._dialect)
-            if outcome.kind not in NOT_RUN_KINDS:
+            if outcome.kind not in NOT_RUN_KINDS and not is_unsent(result):
                 run.may_have_run = True
             ended = Ended(dispatch, result, outcome)
             return ended
@@ -144,7 +149,8 @@
             ended: Ended | None = results.get(timeout=delay)
         except Empty:
             ended = None
-            second = run.live.traffic.hedge(first, self._clock.monotonic())
+            now = self._clock.monotonic()
+            second = run.live.traffic.hedge(first, now) if run.may_begin(now) else None
             if second is not None:
                 run.record.add_decision(second, self._clock.monotonic())
                 run.sent = second.attempt
@@ -200,6 +206,11 @@
         return error
 
 
+def is_unsent(result: AttemptResult) -> bool:
+    """Tell whether the attempt ended before its first byte."""
+    return isinstance(result, AttemptError) and result.is_unsent
+
+
 def judge(result: AttemptResult, latency: float, dialect: Dialect = OWN_DIALECT) -> Outcome:
     """Return the outcome that the decisions are told of."""
     if isinstance(result, AttemptError):
--- a/packages/node/src/persimmonusher_node/caller_reader.py
+++ b/packages/node/src/persimmonusher_node/caller_reader.py
@@ -4,11 +4,16 @@
 from io import RawIOBase
 from typing import Any, Final
 
+from eventlet.patcher import original
+
 LONGEST_AHEAD: Final = 65_536
 """Bytes kept of what a caller sends before its turn: several heads of the largest kind. A caller
-that sends more waits for its answers, and isn't seen to leave meanwhile."""
+that sends more waits for its answers, and is seen to leave as long as the kernel takes the rest."""
 READ_BYTES: Final = 16_384
 
+_select = original("select")
+"""The system's own: eventlet's has no `poll`."""
+
 
 class CallerReader(RawIOBase):
     """The reading side of one caller's connection.
@@ -49,8 +54,16 @@
 
     def has_caller_left(self) -> bool:
         """Tell, without waiting, whether the caller has closed its connection."""
+        if self.is_shut:
+            return False
         self._read_ahead()
-        return self._ended and not self.is_shut
+        return self._ended or (len(self._ahead) >= LONGEST_AHEAD and self._is_hung_up())
+
+    def _is_hung_up(self) -> bool:
+        """Tell whether the connection has ended behind bytes that the kernel still holds."""
+        poll = _select.poll()
+        poll.register(self._connection.fileno(), _select.POLLRDHUP)
+        return bool(poll.poll(0))
 
     def _read_ahead(self) -> None:
         """Take what has come out of the kernel.
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -197,10 +197,12 @@
 
     def _decide_again(self, run: Run, dispatch: Dispatch, outcome: Outcome) -> Decision | None:
         kind = outcome.kind
-        if run.stopped is not None or kind in (OutcomeKind.SUCCESS, OutcomeKind.CANCELLED):
+        if kind in (OutcomeKind.SUCCESS, OutcomeKind.CANCELLED):
             return None
         if kind not in NOT_RUN_KINDS and not run.request.idempotent:
             return None
+        if not run.may_begin(self._clock.monotonic()):
+            return None
         # A hedged request was sent to two servers, whichever of them answered last.
         counted = replace(dispatch, attempt=max(dispatch.attempt, run.sent))
         return run.live.traffic.retry(counted, outcome, self._clock.monotonic())
--- a/packages/node/src/persimmonusher_node/runs.py
+++ b/packages/node/src/persimmonusher_node/runs.py
@@ -1,4 +1,15 @@
-"""A request in flight: what it waits for, and how it is ended early."""
+"""A request in flight: what it waits for, and how it is ended early.
+
+What the end of a request's time, or the departure of its caller, means at each step:
+
+- before the first byte of any attempt, be it the first, a further one or a copy: it isn't sent;
+- in the queue: it is taken out;
+- at a server: idempotent work is cancelled. Other work goes on to its end, since cutting it off
+  would only turn its outcome unknown; what a server then refuses is not sent on.
+
+That holds for work with an idempotency key too: its claim is released with the refusal, so that a
+resend runs at once, and nothing runs later for a caller that has given up.
+"""
 
 from eventlet.event import Event
 
@@ -81,12 +92,19 @@
             self.release(None)
         self.cancel_attempts(kind)
 
-    def leave(self, now: float) -> None:
-        """Take note that the caller left.
+    def may_begin(self, now: float) -> bool:
+        """Tell whether an attempt may begin now; asks the caller's connection itself.
 
-        Idempotent work is cancelled, and so is what still waits here. Non-idempotent work that
-        was dispatched runs to its end: cutting it off would only turn its outcome unknown.
+        The periodic check of callers may be late, so it isn't relied on.
         """
+        if now >= self.request.deadline:
+            self.stop(OutcomeKind.TIMEOUT)
+        elif not self.is_left and self.call.has_caller_left():
+            self.leave(now)
+        return self.stopped is None and not self.is_left
+
+    def leave(self, now: float) -> None:
+        """Take note that the caller left; cancel idempotent work and what waits here."""
         if not self.is_left:
             self.is_left = True
             self.record.add_note("left", "the caller closed its connection", now)
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -5,7 +5,7 @@
 """
 
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from http.client import HTTPException
 from typing import Final
@@ -49,10 +49,19 @@
 class AttemptError(Exception):
     """An attempt that brought no whole answer."""
 
-    def __init__(self, kind: OutcomeKind, code: AnswerCode, message: str) -> None:
+    def __init__(
+        self, kind: OutcomeKind, code: AnswerCode, message: str, is_unsent: bool = False
+    ) -> None:
         super().__init__(message)
         self.kind = kind
         self.code = code
+        self.is_unsent = is_unsent
+        """Whether it certainly ended before the first byte, whatever its kind."""
+
+
+def begin_always() -> bool:
+    """Let an attempt begin, where nobody may leave meanwhile."""
+    return True
 
 
 class Upstream:
@@ -65,15 +74,24 @@
         self._pools: dict[str, ServerPool] = {}
 
     def start_attempt(
-        self, server: BackendServer, request: UpstreamRequest, deadline: float
+        self,
+        server: BackendServer,
+        request: UpstreamRequest,
+        deadline: float,
+        may_begin: Callable[[], bool] = begin_always,
     ) -> "Attempt":
-        """Prepare an attempt; `run` carries it out, `cancel` may end it from elsewhere."""
+        """Prepare an attempt; `run` carries it out, `cancel` may end it from elsewhere.
+
+        `may_begin` is asked at the last moment before the first byte.
+        """
         pool = self._pools.get(server.address)
         if pool is None:
             pool = ServerPool(server.address, self._clock)
             self._pools[server.address] = pool
         pool.used = self._clock.monotonic()
-        return Attempt(pool, request, deadline, self._clock, self._buffered_bytes, self._dialect)
+        return Attempt(
+            pool, request, deadline, self._clock, self._buffered_bytes, self._dialect, may_begin
+        )
 
     def expire(self) -> None:
         """Close idle connections and forget servers without any."""
@@ -100,8 +118,10 @@
         clock: Clock,
         buffered_bytes: int,
         dialect: Dialect = OWN_DIALECT,
+        may_begin: Callable[[], bool] = begin_always,
     ) -> None:
         self._pool = pool
+        self._may_begin = may_begin
         self._dialect = dialect
         self._request = request
         self._deadline = deadline
@@ -135,26 +155,37 @@
                 return
 
     def _open(self) -> ServerConnection:
-        self._check_stopped()
+        self._check_wanted()
         connection = self._pool.take(self._request.idempotent)
         if connection is None:
-            try:
-                connection = self._pool.connect(self._remaining())
-            except (HTTPError, OSError) as error:
-                message = "no connection to the backend server"
-                raise AttemptError(OutcomeKind.UNREACHED, AnswerCode.NO_SERVER, message) from error
+            connection = self._connect()
         self._socket = connection.sock
-        if self._stopped is not None:
-            connection.close()
-        self._check_stopped()
         return connection
 
-    def _check_stopped(self) -> None:
-        # Nothing has left yet: stopped by the deadline here, the request was certainly not run.
-        if self._stopped is None:
+    def _connect(self) -> ServerConnection:
+        """Open a connection, and keep it for others where the attempt is over by then."""
+        try:
+            connection = self._pool.connect(self._remaining())
+        except (HTTPError, OSError) as error:
+            message = "no connection to the backend server"
+            raise AttemptError(OutcomeKind.UNREACHED, AnswerCode.NO_SERVER, message) from error
+        try:
+            self._check_wanted()
+        except AttemptError:
+            self._pool.give_back(connection)
+            raise
+        return connection
+
+    def _check_wanted(self) -> None:
+        """Raise where the attempt must not begin any more; nothing has left yet."""
+        if self._stopped is None and self._may_begin():
             return
-        kind = OutcomeKind.REFUSED if self._stopped is OutcomeKind.TIMEOUT else self._stopped
-        raise AttemptError(kind, AnswerCode.DEADLINE, "the deadline passed before the first byte")
+        # `may_begin` may have stopped this attempt along with its request.
+        if self._stopped is OutcomeKind.TIMEOUT:
+            message = "the deadline passed before the first byte"
+            raise AttemptError(OutcomeKind.REFUSED, AnswerCode.DEADLINE, message, is_unsent=True)
+        message = "the caller left before the first byte"
+        raise AttemptError(OutcomeKind.CANCELLED, AnswerCode.CALLER_LEFT, message, is_unsent=True)
 
     def _exchange(self, connection: ServerConnection) -> BaseHTTPResponse:
         connection.timeout = self._remaining()
