Reckon an entry's freshness from when it asked its keeper

Entries called themselves current by statuses that had been on their way for longer than a change may take: they answered 404 for routes that had been added, and stayed with the keeper.

A way that becomes slow without a gap of 1.2 s was never noticed.

An entry now asks: the report of its requests in progress, sent every 0.4 s, is answered with the keeper's age and revision, and counts from its sending, once that revision is in force here. A keeper whose word arrives late is left for another, whatever it says of itself. An idle entry asks too, which it didn't before; follower.py loses the reports to a module of their own.

--- a/packages/agreement/tests/test_freshness.py
+++ b/packages/agreement/tests/test_freshness.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from persimmonusher_agreement.configuration_objects import Accepted
+from persimmonusher_agreement.freshness import FreshnessLease
 from persimmonusher_lab.log_schedule import LogSchedule
 from persimmonusher_model.identifiers import Revision
 
@@ -14,6 +15,30 @@
 """The last two: a delayed message makes a restarted keeper answer what it had answered before."""
 
 
+class FreshnessLeaseTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.lease = FreshnessLease()
+
+    # Guards against time on the way counting as fresh.
+    def test_an_answer_counts_from_when_it_was_asked_for(self) -> None:
+        self.lease.grant(10.0, 0.4, Revision(3), held=Revision(3))
+        self.assertAlmostEqual(self.lease.find_age(12.0), 2.4)
+
+    # Guards against an entry that never is fresh while changes follow each other quickly.
+    def test_answers_wait_for_their_revision_and_do_not_push_each_other_out(self) -> None:
+        for second in range(100):
+            held = Revision(max(0, second - 3))
+            self.lease.grant(float(second), 0.0, Revision(second), held)
+            if second > 3:
+                self.assertEqual(self.lease.find_age(float(second)), 3.0)
+
+    # Guards against a late answer making the entry older again.
+    def test_an_older_answer_changes_nothing(self) -> None:
+        self.lease.grant(10.0, 0.0, Revision(1), held=Revision(1))
+        self.lease.grant(9.0, 0.5, Revision(1), held=Revision(1))
+        self.assertEqual(self.lease.find_age(11.0), 1.0)
+
+
 class FreshnessTest(unittest.TestCase):
     """A keeper that states an age holds all that was acknowledged longer ago than that."""
 
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -79,7 +79,7 @@
         self.plane = DataPlane(settings, parts, observer, clock, random, edge.dialect)
         self.plane.forwarder.publish_with(self.follower.report)
         self.follower.take_notice = self._take_notice
-        self.follower.list_loads = self._list_loads
+        self.follower.lease.list_loads = self._list_loads
         self.follower.take_loads = self._take_loads
 
     def _list_loads(self) -> dict[ServerId, int]:
--- a/packages/node/src/persimmonusher_node/tiers/follow_feed.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_feed.py
@@ -1,6 +1,7 @@
 """The messages that the followers of one keeper share."""
 
 from collections.abc import Iterable, Sequence
+from math import ceil
 from typing import Final
 
 from persimmonusher_model.clock import Clock
@@ -111,10 +112,18 @@
         self._add_freshness(update, now)
         return update
 
+    def make_standing(self) -> control_pb2.Standing:
+        """Return how fresh this keeper is, and what it holds."""
+        age_ms = self._find_age_ms(self._clock.monotonic())
+        return control_pb2.Standing(majority_age_ms=age_ms, revision=self._view.revision())
+
+    def _find_age_ms(self, now: float) -> int:
+        age = self._role.keeper.replica.find_majority_age(now)
+        return ceil(min(LONGEST_AGE_MS, age * 1000.0))
+
     def _add_freshness(self, update: control_pb2.FollowUpdate, now: float) -> None:
         replica = self._role.keeper.replica
-        age = min(LONGEST_AGE_MS, replica.find_majority_age(now) * 1000.0)
-        update.majority_age_ms = int(age)
+        update.majority_age_ms = self._find_age_ms(now)
         update.entries = self._role.followers.find_total(replica.is_leader, now)
 
     def _list_places(self) -> tuple[tuple[str, str], ...]:
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/tiers/follow_lease.py
@@ -0,0 +1,99 @@
+"""An entry's questions to the keeper that it follows: how fresh what it holds is.
+
+Each question also tells the keeper what the entry has in progress, which it sums up for all.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import Final
+
+import structlog
+
+from persimmonusher_agreement.freshness import FreshnessLease
+from persimmonusher_agreement.keeper_choice import KeeperPlace
+from persimmonusher_model.clock import Clock
+from persimmonusher_model.identifiers import Revision, ServerId
+from persimmonusher_node.configuration_client import ConfigurationClient
+from persimmonusher_node.keeper_calls import CALL_ERRORS
+from persimmonusher_node.peers import ChannelPool
+from persimmonusher_node.ports import Freshness
+from persimmonusher_node.settings import Settings
+from persimmonusher_protocol import control_pb2
+from persimmonusher_protocol.control_grpc import ControlStub
+
+logger = structlog.get_logger(__name__)
+
+ASK_SECONDS: Final = 0.4
+"""Time between questions: about the work of one request."""
+ANSWER_SECONDS: Final = 1.0
+"""Longest wait for an answer: a later one would be too old to be of use."""
+LATE_SHARE: Final = 0.8
+"""Part of `stale_seconds` from which on the configuration counts as late. A keeper's own age is up
+to two heartbeats, and a question more passes before the entry hears of it."""
+
+
+class FollowLease:
+    """How fresh the configuration is here, by the keeper that is asked."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        view: ConfigurationClient,
+        channels: ChannelPool,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._channels = channels
+        self._clock = clock
+        self._random = random
+        self._lease = FreshnessLease()
+        self._told_by = ""
+        self._told_age = 0.0
+        self.list_loads: Callable[[], Mapping[ServerId, int]] = dict
+        """Returns this entry's requests in progress by server."""
+
+    def hold(self, revision: Revision) -> None:
+        """Take that all up to a revision is in force here."""
+        self._lease.hold(revision)
+
+    def is_current(self) -> bool:
+        """Tell whether no change can be in force elsewhere for longer than is allowed."""
+        return self._find_age() <= self._settings.stale_seconds
+
+    def is_late(self) -> bool:
+        """Tell whether too little is left of the time in which a change is to be in force."""
+        return self._find_age() > self._settings.stale_seconds * LATE_SHARE
+
+    def find_freshness(self) -> Freshness:
+        """Return how old the knowledge of the configuration is, and whom it came from."""
+        return Freshness(self._find_age(), self._told_by, self._told_age, self.is_late())
+
+    async def renew(self, place: KeeperPlace) -> None:
+        """Ask a keeper again and again, until cancelled."""
+        while True:
+            try:
+                await self._ask(place)
+            except CALL_ERRORS as error:
+                logger.debug("keeper-silent", keeper=place.address, error=repr(error))
+            await asyncio.sleep(ASK_SECONDS * self._random.uniform(0.9, 1.1))
+
+    async def _ask(self, place: KeeperPlace) -> None:
+        loads = self.list_loads()
+        report = control_pb2.LoadReport(
+            instance=self._settings.instance_id,
+            loads=(control_pb2.Load(server=s, in_progress=n) for s, n in loads.items()),
+        )
+        stub = ControlStub(self._channels.get(place.address))
+        asked_at = self._clock.monotonic()
+        standing = await stub.ReportLoad(report, timeout=ANSWER_SECONDS)
+        if not standing.HasField("majority_age_ms"):
+            return
+        age = standing.majority_age_ms / 1000.0
+        self._told_by, self._told_age = place.address, age
+        self._lease.grant(asked_at, age, Revision(standing.revision), self._view.revision())
+
+    def _find_age(self) -> float:
+        return self._lease.find_age(self._clock.monotonic())
--- a/packages/protocol/src/persimmonusher_protocol/control_grpc.py
+++ b/packages/protocol/src/persimmonusher_protocol/control_grpc.py
@@ -52,7 +52,7 @@
         pass
 
     @abc.abstractmethod
-    async def ReportLoad(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.LoadReport, persimmonusher_protocol.keeper_pb2.Ack]') -> None:
+    async def ReportLoad(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.LoadReport, persimmonusher_protocol.control_pb2.Standing]') -> None:
         pass
 
     @abc.abstractmethod
@@ -77,7 +77,7 @@
                 self.ReportLoad,
                 grpclib.const.Cardinality.UNARY_UNARY,
                 persimmonusher_protocol.control_pb2.LoadReport,
-                persimmonusher_protocol.keeper_pb2.Ack,
+                persimmonusher_protocol.control_pb2.Standing,
             ),
             '/persimmonusher.control.Control/Report': grpclib.const.Handler(
                 self.Report,
@@ -107,7 +107,7 @@
             channel,
             '/persimmonusher.control.Control/ReportLoad',
             persimmonusher_protocol.control_pb2.LoadReport,
-            persimmonusher_protocol.keeper_pb2.Ack,
+            persimmonusher_protocol.control_pb2.Standing,
         )
         self.Report = grpclib.client.UnaryUnaryMethod(
             channel,
