Confirm with a majority that a server is unknown before its end is acknowledged

A server's end could be acknowledged by a keeper that hadn't heard of its registration yet, and work went on to it afterwards.

Cause: a keeper that had heard of a majority within a second took itself for complete. Its registration may have been accepted elsewhere within that second.

Such an end is now confirmed like a read of the configuration: the leader asks a majority, and what was accepted before must have arrived here; else the server is told to try another keeper. Known servers' ends go through the log as before. One call between keepers for each end of a server that nobody knows.

--- a/packages/node/src/persimmonusher_node/tiers/keeper_control.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_control.py
@@ -26,7 +26,6 @@
     read_version,
     unpack_document,
 )
-from persimmonusher_model.clock import Clock
 from persimmonusher_model.errors import ErrorCode, UsherError
 from persimmonusher_model.identifiers import Revision, ServiceName
 from persimmonusher_model.rendezvous import rank
@@ -47,8 +46,6 @@
 elections' time costs nothing, and an answer given up on here would."""
 READ_SECONDS: Final = 0.8
 """An operator that reads turns to another keeper after a second."""
-FRESH_SECONDS: Final = 1.0
-"""A keeper that heard of a majority within this time knows all that was acknowledged before it."""
 
 
 class KeeperControl(ControlPort):
@@ -61,14 +58,12 @@
         view: ConfigurationClient,
         leader: LeaderCalls,
         codec: DocumentCodec,
-        clock: Clock,
     ) -> None:
         self._settings = settings
         self._role = role
         self._view = view
         self._leader = leader
         self._codec = codec
-        self._clock = clock
 
     def register(self, registration: Registration) -> Heartbeat:
         """Take what a server says of itself; only what changes goes through the log.
@@ -92,12 +87,14 @@
         """Take that a server has ended.
 
         Guards against a late word of an earlier start: where it names a boot, it ends only that
-        one. A server that isn't known here may be known elsewhere, so a keeper that is out of
-        touch doesn't acknowledge its end.
+        one. A server that isn't known here may be known elsewhere, however fresh this keeper is,
+        so that its end is acknowledged only once nothing accepted before can be missing here.
         """
         known = self._find(server_id)
         if known is None:
-            self._require_fresh()
+            self._confirm_view(REGISTER_SECONDS)
+            known = self._find(server_id)
+        if known is None:
             return
         if boot is not None and boot != known.boot:
             return
@@ -117,10 +114,7 @@
 
     def read_document(self) -> bytes | None:
         """Return the document in force, once a majority confirmed that none is newer."""
-        revision = run_coroutine(self._leader.confirm(READ_SECONDS))
-        if self._view.revision() < revision:
-            message = f"revision {revision} has not arrived here, only {self._view.revision()}"
-            raise UsherError(ErrorCode.UNAVAILABLE, message)
+        self._confirm_view(READ_SECONDS)
         live = self._view.find_record(DOCUMENT_KEY)
         return None if live is None or live.body is None else unpack_document(live.body).content
 
@@ -148,10 +142,11 @@
             raise UsherError(ErrorCode.BAD_VALUE, f"{key.name!r} was refused", verdict.findings)
         assert isinstance(verdict, Accepted)
 
-    def _require_fresh(self) -> None:
-        age = self._role.keeper.replica.find_majority_age(self._clock.monotonic())
-        if age > FRESH_SECONDS:
-            message = f"this keeper heard of no majority for {age:.1f} s"
+    def _confirm_view(self, timeout: float) -> None:
+        """Return once a majority has confirmed that nothing accepted before is missing here."""
+        revision = run_coroutine(self._leader.confirm(timeout))
+        if self._view.revision() < revision:
+            message = f"revision {revision} has not arrived here, only {self._view.revision()}"
             raise UsherError(ErrorCode.UNAVAILABLE, message)
 
     def _make_heartbeat(self, registration: Registration) -> Heartbeat:
--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -63,7 +63,7 @@
             settings, channels, clock, self._view, random, self.formation, tolerance, TIMING
         )
         leader = LeaderCalls(self._role, channels, clock)
-        control = KeeperControl(settings, self._role, self._view, leader, edge.codec, clock)
+        control = KeeperControl(settings, self._role, self._view, leader, edge.codec)
         self._control = edge.make_control(control)
         self._clock = clock
         self._metrics = KeeperMetrics(self._read_gauges)
--- a/packages/node/tests/test_tiers.py
+++ b/packages/node/tests/test_tiers.py
@@ -99,9 +99,7 @@
             self.settings, channels, clock, self.view, Random(number), formation, tolerance
         )
         leader = LeaderCalls(self.role, channels, clock)
-        self.control = KeeperControl(
-            self.settings, self.role, self.view, leader, PlainCodec(), clock
-        )
+        self.control = KeeperControl(self.settings, self.role, self.view, leader, PlainCodec())
         follow = FollowService(self.settings.failure_domain, self.role, self.view, channels, clock)
         self.listener = GrpcListener(
             self.settings.listen.peers,
