Count the time in which a machine was suspended

The process's clock is the time since the machine's start, suspensions included; where there are none, the two are equal. A suspension is now what a stopped process has been all along, which the tests of pauses cover.

--- a/packages/node/src/persimmonusher_node/clock.py
+++ b/packages/node/src/persimmonusher_node/clock.py
@@ -10,8 +10,12 @@
     """The clocks of the machine that the process runs on."""
 
     def monotonic(self) -> float:
-        """Return the system's monotonic seconds."""
-        return time.monotonic()
+        """Return the seconds since the machine started, those in which it was suspended included.
+
+        Without them, what is known would be as fresh after a suspension as before it, and a
+        deadline that has passed meanwhile would seem to be still ahead.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> datetime:
         """Return the system's time of day in UTC."""
