Let answers that count at once pass those that wait for their revision

By reading: with sixteen answers waiting for a revision that never comes, an entry would have taken no further one and never been current again; and an unforeseen error in the questions would have ended them without a line.

--- a/packages/agreement/src/persimmonusher_agreement/freshness.py
+++ b/packages/agreement/src/persimmonusher_agreement/freshness.py
@@ -83,9 +83,11 @@
 
     def grant(self, asked_at: float, age: float, revision: Revision, held: Revision) -> None:
         """Take a keeper's answer to a question: its own age, in seconds, and its revision."""
-        if len(self._grants) < GRANTS_KEPT:
-            self._grants.append(Grant(asked_at - age, revision))
-        self.hold(held)
+        known_at = asked_at - age
+        if revision <= held:
+            self._known_at = max(self._known_at, known_at)
+        elif len(self._grants) < GRANTS_KEPT:
+            self._grants.append(Grant(known_at, revision))
 
     def hold(self, revision: Revision) -> None:
         """Take that all up to a revision is in force here."""
--- a/packages/node/src/persimmonusher_node/tiers/follow_lease.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_lease.py
@@ -78,6 +78,9 @@
                 await self._ask(place)
             except CALL_ERRORS as error:
                 logger.debug("keeper-silent", keeper=place.address, error=repr(error))
+            except Exception:
+                # Without its questions the entry would never be current again.
+                logger.exception("asking-failed", keeper=place.address)
             await asyncio.sleep(ASK_SECONDS * self._random.uniform(0.9, 1.1))
 
     async def _ask(self, place: KeeperPlace) -> None:
