Check stated ages in every run of the log's fault matrix; faults in a module of their own

The matrix and the kept schedules compared nothing with the age that a keeper states, so that the incident's cause could stand in all of them. The invariant, first written in test_freshness, is checked after each flush of each keeper, in runs whose clocks don't jump: ages are spans of clocks.

--- a/packages/agreement/tests/test_freshness.py
+++ b/packages/agreement/tests/test_freshness.py
@@ -3,7 +3,6 @@
 import unittest
 from random import Random
 
-from persimmonusher_agreement.configuration_objects import Accepted
 from persimmonusher_agreement.freshness import FreshnessLease
 from persimmonusher_lab.log_schedule import LogSchedule
 from persimmonusher_model.identifiers import Revision
@@ -57,11 +56,10 @@
         self.cluster = self.schedule.cluster
         self.number = 0
         self.change_at = 0.0
-        self.acknowledged: dict[str, tuple[float, Revision]] = {}
         self.run_for(CALM_SECONDS)
 
     def run_for(self, seconds: float) -> None:
-        """Let time pass under changes, and check each keeper that runs at each step."""
+        """Let time pass under changes, and check all keepers also between their events."""
         end = self.schedule.now + seconds
         while self.schedule.now < end:
             self.schedule.run(STEP_SECONDS)
@@ -69,27 +67,8 @@
                 self.change_at = self.schedule.now + CHANGE_SECONDS
                 self.number += 1
                 self.schedule.change(self.number, "clerk")
-            self.note_acknowledged()
-            self.check_keepers()
-
-    def note_acknowledged(self) -> None:
-        for change_id, verdict in self.cluster.invariants.verdicts.items():
-            if isinstance(verdict, Accepted) and change_id not in self.acknowledged:
-                self.acknowledged[change_id] = (self.schedule.now, verdict.revision)
-
-    def check_keepers(self) -> None:
-        now = self.schedule.now
-        for name, keeper in self.cluster.keepers.items():
-            if keeper.running is None:
-                continue
-            age = keeper.running.replica.find_majority_age(now)
-            due = [revision for at, revision in self.acknowledged.values() if at < now - age]
-            held = keeper.running.configuration.revision
-            if due and max(due) > held:
-                self.fail(
-                    f"{now:.2f} s: {name} says {age:.2f} s and holds {held}, not {max(due)}\n"
-                    + "\n".join(self.schedule.trace[-20:])
-                )
+            for keeper in self.cluster.list_running():
+                self.schedule.freshness.check_keeper(keeper, self.schedule.now)
 
     def find_leader(self) -> str:
         leader = self.cluster.find_leader()
--- a/packages/lab/src/persimmonusher_lab/log_matrix.py
+++ b/packages/lab/src/persimmonusher_lab/log_matrix.py
@@ -15,8 +15,9 @@
 
 import typer
 
+from persimmonusher_lab.log_faults import Fault, FaultKind, Step
 from persimmonusher_lab.log_invariants import InvariantError
-from persimmonusher_lab.log_schedule import HOURS, Fault, FaultKind, LogSchedule, Step
+from persimmonusher_lab.log_schedule import HOURS, LogSchedule
 
 OCCURRENCES: Final = {
     Step.PRE_VOTE_REQUEST: (1, 3, 5),
--- a/packages/lab/src/persimmonusher_lab/log_schedule.py
+++ b/packages/lab/src/persimmonusher_lab/log_schedule.py
@@ -7,23 +7,32 @@
 
 import heapq
 from dataclasses import dataclass
-from enum import Enum
 from typing import Final
 
-from persimmonusher_agreement.configuration_keeper import ANY_KEEPERS, LossTolerance
+from persimmonusher_agreement.configuration_keeper import (
+    ANY_KEEPERS,
+    KeeperOutput,
+    LossTolerance,
+)
 from persimmonusher_agreement.log_messages import (
     AppendReply,
     AppendRequest,
     LogMessage,
-    PreVoteReply,
-    PreVoteRequest,
-    SnapshotRequest,
-    VoteReply,
-    VoteRequest,
     find_instance,
 )
+from persimmonusher_lab.freshness_invariant import FreshnessInvariant
 from persimmonusher_lab.log_cluster import LogCluster
-from persimmonusher_lab.log_disk import DiskFault
+from persimmonusher_lab.log_faults import (
+    CLOCK_JUMPS,
+    DELAYS,
+    DISK_FAULTS,
+    RECEIVER_CRASHES,
+    SENDER_CRASHES,
+    Fault,
+    FaultKind,
+    Step,
+    find_step,
+)
 from persimmonusher_model.identifiers import Revision
 
 SHORT: Final = 4.0
@@ -35,67 +44,6 @@
 LATENCY: Final = (0.001, 0.02)
 
 
-class Step(Enum):
-    """The kinds of messages between keepers."""
-
-    PRE_VOTE_REQUEST = "pre-vote-request"
-    PRE_VOTE_REPLY = "pre-vote-reply"
-    VOTE_REQUEST = "vote-request"
-    VOTE_REPLY = "vote-reply"
-    HEARTBEAT = "heartbeat"
-    ENTRIES = "entries"
-    APPEND_REPLY = "append-reply"
-    SNAPSHOT = "snapshot"
-
-
-STEPS: Final = {
-    PreVoteRequest: Step.PRE_VOTE_REQUEST,
-    PreVoteReply: Step.PRE_VOTE_REPLY,
-    VoteRequest: Step.VOTE_REQUEST,
-    VoteReply: Step.VOTE_REPLY,
-    AppendReply: Step.APPEND_REPLY,
-    SnapshotRequest: Step.SNAPSHOT,
-}
-
-
-class FaultKind(Enum):
-    """What happens to the message, its sender or its receiver."""
-
-    LOST = "lost"
-    DELAYED = "delayed"
-    DUPLICATED = "duplicated"
-    REORDERED = "reordered"
-    CUT_OUT = "one-way-cut"
-    CUT_BACK = "one-way-cut-back"
-    CRASH_SENDER_BEFORE_SYNC = "crash-sender-before-sync"
-    CRASH_SENDER_AFTER_SYNC = "crash-sender-after-sync"
-    CRASH_RECEIVER_BEFORE_SYNC = "crash-receiver-before-sync"
-    CRASH_RECEIVER_AFTER_SYNC = "crash-receiver-after-sync"
-    FREEZE_SENDER = "freeze-sender"
-    FREEZE_RECEIVER = "freeze-receiver"
-    ISOLATE_SENDER = "isolate-sender-for-hours"
-    ISOLATE_RECEIVER = "isolate-receiver-for-hours"
-    CUT_OUT_FOR_HOURS = "one-way-cut-for-hours"
-    DISK_LOST = "disk-error"
-    DISK_WRITTEN = "disk-error-after-write"
-    DISK_FULL = "disk-full"
-    CLOCK_FORWARD = "clock-forward"
-    CLOCK_BACK = "clock-back"
-    WIPE = "wiped-disk"
-
-
-@dataclass(frozen=True)
-class Fault:
-    """A fault at the n-th message of a kind, counted from 1."""
-
-    step: Step
-    occurrence: int
-    kind: FaultKind
-
-    def __str__(self) -> str:
-        return f"{self.step.value}:{self.occurrence}:{self.kind.value}"
-
-
 @dataclass(order=True)
 class _Due:
     at: float
@@ -118,6 +66,8 @@
         self.cluster = LogCluster(seed, size, tolerance=tolerance)
         self._tick_seconds = tick
         self.now = 0.0
+        self.freshness = FreshnessInvariant()
+        self._has_clock_jumped = False
         self.steps = 0
         self.struck: list[Fault] = []
         self.trace: list[str] = []
@@ -203,6 +153,7 @@
     def _send_all(self, name: str, before: object) -> None:
         was_running = self.cluster.keepers[name].running is not None
         output = self.cluster.flush(name)
+        self._check_freshness(name, output)
         if was_running and self.cluster.keepers[name].running is None:
             self._note(f"{name} stopped: its disk failed")
             self._down_until[name] = self.now + self._draw_pause()
@@ -214,11 +165,17 @@
             elif not self._strike(fault, message, before):
                 return
 
+    def _check_freshness(self, name: str, output: KeeperOutput) -> None:
+        """Check the age that a keeper states, unless a clock jumped: ages are spans of clocks."""
+        self.freshness.note_verdicts(output.verdicts, self.now)
+        keepers = self.cluster.keepers
+        self._has_clock_jumped |= any(keeper.clock_offset for keeper in keepers.values())
+        running = keepers[name].running
+        if running is not None and not self._has_clock_jumped:
+            self.freshness.check_keeper(running, self.now)
+
     def _find_fault(self, message: LogMessage) -> Fault | None:
-        if isinstance(message, AppendRequest):
-            step = Step.ENTRIES if message.entries else Step.HEARTBEAT
-        else:
-            step = STEPS[type(message)]
+        step = find_step(message)
         self._counts[step] += 1
         for fault in self._armed:
             if (fault.step, fault.occurrence) == (step, self._counts[step]):
@@ -282,7 +239,7 @@
         """Carry out a fault; False when the sender sends nothing more."""
         self._note(f"fault {fault} at {_show(message)}")
         source, target = find_instance(message.source), find_instance(message.target)
-        if fault.kind in _SENDER_CRASHES:
+        if fault.kind in SENDER_CRASHES:
             if fault.kind is FaultKind.CRASH_SENDER_BEFORE_SYNC:
                 self.cluster.keepers[source].disk.durable = before  # type: ignore[assignment]
             self.stop(source, self._draw_pause())
@@ -300,18 +257,18 @@
             self.cut(source, target, HOURS)
         elif kind is FaultKind.CUT_BACK:
             self.cut(target, source, SHORT)
-        if kind in _RECEIVER_CRASHES:
+        if kind in RECEIVER_CRASHES:
             self._crash_on_receipt[id(message)] = kind
         if kind is FaultKind.DUPLICATED:
             self._put(message, 1.5)
-        self._put(message, _DELAYS.get(kind, 0.0))
+        self._put(message, DELAYS.get(kind, 0.0))
 
     def _strike_instance(self, kind: FaultKind, source: str, target: str) -> None:
         receiver = self.cluster.keepers[target]
-        if kind in _DISK_FAULTS:
-            receiver.disk.fault = _DISK_FAULTS[kind]
-        elif kind in _CLOCK_JUMPS:
-            receiver.clock_offset += _CLOCK_JUMPS[kind]
+        if kind in DISK_FAULTS:
+            receiver.disk.fault = DISK_FAULTS[kind]
+        elif kind in CLOCK_JUMPS:
+            receiver.clock_offset += CLOCK_JUMPS[kind]
         elif kind is FaultKind.WIPE:
             self.wipe(target)
         elif kind is FaultKind.FREEZE_SENDER:
@@ -348,20 +305,6 @@
         return self.cluster.entries[entry].revision
 
 
-_SENDER_CRASHES: Final = {FaultKind.CRASH_SENDER_BEFORE_SYNC, FaultKind.CRASH_SENDER_AFTER_SYNC}
-_RECEIVER_CRASHES: Final = {
-    FaultKind.CRASH_RECEIVER_BEFORE_SYNC,
-    FaultKind.CRASH_RECEIVER_AFTER_SYNC,
-}
-_DELAYS: Final = {FaultKind.DELAYED: 2.5, FaultKind.REORDERED: 0.1}
-_DISK_FAULTS: Final = {
-    FaultKind.DISK_LOST: DiskFault.LOST,
-    FaultKind.DISK_WRITTEN: DiskFault.WRITTEN,
-    FaultKind.DISK_FULL: DiskFault.FULL,
-}
-_CLOCK_JUMPS: Final = {FaultKind.CLOCK_FORWARD: 3_600.0, FaultKind.CLOCK_BACK: -3_600.0}
-
-
 def _show(message: LogMessage) -> str:
     name = type(message).__name__
     head = f"{message.source} -> {message.target} {name} term {message.term}"
