Say what an age of the configuration means in plain terms; clearer names

Read as a newcomer: comments of the new code say upper bounds, transit and messages; caller_left and GRACE_SHARE for names that needed explaining. No logic is changed.

--- a/packages/agreement/src/persimmonusher_agreement/freshness.py
+++ b/packages/agreement/src/persimmonusher_agreement/freshness.py
@@ -1,8 +1,10 @@
-"""How long ago a majority of the keepers is known to have stood behind what a process holds.
+"""Upper bounds on how stale the configuration is at a keeper and at an entry.
 
-Each process counts from the moment at which it asked, by its own clock, and never from the moment
-at which an answer came: time on the way, in a buffer or in a pause then makes an answer older, not
-fresher. No clock is compared with another one; only spans are sent.
+An age of some seconds says that every change acknowledged longer ago than that is applied here.
+
+Each process measures from the moment at which it asked, by its own clock, and never from the moment
+at which an answer arrived: time in transit, in a buffer or in a pause then makes an answer older,
+not fresher. No two clocks are compared; only durations are sent.
 """
 
 from collections import deque
@@ -21,17 +23,17 @@
 class KeeperFreshness:
     """The freshness of a keeper that follows a leader.
 
-    The leader's messages say which of this keeper's answers it has had, and how its last contact
-    with a majority lies to that answer. An answer was sent before it arrived, so that contact is
-    at most as long ago as the answer's sending and that span together.
+    The leader's messages name the last of this keeper's answers that arrived, and the time from
+    the leader's last contact with a majority to that arrival. The answer was sent before it
+    arrived, so the contact can't be older than the time since the answer was sent plus that time.
 
-    Numbers of answers begin elsewhere at each start of a keeper, so that a late word on an answer
-    of its former process names none of this one's.
+    Numbers of answers begin elsewhere at each start of a keeper, so that a delayed message about an
+    answer of the former process isn't taken for one about an answer of this process.
     """
 
     def __init__(self, first_answer: int) -> None:
         self.known_at = float("-inf")
-        """Reading of the own clock at which all that was acknowledged is held here."""
+        """All that was acknowledged before this reading of the own clock is applied here."""
         self._pending = float("-inf")
         self._last = first_answer
         self._answered: dict[int, float] = {}
@@ -57,16 +59,16 @@
 
 @dataclass(frozen=True)
 class Grant:
-    """A keeper's word that all up to a revision was all there was at a time."""
+    """A keeper's statement: nothing newer than `revision` was acknowledged before `known_at`."""
 
     known_at: float
     revision: Revision
 
 
 class FreshnessLease:
-    """The freshness of an entry that asks the keeper which it follows.
+    """The freshness of an entry, by the answers of the keeper that it follows.
 
-    An answer counts once what the keeper held is held here too.
+    An answer counts once the revision that the keeper had is applied here too.
 
     >>> lease = FreshnessLease()
     >>> lease.grant(10.0, 0.5, Revision(7), held=Revision(6))
--- a/packages/agreement/src/persimmonusher_agreement/log_leadership.py
+++ b/packages/agreement/src/persimmonusher_agreement/log_leadership.py
@@ -158,7 +158,7 @@
         self._outbox.append(request)
 
     def _describe_contact(self, progress: Progress, commit: int) -> MajorityContact | None:
-        """Return what a member needs to reckon its own freshness by, where that is known.
+        """Return what a member needs to compute its own freshness; None where it isn't known.
 
         Before an entry of its own term is committed, a leader may not know what was acknowledged.
         """
--- a/packages/agreement/src/persimmonusher_agreement/log_messages.py
+++ b/packages/agreement/src/persimmonusher_agreement/log_messages.py
@@ -139,7 +139,7 @@
 
 @dataclass(frozen=True)
 class MajorityContact:
-    """How a leader's last contact with a majority lies to an answer of the receiver."""
+    """When a leader was last in contact with a majority, relative to an answer of the receiver."""
 
     answer: int
     """The number of the receiver's answer that arrived last."""
@@ -159,7 +159,7 @@
     round: int
     """Numbers the leader's rounds of heartbeats, to confirm that it still leads."""
     contact: MajorityContact | None = None
-    """Absent where the leader can't vouch for all that was acknowledged."""
+    """Absent where the leader may not know all that was acknowledged."""
 
 
 @dataclass(frozen=True)
--- a/packages/agreement/src/persimmonusher_agreement/log_replica.py
+++ b/packages/agreement/src/persimmonusher_agreement/log_replica.py
@@ -165,9 +165,8 @@
     def find_majority_age(self, reading: float) -> float:
         """Return an age: all that was acknowledged longer ago than that is applied here.
 
-        Guards against a keeper that hears a leader and still is behind: the leader may have lost
-        its majority, its words may have been long on their way, and the replica may not have
-        caught up.
+        Hearing a leader isn't enough: it may have lost its majority, its messages may have been
+        delayed, and this replica may not have caught up.
         """
         return reading - max(self._freshness.known_at, self._find_majority_contact(reading))
 
--- a/packages/node/src/persimmonusher_node/entry.py
+++ b/packages/node/src/persimmonusher_node/entry.py
@@ -47,7 +47,7 @@
         return self._services.revision()
 
     def find_freshness(self) -> Freshness | None:
-        """Return how old the knowledge of the configuration is; None where it isn't reckoned."""
+        """Return how stale the configuration may be; None where that isn't known."""
         return self._services.find_freshness()
 
     def handle(self, call: Call, live: LiveService) -> Answer:
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -38,7 +38,7 @@
     servers_taking_work: dict[ServiceName, int]
     servers_left_out: dict[ServiceName, int]
     configuration_age_seconds: float = 0.0
-    """0 where it isn't reckoned."""
+    """0 where it isn't known."""
 
 
 class MetricsSource(ABC):
@@ -136,7 +136,7 @@
     "in_flight": "Requests in flight.",
     "caller_connections": "Open connections of callers.",
     "revision": "The configuration revision in force here.",
-    "configuration_age_seconds": "Time since a majority stood behind the configuration known here.",
+    "configuration_age_seconds": "All acknowledged longer ago is in force here.",
     "live_instances": "Instances believed alive, this one included.",
     "servers_taking_work": "Backend servers that get work from here.",
     "servers_left_out": "Backend servers that get none, such as ejected or draining ones.",
--- a/packages/node/src/persimmonusher_node/ports.py
+++ b/packages/node/src/persimmonusher_node/ports.py
@@ -27,14 +27,14 @@
 
 @dataclass(frozen=True)
 class Freshness:
-    """How old the knowledge of the configuration is, by each hop that it took. Ages are seconds."""
+    """Upper bounds on how stale the configuration is here, by hop. Ages are seconds."""
 
     age: float
-    """Since a majority of the keepers stood behind what is known here."""
+    """All that was acknowledged longer ago than this is in force here."""
     keeper: str
-    """Address of the keeper that told so last; empty before the first."""
+    """Address of the keeper that answered last; empty before the first answer."""
     keeper_age: float
-    """Since that keeper was in touch with a majority, as it said itself."""
+    """The same age at that keeper, as it stated it."""
     is_late: bool
     """Whether the age is a large part of the time in which a change is to be in force."""
 
@@ -55,7 +55,7 @@
         return True
 
     def find_freshness(self) -> Freshness | None:
-        """Return how old the knowledge here is; None where it isn't reckoned."""
+        """Return how stale the configuration may be; None where that isn't known."""
         return None
 
     def find_rule(self, host: str, path: str) -> RouteRule | None:
--- a/packages/node/src/persimmonusher_node/runs.py
+++ b/packages/node/src/persimmonusher_node/runs.py
@@ -40,7 +40,7 @@
         """Attempts that were sent, copies included."""
         self.settled = False
         """Whether one copy of a hedged request has won."""
-        self.is_left = False
+        self.caller_left = False
         """Whether the caller was seen to have left."""
         self._release: Event | None = None
 
@@ -99,14 +99,14 @@
         """
         if now >= self.request.deadline:
             self.stop(OutcomeKind.TIMEOUT)
-        elif not self.is_left and self.call.has_caller_left():
+        elif not self.caller_left and self.call.has_caller_left():
             self.leave(now)
-        return self.stopped is None and not self.is_left
+        return self.stopped is None and not self.caller_left
 
     def leave(self, now: float) -> None:
         """Take note that the caller left; cancel idempotent work and what waits here."""
-        if not self.is_left:
-            self.is_left = True
+        if not self.caller_left:
+            self.caller_left = True
             self.record.add_note("left", "the caller closed its connection", now)
         if self.request.idempotent or self.is_waiting:
             self.stop(OutcomeKind.CANCELLED)
--- a/packages/node/src/persimmonusher_node/services.py
+++ b/packages/node/src/persimmonusher_node/services.py
@@ -91,7 +91,7 @@
         return self._view.is_current()
 
     def find_freshness(self) -> Freshness | None:
-        """Return how old the knowledge of the configuration is; None where it isn't reckoned."""
+        """Return how stale the configuration may be; None where that isn't known."""
         return self._view.find_freshness()
 
     def open_with(self, opening: Callable[[LiveService], None]) -> None:
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -45,7 +45,7 @@
         return self.follower is not None and self.follower.is_current()
 
     def find_freshness(self) -> Freshness | None:
-        """Return how old the knowledge here is."""
+        """Return how stale the configuration may be."""
         return None if self.follower is None else self.follower.find_freshness()
 
 
--- a/packages/node/src/persimmonusher_node/tiers/follow_lease.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_lease.py
@@ -29,8 +29,8 @@
 ANSWER_SECONDS: Final = 1.0
 """Longest wait for an answer: a later one would be too old to be of use."""
 LATE_SHARE: Final = 0.8
-"""Part of `stale_seconds` from which on the configuration counts as late. A keeper's own age is up
-to two heartbeats, and a question more passes before the entry hears of it."""
+"""Part of `stale_seconds` beyond which the configuration is late: above the age without faults,
+which is two heartbeats of the keepers and the time between two questions."""
 
 
 class FollowLease:
@@ -68,7 +68,7 @@
         return self._find_age() > self._settings.stale_seconds * LATE_SHARE
 
     def find_freshness(self) -> Freshness:
-        """Return how old the knowledge of the configuration is, and whom it came from."""
+        """Return how stale the configuration may be, and which keeper said so."""
         return Freshness(self._find_age(), self._told_by, self._told_age, self.is_late())
 
     async def renew(self, place: KeeperPlace) -> None:
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -38,9 +38,9 @@
 STALE_SHARE: Final = 0.6
 """Part of `stale_seconds` for which a keeper may be out of touch with a majority before the entry
 turns to another one: a lost heartbeat is no reason yet."""
-LEASE_SHARE: Final = 0.25
-"""Part of `stale_seconds` for which a keeper is followed before it is judged by the age of what is
-known here, which is the former keeper's work until then."""
+GRACE_SHARE: Final = 0.25
+"""Part of `stale_seconds` during which a newly followed keeper isn't judged by the age here, which
+may still be due to the former keeper."""
 AVOID_SECONDS: Final = 5.0
 """A keeper that was lost or stale is tried again only after the others for so long."""
 STALE_AVOID_SECONDS: Final = 0.6
@@ -136,7 +136,7 @@
         return self.lease.is_current()
 
     def find_freshness(self) -> Freshness:
-        """Return how old the knowledge of the configuration is, and whom it came from."""
+        """Return how stale the configuration may be, and which keeper said so."""
         return self.lease.find_freshness()
 
     def replace_seeds(self, seeds: Sequence[str]) -> None:
@@ -279,7 +279,7 @@
     def _check_lease(self, place: KeeperPlace, followed: float) -> None:
         """Leave a keeper whose word takes too long to arrive, whatever it says of itself."""
         now = self._clock.monotonic()
-        if now - followed < self._settings.stale_seconds * LEASE_SHARE:
+        if now - followed < self._settings.stale_seconds * GRACE_SHARE:
             return
         if self.lease.is_late() and self._has_alternative(place, now):
             age = self.find_freshness().age
