Refuse requests for which a stop leaves too little time

A caller's request on a kept connection was taken 4.9 s after SIGTERM, passed on to a backend server, and cut off with the connection 0.36 s later: its outcome was unknown, though it needn't have been begun.

Cause: the time at which a stop cuts off what is in flight was known to the stop alone; requests that came on kept connections were taken until then. The class of the departed callers: a decision that doesn't ask whether what it relies on is about to end.

--- a/packages/node/src/persimmonusher_node/answers.py
+++ b/packages/node/src/persimmonusher_node/answers.py
@@ -45,6 +45,7 @@
     ANSWER_TIMEOUT = "answer-timeout"
     ANSWER_BROKEN = "answer-broken"
     CALLER_LEFT = "caller-left"
+    STOPPING = "stopping"
     INTERNAL = "internal"
 
 
@@ -85,6 +86,7 @@
     AnswerCode.ANSWER_TIMEOUT: ErrorForm(504, _UNKNOWN, 1.0),
     AnswerCode.ANSWER_BROKEN: ErrorForm(502, _UNKNOWN, 1.0),
     AnswerCode.CALLER_LEFT: ErrorForm(499, _UNKNOWN),
+    AnswerCode.STOPPING: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.INTERNAL: ErrorForm(500, _UNKNOWN, 1.0),
 }
 
--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -31,6 +31,8 @@
 LONGEST_DEADLINE_MS: Final = 600_000
 """As in profiles; it bounds how long a graceful stop may take."""
 LONGEST_NAME: Final = 64
+LAST_REQUEST_SECONDS: Final = 1.0
+"""Time that a request is given before a stop cuts it off, where its route states no target."""
 STARTING_SECONDS: Final = 0.7
 """Longest wait for the first configuration after a start: an election and the way here. A caller
 that gives up on a connection does so after a second."""
@@ -82,6 +84,8 @@
         self._lines = LineBudget(clock)
         self.stopping = False
         """Whether the health path answers 503."""
+        self.cut_off_at: float | None = None
+        """When a stop cuts off what is still in flight; None where none does."""
         self.count_connections: Callable[[], int] = int
         """Returns the number of the callers' open connections."""
 
@@ -146,8 +150,19 @@
             environ[ENVIRON_KEY].reader,
             routed.rule,
         )
+        self._check_time_left(call, live)
         return self._entry.handle(call, live)
 
+    def _check_time_left(self, call: Call, live: LiveService) -> None:
+        """Refuse what a stop would probably cut off: another instance can serve it."""
+        if self.cut_off_at is None:
+            return
+        usual = LAST_REQUEST_SECONDS if call.rule is None else call.rule.target_ms / 1000.0
+        needed = min(usual, call.find_allowed_ms(live.profile) / 1000.0)
+        if self._clock.monotonic() + needed > self.cut_off_at:
+            message = "this instance stops before the request could be answered"
+            raise BadCall(make_error(AnswerCode.STOPPING, message, call.request_id))
+
     def _wait_for_configuration(self) -> None:
         """Give an instance that has just started a moment to get its configuration.
 
--- a/packages/node/src/persimmonusher_node/shutdown.py
+++ b/packages/node/src/persimmonusher_node/shutdown.py
@@ -80,6 +80,8 @@
         _log.info("stopping", in_flight=self._forwarder.in_flight)
         eventlet.sleep(self._settings.stop_delay_seconds)
         self._listener.stop_accepting()
+        if self._settings.stop_seconds is not None:
+            self._application.cut_off_at = self._signalled + self._settings.stop_seconds
         started = self._clock.monotonic()
         whole = self._listener.wait_until_idle(lambda: self._is_overdue(started))
         if not whole:
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -17,7 +17,9 @@
 from entry_harness import PROFILE, EntryTestCase, ScriptedServer, Told, answer, read_answer, stall
 from lone_instance import HOST
 
+from persimmonusher_node.clock import SystemClock
 from persimmonusher_node.settings import Limits, Listeners, Settings
+from persimmonusher_node.shutdown import GracefulStop
 
 SCRIPT = Path(__file__).with_name("lone_instance.py")
 NUMBERS = itertools.count(1)
@@ -52,6 +54,35 @@
         self.assertEqual(len(self.ran), 1)
 
 
+class LateRequestTest(EntryTestCase):
+    server_names = ("s1",)
+
+    # Guards against taking a request that the end of the stop would cut off.
+    def test_a_request_for_which_no_time_is_left_is_refused_at_once(self) -> None:
+        self.script(stall(0.8, answer(b"first")), stall(2.0, answer(b"second")))
+        listen = Listeners(**dict.fromkeys(Listeners.model_fields, "127.0.0.1:0"))
+        settings = Settings(
+            instance_id="e1",
+            failure_domain="a",
+            listen=listen,
+            peer_token="secret",
+            stop_delay_seconds=0.2,
+            stop_seconds=1.5,
+        )
+        stop = GracefulStop(
+            settings, self.plane.application, self.listener, self.plane.forwarder, SystemClock()
+        )
+        connection = self.connect()
+        first = eventlet.spawn(self.call, "POST", "/1", connection=connection)
+        eventlet.sleep(0.1)
+        stopping = eventlet.spawn(stop.run)
+        self.assertEqual(first.wait().body, b"first")
+        told = self.call("POST", "/2", connection=connection)
+        self.assertEqual((told.status, told.outcome), (503, "not-run"))
+        self.assertEqual([heard.target for heard in self.ran], ["/1"])
+        self.assertTrue(stopping.wait())
+
+
 class AcceptGapTest(EntryTestCase):
     def test_no_caller_is_let_in_between_the_last_accept_and_the_close(self) -> None:
         """A caller connects and sends its entry just after the stop's last accept.
