Bound ages in one place, also in the lines on who leads

Operators' log readers met Infinity, which is no JSON, in the first leader-changed lines of a keeper: its age wasn't bounded, while three other places bounded theirs each by itself. One function bounds all of them.

--- a/packages/lab/src/persimmonusher_lab/freshness_invariant.py
+++ b/packages/lab/src/persimmonusher_lab/freshness_invariant.py
@@ -16,7 +16,6 @@
     """
 
     def __init__(self) -> None:
-        self.checks = 0
         self._times: list[float] = []
         self._revisions: list[Revision] = []
         """The newest revision that was acknowledged by each of the times."""
@@ -34,7 +33,6 @@
 
     def check_keeper(self, keeper: ConfigurationKeeper, now: float) -> None:
         """Check one keeper, whose clock must show the same time."""
-        self.checks += 1
         age = keeper.replica.find_majority_age(now)
         due = bisect_left(self._times, now - age)
         held = keeper.configuration.revision
--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -31,8 +31,8 @@
 LONGEST_DEADLINE_MS: Final = 600_000
 """As in profiles; it bounds how long a graceful stop may take."""
 LONGEST_NAME: Final = 64
-LAST_REQUEST_SECONDS: Final = 1.0
-"""Time that a request is given before a stop cuts it off, where its route states no target."""
+UNTARGETED_SECONDS: Final = 1.0
+"""Time that a request needs before a stop cuts it off, where its route states no target."""
 STARTING_SECONDS: Final = 0.7
 """Longest wait for the first configuration after a start: an election and the way here. A caller
 that gives up on a connection does so after a second."""
@@ -157,7 +157,7 @@
         """Refuse what a stop would probably cut off: another instance can serve it."""
         if self.cut_off_at is None:
             return
-        usual = LAST_REQUEST_SECONDS if call.rule is None else call.rule.target_ms / 1000.0
+        usual = UNTARGETED_SECONDS if call.rule is None else call.rule.target_ms / 1000.0
         needed = min(usual, call.find_allowed_ms(live.profile) / 1000.0)
         if self._clock.monotonic() + needed > self.cut_off_at:
             message = "this instance stops before the request could be answered"
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -6,6 +6,7 @@
 from persimmonusher_decisions.server import BackendServer, ServerState
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, RequestId
+from persimmonusher_node.ages import bound_age
 from persimmonusher_node.callers import CallersApplication
 from persimmonusher_node.dialect import OWN_DIALECT, Dialect
 from persimmonusher_node.entry import Entry
@@ -14,7 +15,6 @@
 from persimmonusher_node.metrics import InstanceGauges, ObserverChain, RequestMetrics
 from persimmonusher_node.observer import RequestObserver
 from persimmonusher_node.parts import Parts
-from persimmonusher_node.ports import LONGEST_AGE_SECONDS
 from persimmonusher_node.records import RecordRing, RequestRecord
 from persimmonusher_node.services import ServiceBook
 from persimmonusher_node.settings import Settings
@@ -94,5 +94,5 @@
             len(self._parts.membership.list_live()),
             taking,
             left_out,
-            0.0 if freshness is None else min(LONGEST_AGE_SECONDS, freshness.age),
+            0.0 if freshness is None else bound_age(freshness.age),
         )
--- a/packages/node/src/persimmonusher_node/keeper.py
+++ b/packages/node/src/persimmonusher_node/keeper.py
@@ -9,7 +9,7 @@
 from contextlib import contextmanager
 from pathlib import Path
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 import structlog
 from grpclib._typing import IServable
@@ -19,6 +19,7 @@
     SNAPSHOT_ENTRIES,
     ConfigurationKeeper,
     KeeperOutput,
+    KeeperStatus,
     LossTolerance,
 )
 from persimmonusher_agreement.configuration_objects import Change, Verdict
@@ -33,6 +34,7 @@
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.errors import ErrorCode, UsherError
 from persimmonusher_model.identifiers import InstanceId, Revision
+from persimmonusher_node.ages import bound_age
 from persimmonusher_node.component import Component
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.keeper_calls import CALL_ERRORS
@@ -77,6 +79,17 @@
 longer than an election, so that it doesn't ask while one is held."""
 
 
+def describe_leader(status: KeeperStatus, majority_age: float) -> dict[str, Any]:
+    """Return the fields of a line that say who leads, and how far this keeper has come."""
+    return {
+        "leader": status.leader,
+        "term": status.term,
+        "commit": status.commit_index,
+        "revision": status.revision,
+        "majority_age": round(bound_age(majority_age), 3),
+    }
+
+
 class KeeperRole(Component):
     """One keeper as a component of the daemon; only where `settings.is_keeper` and a data folder.
 
@@ -308,18 +321,12 @@
 
     def _note_leader(self, keeper: ConfigurationKeeper) -> None:
         """Log who leads, whenever that changes."""
-        replica = keeper.replica
-        if replica.leader == self._leader:
+        status = keeper.describe()
+        if status.leader == self._leader:
             return
-        self._leader = replica.leader
-        logger.info(
-            "leader-changed",
-            leader=replica.leader,
-            term=replica.term,
-            commit=replica.commit,
-            revision=keeper.configuration.revision,
-            majority_age=round(replica.find_majority_age(self._clock.monotonic()), 3),
-        )
+        self._leader = status.leader
+        age = keeper.replica.find_majority_age(self._clock.monotonic())
+        logger.info("leader-changed", **describe_leader(status, age))
 
     async def _run_snapshots(self) -> None:
         while True:
--- a/packages/node/src/persimmonusher_node/logs.py
+++ b/packages/node/src/persimmonusher_node/logs.py
@@ -11,11 +11,12 @@
 import structlog
 
 from persimmonusher_model.clock import Clock
+from persimmonusher_node.ages import bound_age
 from persimmonusher_node.headers import CallerOutcome
 from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.log_pipe import open_standard_output
 from persimmonusher_node.observer import FinishedRequest, RequestObserver
-from persimmonusher_node.ports import LONGEST_AGE_SECONDS, Freshness
+from persimmonusher_node.ports import Freshness
 from persimmonusher_node.records import DecisionStep
 from persimmonusher_node.settings import Settings
 
@@ -128,7 +129,7 @@
     if freshness is None:
         return {}
     return {
-        "configuration_age": round(min(LONGEST_AGE_SECONDS, freshness.age), 3),
+        "configuration_age": round(bound_age(freshness.age), 3),
         "told_by": freshness.keeper,
         "told_age": round(freshness.keeper_age, 3),
     }
--- a/packages/node/src/persimmonusher_node/ports.py
+++ b/packages/node/src/persimmonusher_node/ports.py
@@ -8,7 +8,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
-from typing import Final
 
 from persimmonusher_decisions.server import BackendServer
 from persimmonusher_model.identifiers import (
@@ -21,9 +20,6 @@
 from persimmonusher_model.profile import Profile
 from persimmonusher_model.routing import RouteRule
 
-LONGEST_AGE_SECONDS: Final = 3_600.0
-"""The age shown for an instance that no keeper has told anything yet."""
-
 
 @dataclass(frozen=True)
 class Freshness:
--- a/packages/node/src/persimmonusher_node/tiers/follow_feed.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_feed.py
@@ -6,6 +6,7 @@
 
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import Revision
+from persimmonusher_node.ages import bound_age
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.keeper import KeeperRole
 from persimmonusher_node.keeper_wire import encode_parts
@@ -18,7 +19,6 @@
 follower holds a keeper for stale."""
 REVISIONS_KEPT: Final = 64
 """Revisions of followers for which what they lack is kept: nearly all hold the last one or none."""
-LONGEST_AGE_MS: Final = 3_600_000
 
 
 class FollowFeed:
@@ -119,7 +119,7 @@
 
     def _find_age_ms(self, now: float) -> int:
         age = self._role.keeper.replica.find_majority_age(now)
-        return ceil(min(LONGEST_AGE_MS, age * 1000.0))
+        return ceil(bound_age(age) * 1000.0)
 
     def _add_freshness(self, update: control_pb2.FollowUpdate, now: float) -> None:
         replica = self._role.keeper.replica
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -132,7 +132,7 @@
             self._reporting = start_coroutine(self._send_reports())
 
     def is_current(self) -> bool:
-        """Tell whether a majority of keepers stood behind what is known here lately."""
+        """Tell whether no change can be in force elsewhere for longer than is allowed."""
         return self.lease.is_current()
 
     def find_freshness(self) -> Freshness:
--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -12,6 +12,7 @@
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.errors import UsherError
 from persimmonusher_model.profile import Profile
+from persimmonusher_node.ages import bound_age
 from persimmonusher_node.applied_document import AppliedDocument
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.daemon import start_http
@@ -26,7 +27,6 @@
 from persimmonusher_node.tiers.follow_service import FollowService
 from persimmonusher_node.tiers.keeper_control import REGISTER_SECONDS, KeeperControl
 from persimmonusher_node.tiers.keeper_metrics import (
-    LONGEST_AGE_SECONDS,
     KeeperGauges,
     KeeperMetrics,
 )
@@ -84,7 +84,7 @@
             status.term,
             status.commit_index,
             status.revision,
-            min(LONGEST_AGE_SECONDS, keeper.replica.find_majority_age(now)),
+            bound_age(keeper.replica.find_majority_age(now)),
             self._role.followers.own,
             self._role.followers.find_total(leads, now),
             len(self._view.servers),
--- a/packages/node/src/persimmonusher_node/tiers/keeper_metrics.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_metrics.py
@@ -9,16 +9,13 @@
 
 from persimmonusher_node.metrics import MetricsSource
 
-LONGEST_AGE_SECONDS: Final = 3_600.0
-"""Stands for any longer time, such as that of a keeper that never heard of a majority."""
-
 GAUGES: Final = {
     "keeper_leads": "1 on the keeper that leads.",
     "keeper_voters": "Voters of the log.",
     "keeper_term": "The term of the log.",
     "keeper_commit_index": "The last index that is committed.",
     "keeper_revision": "The configuration revision applied here.",
-    "keeper_majority_age_seconds": "Time since this keeper was in touch with a majority.",
+    "keeper_majority_age_seconds": "All acknowledged longer ago is held here.",
     "keeper_followers": "Entries that follow this keeper.",
     "keeper_entries": "Entries that follow any keeper.",
     "keeper_servers": "Backend servers that are registered and have not ended.",
--- a/packages/node/tests/test_logs.py
+++ b/packages/node/tests/test_logs.py
@@ -8,7 +8,13 @@
 import structlog
 from entry_harness import SHED, EntryTestCase
 
+from persimmonusher_agreement.configuration_keeper import KeeperStatus
+from persimmonusher_agreement.log_messages import NO_MEMBERS, KeeperId
+from persimmonusher_agreement.log_replica import ReplicaRole
 from persimmonusher_model.clock import ManualClock
+from persimmonusher_model.identifiers import Revision
+from persimmonusher_node.ages import LONGEST_AGE_SECONDS
+from persimmonusher_node.keeper import describe_leader
 from persimmonusher_node.line_budget import LINES_A_SECOND
 from persimmonusher_node.logs import MASK, LoggingObserver, hide_secrets
 
@@ -49,6 +55,23 @@
                 LoggingObserver(ManualClock(), level).observe(self.observer.finished[-1])
             self.assertEqual(len(lines), expected)
 
+    # Guards against an age without a bound, which strict readers of JSON refuse.
+    def test_a_keeper_that_was_never_fresh_logs_a_number(self) -> None:
+        status = KeeperStatus(
+            KeeperId("k1#1"),
+            ReplicaRole.FOLLOWER,
+            term=2,
+            leader=None,
+            leader_address=None,
+            last_index=0,
+            commit_index=0,
+            snapshot_index=0,
+            revision=Revision(0),
+            members=NO_MEMBERS,
+        )
+        line = json.dumps(describe_leader(status, float("inf")), allow_nan=False)
+        self.assertEqual(json.loads(line)["majority_age"], LONGEST_AGE_SECONDS)
+
     def test_fields_that_may_hold_a_secret_are_masked(self) -> None:
         event = hide_secrets(None, "info", {"event": "x", "peer_token": "s", "body": b"s"})
         self.assertEqual(event, {"event": "x", "peer_token": MASK, "body": MASK})
