Tell late voters of a new leader's majority before the next heartbeat

Entries left keepers as stale, and answered 503 for unknown routes, for a heartbeat after each election: a keeper that answered after the leader's first entry was committed heard of its contact with a majority only with the next round.

Such a member is sent the contact with its first answer, once in a term.

--- a/packages/agreement/src/persimmonusher_agreement/log_leadership.py
+++ b/packages/agreement/src/persimmonusher_agreement/log_leadership.py
@@ -39,6 +39,8 @@
     """The number of its answer that arrived last."""
     answer_at: float = NEVER
     """Reading of the clock when that one arrived."""
+    has_contact: bool = False
+    """Whether it was sent what it needs to compute its own freshness."""
     snapshot_at: float = float("-inf")
     """No snapshot is sent again before this time."""
 
@@ -121,9 +123,18 @@
             progress.acknowledge(reply.match)
         else:
             progress.back_off(reply.match)
-        if not reply.success or progress.next_index <= self._log.last_index:
+        is_behind = not reply.success or progress.next_index <= self._log.last_index
+        if is_behind or self._lacks_contact(progress, commit):
             self._send(reply.source, commit)
 
+    def _lacks_contact(self, progress: Progress, commit: int) -> bool:
+        """Tell whether a member is to hear of the majority before the next heartbeat.
+
+        Guards against members that answer after the leader's first entry is committed, and would
+        count as stale for a heartbeat after each election.
+        """
+        return not progress.has_contact and self._describe_contact(progress, commit) is not None
+
     def _note_round(self, progress: Progress, round: int) -> None:
         """Take that a member has answered a round.
 
@@ -144,6 +155,8 @@
             return
         entries = self._log.list_from(progress.next_index, BATCH_ENTRIES)
         progress.next_index += len(entries)
+        contact = self._describe_contact(progress, commit)
+        progress.has_contact |= contact is not None
         request = AppendRequest(
             self._keeper,
             peer,
@@ -153,7 +166,7 @@
             entries,
             commit,
             self.round,
-            self._describe_contact(progress, commit),
+            contact,
         )
         self._outbox.append(request)
 
--- a/packages/agreement/tests/test_freshness.py
+++ b/packages/agreement/tests/test_freshness.py
@@ -4,12 +4,15 @@
 from random import Random
 
 from persimmonusher_agreement.freshness import FreshnessLease
+from persimmonusher_lab.log_cluster import TIMING
 from persimmonusher_lab.log_schedule import LogSchedule
 from persimmonusher_model.identifiers import Revision
 
 STEP_SECONDS = 0.02
 CHANGE_SECONDS = 0.3
 CALM_SECONDS = 3.0
+ELECTION_SECONDS = TIMING.election_timeout
+HEARTBEAT_SECONDS = TIMING.heartbeat
 SEEDS = (*range(30), 1108, 1272)
 """The last two: a delayed message makes a restarted keeper answer what it had answered before."""
 
@@ -119,6 +122,17 @@
             self.schedule.freeze(self.find_leader(), seconds)
             self.run_for(seconds + 4.0)
 
+    # Guards against keepers that wait for the next heartbeat to be fresh after an election.
+    def test_after_an_election_all_keepers_are_fresh_at_once(self) -> None:
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                self.begin(seed, size=5)
+                self.schedule.stop(self.find_leader(), ELECTION_SECONDS * 4)
+                while self.cluster.find_leader() is None:
+                    self.schedule.run(STEP_SECONDS)
+                self.schedule.run(HEARTBEAT_SECONDS / 2)
+                self.assertLess(max(self.find_ages()), HEARTBEAT_SECONDS)
+
     # Guards against keepers that never are fresh enough to be followed.
     def test_without_faults_every_keeper_stays_fresh(self) -> None:
         for _ in range(50):
