Take the votes of an election out of the replica's role and replication

log_replica.py had two jobs: which role a replica has and what it replicates, and the votes that it asks for and gives.

--- /dev/null
+++ b/packages/agreement/src/persimmonusher_agreement/log_candidacy.py
@@ -0,0 +1,94 @@
+"""A replica's part in elections: the votes that it asks for, and those that it gives."""
+
+from collections.abc import Iterable
+
+from persimmonusher_agreement.durable_log import DurableLog
+from persimmonusher_agreement.election_clock import ElectionClock
+from persimmonusher_agreement.log_messages import (
+    KeeperId,
+    LogMessage,
+    PreVoteReply,
+    PreVoteRequest,
+    VoteReply,
+    VoteRequest,
+)
+
+
+class Candidacy:
+    """Asks for votes and counts them, and answers those who ask.
+
+    It adds its messages to the outbox of the replica that it stands for, which decides when to
+    stand and what follows from a majority.
+    """
+
+    def __init__(
+        self, keeper: KeeperId, log: DurableLog, outbox: list[LogMessage], clock: ElectionClock
+    ) -> None:
+        self._keeper = keeper
+        self._log = log
+        self._outbox = outbox
+        self._clock = clock
+        self._votes: set[KeeperId] = set()
+
+    def ask_pre_votes(self) -> bool:
+        """Ask whether an election could be won; tell whether no other vote is needed.
+
+        Guards against a keeper that returns from hours of isolation: with a term raised at each
+        timeout it would depose a healthy leader on its return. A pre-vote raises no term, and
+        keepers that hear a leader refuse it.
+        """
+        log = self._log
+        term = log.vote.term + 1
+        return self._ask(
+            PreVoteRequest(self._keeper, peer, term, log.last_index, log.last_term)
+            for peer in self._list_other_voters()
+        )
+
+    def ask_votes(self) -> bool:
+        """Vote for itself in the next term and ask the others; tell whether that is enough."""
+        log = self._log
+        log.save_vote(log.vote.term + 1, self._keeper)
+        return self._ask(
+            VoteRequest(self._keeper, peer, log.vote.term, log.last_index, log.last_term)
+            for peer in self._list_other_voters()
+        )
+
+    def add_vote(self, voter: KeeperId) -> bool:
+        """Count a vote or a pre-vote; tell whether a majority was given."""
+        self._votes.add(voter)
+        return self._log.members.has_majority(self._votes)
+
+    def answer_pre_vote(self, request: PreVoteRequest, hears_leader: bool) -> None:
+        """Tell whether a vote for the asked term would be given."""
+        term = self._log.vote.term
+        granted = (
+            request.term > term
+            and not hears_leader
+            and self._log.is_newer_or_equal(request.last_term, request.last_index)
+        )
+        answered = request.term if granted else term
+        self._outbox.append(PreVoteReply(self._keeper, request.source, answered, granted))
+
+    def answer_vote(self, request: VoteRequest) -> None:
+        """Give or refuse the vote of a term; the own term is not below it any more."""
+        vote = self._log.vote
+        granted = (
+            request.term == vote.term
+            and vote.voted_for in (None, request.source)
+            and self._log.is_newer_or_equal(request.last_term, request.last_index)
+        )
+        if granted and vote.voted_for is None:
+            self._log.save_vote(vote.term, request.source)
+        if granted:
+            self._clock.draw_election_time()
+        self._outbox.append(VoteReply(self._keeper, request.source, vote.term, granted))
+
+    def _ask(self, requests: Iterable[LogMessage]) -> bool:
+        self._votes = {self._keeper}
+        if self._log.members.has_majority(self._votes):
+            return True
+        self._outbox.extend(requests)
+        return False
+
+    def _list_other_voters(self) -> list[KeeperId]:
+        return [voter for voter in self._log.members.list_voters() if voter != self._keeper]
--- a/packages/agreement/src/persimmonusher_agreement/log_replica.py
+++ b/packages/agreement/src/persimmonusher_agreement/log_replica.py
@@ -1,4 +1,4 @@
-"""One keeper's replica of the log: terms, votes, replication and commitment.
+"""One keeper's replica of the log: its role in a term, replication and commitment.
 
 A state machine without I/O or clock. Events come in through `receive`, `advance` and `propose`;
 `flush` makes durable what they changed and only then hands out the messages they caused, so that
@@ -12,6 +12,7 @@
 from persimmonusher_agreement.durable_log import DurableLog
 from persimmonusher_agreement.election_clock import ElectionClock
 from persimmonusher_agreement.freshness import KeeperFreshness
+from persimmonusher_agreement.log_candidacy import Candidacy
 from persimmonusher_agreement.log_leadership import NEVER, Leadership
 from persimmonusher_agreement.log_messages import (
     AppendReply,
@@ -67,7 +68,7 @@
         self._clock = ElectionClock(timing, random, now)
         self._outbox: list[LogMessage] = []
         self._installed = self.log.snapshot
-        self._votes: set[KeeperId] = set()
+        self._candidacy = Candidacy(keeper, self.log, self._outbox, self._clock)
         self._leadership: Leadership | None = None
         self._freshness = KeeperFreshness(first_answer)
 
@@ -101,7 +102,7 @@
     def _handle(self, message: LogMessage) -> None:
         match message:
             case PreVoteRequest():
-                self._on_pre_vote_request(message)
+                self._candidacy.answer_pre_vote(message, self._hears_leader())
             case PreVoteReply():
                 self._on_pre_vote_reply(message)
             case VoteRequest():
@@ -207,76 +208,35 @@
     # Elections
 
     def _start_pre_vote(self) -> None:
-        """Ask whether an election could be won before starting one.
-
-        Guards against a keeper that returns from hours of isolation: with a term raised at each
-        timeout it would depose a healthy leader on its return. A pre-vote raises no term, and
-        keepers that hear a leader refuse it.
-        """
         self.role = ReplicaRole.PRE_CANDIDATE
         self.leader = None
-        self._votes = {self.keeper}
-        if self.log.members.has_majority(self._votes):
+        if self._candidacy.ask_pre_votes():
             self._start_election()
-            return
-        for peer in self._list_other_voters():
-            self._outbox.append(
-                PreVoteRequest(
-                    self.keeper, peer, self.term + 1, self.log.last_index, self.log.last_term
-                )
-            )
 
     def _start_election(self) -> None:
-        self.log.save_vote(self.term + 1, self.keeper)
         self.role = ReplicaRole.CANDIDATE
-        self._votes = {self.keeper}
-        if self.log.members.has_majority(self._votes):
+        if self._candidacy.ask_votes():
             self._lead()
-            return
-        for peer in self._list_other_voters():
-            self._outbox.append(
-                VoteRequest(self.keeper, peer, self.term, self.log.last_index, self.log.last_term)
-            )
-
-    def _on_pre_vote_request(self, message: PreVoteRequest) -> None:
-        granted = (
-            message.term > self.term
-            and not self._hears_leader()
-            and self.log.is_newer_or_equal(message.last_term, message.last_index)
-        )
-        term = message.term if granted else self.term
-        self._outbox.append(PreVoteReply(self.keeper, message.source, term, granted))
 
     def _on_pre_vote_reply(self, message: PreVoteReply) -> None:
         if not message.granted:
             self._follow_higher_term(message.term)
-        elif self.role is ReplicaRole.PRE_CANDIDATE and message.term == self.term + 1:
-            self._votes.add(message.source)
-            if self.log.members.has_majority(self._votes):
-                self._start_election()
+            return
+        is_asked_for = self.role is ReplicaRole.PRE_CANDIDATE and message.term == self.term + 1
+        if is_asked_for and self._candidacy.add_vote(message.source):
+            self._start_election()
 
     def _on_vote_request(self, message: VoteRequest) -> None:
         if message.term > self.term and self._hears_leader():
             return
         self._follow_higher_term(message.term)
-        granted = (
-            message.term == self.term
-            and self.log.vote.voted_for in (None, message.source)
-            and self.log.is_newer_or_equal(message.last_term, message.last_index)
-        )
-        if granted and self.log.vote.voted_for is None:
-            self.log.save_vote(self.term, message.source)
-        if granted:
-            self._clock.draw_election_time()
-        self._outbox.append(VoteReply(self.keeper, message.source, self.term, granted))
+        self._candidacy.answer_vote(message)
 
     def _on_vote_reply(self, message: VoteReply) -> None:
         self._follow_higher_term(message.term)
         if self.role is not ReplicaRole.CANDIDATE or message.term != self.term:
             return
-        if message.granted:
-            self._votes.add(message.source)
-        if self.log.members.has_majority(self._votes):
+        if message.granted and self._candidacy.add_vote(message.source):
             self._lead()
 
     def _hears_leader(self) -> bool:
@@ -403,6 +363,3 @@
         leadership.follow_members()
         leadership.broadcast(self.commit)
         return index
-
-    def _list_other_voters(self) -> list[KeeperId]:
-        return [voter for voter in self.log.members.list_voters() if voter != self.keeper]
