--- a/packages/node/src/persimmonusher_node/keeper.py
+++ b/packages/node/src/persimmonusher_node/keeper.py
@@ -37,7 +37,6 @@
 from persimmonusher_node.ages import bound_age
 from persimmonusher_node.component import Component
 from persimmonusher_node.configuration_client import ConfigurationClient
-from persimmonusher_node.keeper_calls import CALL_ERRORS
 from persimmonusher_node.keeper_courier import KeeperCourier
 from persimmonusher_node.keeper_files import KeeperFiles
 from persimmonusher_node.keeper_followers import FollowerCount
@@ -45,8 +44,8 @@
     Candidate,
     KeeperFormation,
     ListedFormation,
-    Step,
 )
+from persimmonusher_node.keeper_joining import KeeperJoining, is_empty
 from persimmonusher_node.keeper_message_wire import decode_message
 from persimmonusher_node.keeper_service import KeeperService
 from persimmonusher_node.keeper_storage import KeeperStorage
@@ -55,7 +54,6 @@
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.settings import Settings
 from persimmonusher_protocol import keeper_pb2 as pb
-from persimmonusher_protocol.keeper_grpc import KeeperStub
 
 logger = structlog.get_logger(__name__)
 
@@ -66,17 +64,10 @@
 REOPEN_SECONDS: Final = 5.0
 """Wait before a failed disk is tried again."""
 
-FORMATION_SECONDS: Final = 0.3
-"""Time between a keeper's questions while it holds no log."""
-
 FIRST_ANSWER_BITS: Final = 48
 """Two starts of one keeper are very unlikely to number answers alike, and numbers stay short."""
 
 SNAPSHOT_CHECK_SECONDS: Final = 0.5
-JOIN_SECONDS: Final = 1.0
-LONELY_SECONDS: Final = 3.0
-"""A keeper that has heard no leader for this long asks the others whether it still has its place;
-longer than an election, so that it doesn't ask while one is held."""
 
 
 def describe_leader(status: KeeperStatus, majority_age: float) -> dict[str, Any]:
@@ -112,7 +103,6 @@
             raise UsherError(ErrorCode.MISSING_KEY, "data_folder: a keeper needs one")
         self._settings = settings
         self.folder = Path(settings.data_folder) / FOLDER
-        self._channels = channels
         self._clock = clock
         self._client = client
         self._random = random or Random()
@@ -125,9 +115,9 @@
         self._formation = formation or ListedFormation(settings.keepers)
         self._tolerance = tolerance
         self._timing = timing
-        self._domain = settings.failure_domain
         self.followers = FollowerCount()
         self._courier = KeeperCourier(channels, settings.listen.peers)
+        self._joining = KeeperJoining(self, settings, channels, clock, client, self._formation)
         self._main: list[asyncio.Task[None]] = []
         self._leader: KeeperId | None = None
         """The leader that was logged last."""
@@ -141,7 +131,7 @@
     def start(self) -> None:
         """Open the disk and begin to take part."""
         self._open()
-        loops = (self._run(), self._run_formation(), self._run_snapshots())
+        loops = (self._run(), self._joining.run(), self._run_snapshots())
         self._main = [start_coroutine(loop) for loop in loops]
 
     def stop(self) -> None:
@@ -163,6 +153,11 @@
             )
         return self._keeper
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the disk is open and the keeper takes part."""
+        return self._keeper is not None
+
     @property
     def identity(self) -> KeeperId:
         """Return this keeper's identity, empty while the disk has failed."""
@@ -208,7 +203,7 @@
     def admit(self, candidate: Candidate, promote: bool) -> None:
         """Take a keeper that asks to join; nothing more happens here unless this one leads."""
         now = self._clock.monotonic()
-        if self._is_empty(self.keeper):
+        if is_empty(self.keeper):
             self._formation.note_candidate(candidate, now)
         if not self.keeper.replica.is_ready_leader or self.keeper.has_pending_members():
             return
@@ -218,6 +213,14 @@
             )
         self._wake.set()
 
+    def form(self, members: Members) -> None:
+        """Begin a new log with these members, where this keeper holds none."""
+        with self._guard():
+            if is_empty(self.keeper):
+                self.keeper.form(members)
+                logger.info("log-formed", lineage=members.lineage)
+        self._wake.set()
+
     def dismiss(self, keeper: KeeperId) -> None:
         """Remove a keeper for good; as leader only."""
         with self._guard():
@@ -349,70 +352,3 @@
                     return
             keeper.compact(snapshot)
         logger.info("log-compacted", index=snapshot.index, revision=snapshot.state.revision)
-
-    # Finding a place without a log
-
-    async def _run_formation(self) -> None:
-        while True:
-            try:
-                if self._keeper is not None and self._needs_place(self._keeper):
-                    await self._take_formation_step()
-            except UsherError as error:
-                logger.error("formation-failed", error=str(error))
-            await asyncio.sleep(FORMATION_SECONDS)
-
-    def _is_empty(self, keeper: ConfigurationKeeper) -> bool:
-        return not keeper.replica.log.members.members
-
-    def _needs_place(self, keeper: ConfigurationKeeper) -> bool:
-        """Tell whether this keeper holds no log, or hears nobody who leads the one it holds.
-
-        Guards against a voter that was replaced while it was frozen or cut off: nobody writes to
-        it any more, and its own log still names it a voter. It asks the others, and where their
-        members don't name it, for a place.
-        """
-        if self._is_empty(keeper):
-            return True
-        if not self._formation.asks_again:
-            return False
-        return keeper.replica.find_silence(self._clock.monotonic()) > LONELY_SECONDS
-
-    async def _take_formation_step(self) -> None:
-        identity = self.identity
-        ask = self._client.keepers.ask_state
-        members = self.keeper.replica.log.members.members
-        known = [member.address for member in members if member.keeper != identity]
-        addresses = dict.fromkeys((*self._formation.list_addresses(), *known))
-        reports = await asyncio.gather(*map(ask, addresses))
-        if self._keeper is None or not self._needs_place(self._keeper):
-            return
-        others = [report for report in reports if report.keeper != identity]
-        asked = reports if self._is_empty(self._keeper) else others
-        now = self._clock.monotonic()
-        formation = self._formation.plan(identity, asked, self._client.revision(), now)
-        if formation.step is Step.JOIN:
-            await self._ask_to_join(formation.addresses)
-        if formation.members is not None and self.identity == identity:
-            self._form(formation.members)
-
-    def _form(self, members: Members) -> None:
-        with self._guard():
-            if self._is_empty(self.keeper):
-                self.keeper.form(members)
-                logger.info("log-formed", lineage=members.lineage)
-        self._wake.set()
-
-    async def _ask_to_join(self, addresses: Sequence[str]) -> None:
-        request = pb.IntroduceRequest(
-            keeper=self.identity,
-            address=self._settings.listen.peers,
-            join=True,
-            promote=True,
-            failure_domain=self._domain,
-        )
-        for address in addresses:
-            try:
-                stub = KeeperStub(self._channels.get(address))
-                await stub.Introduce(request, timeout=JOIN_SECONDS)
-            except CALL_ERRORS as error:
-                logger.debug("keeper-not-asked", address=address, error=repr(error))
--- a/packages/node/tests/test_departed_callers.py
+++ b/packages/node/tests/test_departed_callers.py
@@ -48,16 +48,20 @@
         while self.plane.forwarder.in_flight:
             eventlet.sleep(0.02)
 
+    def count_servers_reached(self, method: str) -> int:
+        """Send a request, leave, and return how many servers got it until nothing is in flight."""
+        before = len(self.ran)
+        self.leave(method)
+        self.wait_until_idle()
+        return len(self.ran) - before
+
     # Guards against work being sent to further servers after its caller left.
     def test_refused_work_is_not_sent_on_for_a_departed_caller(self) -> None:
         for behaviour in (SHED, DRAINING):
             for method in ("POST", "GET"):
                 with self.subTest(method=method, behaviour=behaviour):
                     self.set_behaviour(stall(ANSWER_SECONDS, behaviour))
-                    before = len(self.ran)
-                    self.leave(method)
-                    self.wait_until_idle()
-                    self.assertEqual(len(self.ran) - before, 1)
+                    self.assertEqual(self.count_servers_reached(method), 1)
 
     # Guards against a departure that no periodic check has seen before the next attempt.
     def test_a_departure_is_known_at_the_moment_of_the_next_attempt(self) -> None:
@@ -65,10 +69,7 @@
         for method in ("POST", "GET"):
             with self.subTest(method=method):
                 self.set_behaviour(stall(ANSWER_SECONDS, SHED))
-                before = len(self.ran)
-                self.leave(method)
-                self.wait_until_idle()
-                self.assertEqual(len(self.ran) - before, 1)
+                self.assertEqual(self.count_servers_reached(method), 1)
 
     # Guards against work being sent for a caller that left before the first attempt.
     def test_nothing_is_sent_for_a_caller_that_left_at_once(self) -> None:
