--- a/packages/model/src/persimmonusher_model/routing.py
+++ b/packages/model/src/persimmonusher_model/routing.py
@@ -1,4 +1,4 @@
-"""The routing document: routes, services and callers' limits, replaced as a whole.
+"""The routing document: routes, services, organisations and limits, replaced as a whole.
 
 An operator's system may keep its routes outside and hand over all of them under a version of its
 own. The highest version is in force; what a document says of a request (idempotent, timeout,
@@ -12,6 +12,7 @@
 
 from persimmonusher_model.errors import ErrorCode, Finding
 from persimmonusher_model.identifiers import ServiceName
+from persimmonusher_model.organisations import Organisation, check_organisations
 
 LONGEST_TIMEOUT_MS: Final = 600_000
 """Ten minutes, as for a profile's deadline: it bounds how long a graceful stop may take."""
@@ -42,6 +43,8 @@
     attempts: int
     """Servers that one request may be sent to in all."""
     services: tuple[WeightedService, ...]
+    public: bool = False
+    """Whether a request needs no API key, where there are organisations."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +75,8 @@
     limits: CallerLimits
     rules: tuple[RouteRule, ...]
     services: tuple[ServiceEntry, ...]
+    organisations: tuple[Organisation, ...] | None = None
+    """None where requests carry no API keys."""
 
 
 class DocumentCodec(ABC):
@@ -94,6 +99,7 @@
             message = f"two routes share host {rule.host!r} and prefix {rule.prefix!r}"
             findings.append(Finding(ErrorCode.BAD_VALUE, f"rules.{number}.prefix", message))
         taken.add(place)
+    findings.extend(check_organisations(document.organisations or ()))
     return findings
 
 
--- a/packages/node/src/persimmonusher_node/answers.py
+++ b/packages/node/src/persimmonusher_node/answers.py
@@ -25,6 +25,9 @@
     BAD_REQUEST = "bad-request"
     NO_CONFIGURATION = "no-configuration"
     NO_ROUTE = "no-route"
+    UNKNOWN_API_KEY = "unknown-api-key"
+    QUOTA_EXCEEDED = "quota-exceeded"
+    QUOTA_UNKNOWN = "quota-unknown"
     BODY_TOO_LARGE = "body-too-large"
     BODY_INCOMPLETE = "body-incomplete"
     SLOW_REQUEST = "slow-request"
@@ -66,6 +69,9 @@
     AnswerCode.BAD_REQUEST: ErrorForm(400, _NOT_RUN, 1.0),
     AnswerCode.NO_CONFIGURATION: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.NO_ROUTE: ErrorForm(404, _NOT_RUN, 5.0),
+    AnswerCode.UNKNOWN_API_KEY: ErrorForm(401, _NOT_RUN, 5.0),
+    AnswerCode.QUOTA_EXCEEDED: ErrorForm(429, _NOT_RUN, 1.0),
+    AnswerCode.QUOTA_UNKNOWN: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.BODY_TOO_LARGE: ErrorForm(413, _NOT_RUN, 1.0),
     AnswerCode.BODY_INCOMPLETE: ErrorForm(400, _NOT_RUN, 1.0),
     AnswerCode.SLOW_REQUEST: ErrorForm(408, _NOT_RUN, 1.0),
--- a/packages/node/src/persimmonusher_node/applied_document.py
+++ b/packages/node/src/persimmonusher_node/applied_document.py
@@ -8,6 +8,7 @@
 from persimmonusher_agreement.routing_record import unpack_document
 from persimmonusher_model.errors import UsherError
 from persimmonusher_model.identifiers import ServiceName
+from persimmonusher_model.organisations import OrganisationBook
 from persimmonusher_model.profile import Profile
 from persimmonusher_model.routing import CallerLimits, DocumentCodec, RouteRule, RoutingDocument
 from persimmonusher_node.rule_table import RuleTable
@@ -28,6 +29,8 @@
         self._rules = RuleTable()
         self._profiles: dict[ServiceName, Profile] = {}
         self.document: RoutingDocument | None = None
+        self.organisations: OrganisationBook | None = None
+        """None where requests carry no API keys."""
         self.take_limits: Callable[[CallerLimits], None] = ignore_limits
         """Is told what callers may send, each time that a document comes into force."""
 
@@ -47,6 +50,8 @@
         self.document = document
         self._rules = RuleTable(document.rules)
         self._profiles = self._make_profiles(document)
+        known = document.organisations
+        self.organisations = None if known is None else OrganisationBook(known)
         self.take_limits(document.limits)
         logger.info("document-in-force", version=document.version, revision=record.revision)
 
--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -13,11 +13,14 @@
 
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import CallerId, InstanceId, RequestId
+from persimmonusher_model.routing import RouteRule
 from persimmonusher_node.answers import Answer, AnswerCode, make_error
 from persimmonusher_node.bodies import BodyError, BodyProblem, read_body
 from persimmonusher_node.calls import Call
 from persimmonusher_node.dialect import OWN_DIALECT, Dialect
 from persimmonusher_node.entry import Entry
+from persimmonusher_node.headers import HeaderList
+from persimmonusher_node.identification import Identity, identify
 from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.logs import describe_freshness
 from persimmonusher_node.protocol import ENVIRON_KEY, HttpProtocol
@@ -131,12 +134,13 @@
         routed = self._entry.find(host.partition(":")[0], path)
         if routed is None:
             raise BadCall(self._refuse_unrouted(host, path, request_id))
+        identity = self._identify(environ["headers_raw"], routed.rule, request_id)
         live = routed.live
         query = environ.get("QUERY_STRING", "")
         raw_path = environ["RAW_PATH_INFO"]
         call = Call(
             request_id,
-            CallerId(read_name(environ, self._dialect.caller, request_id)),
+            self._find_caller(environ, identity, request_id),
             self._find_class(environ, routed, request_id),
             environ["REQUEST_METHOD"],
             host,
@@ -149,10 +153,37 @@
             self._read_body(environ, live, request_id),
             environ[ENVIRON_KEY].reader,
             routed.rule,
+            identity,
         )
         self._check_time_left(call, live)
         return self._entry.handle(call, live)
 
+    def _identify(
+        self, headers: HeaderList, rule: RouteRule | None, request_id: RequestId
+    ) -> Identity | None:
+        """Return whose request it is; None where requests carry no API keys."""
+        book = self._entry.organisations
+        if book is None:
+            return None
+        is_public = rule is not None and rule.public
+        identity = identify(book, headers, is_public, self._dialect)
+        if identity is not None:
+            return identity
+        if not self._entry.may_deny():
+            raise BadCall(refuse_as_outdated(request_id))
+        message = "the request carries no API key that is known"
+        answer = make_error(AnswerCode.UNKNOWN_API_KEY, message, request_id)
+        challenge = ("WWW-Authenticate", self._dialect.credentials_scheme)
+        raise BadCall(answer.with_headers(challenge))
+
+    def _find_caller(
+        self, environ: dict[str, Any], identity: Identity | None, request_id: RequestId
+    ) -> CallerId:
+        """Return the organisation by its API key, or else as the caller names it."""
+        if identity is None:
+            return CallerId(read_name(environ, self._dialect.caller, request_id))
+        return CallerId(UNNAMED) if identity.organisation is None else identity.organisation.name
+
     def _check_time_left(self, call: Call, live: LiveService) -> None:
         """Refuse what a stop would probably cut off: another instance can serve it."""
         if self.cut_off_at is None:
@@ -210,8 +241,7 @@
             message = "this instance has no configuration yet"
             return make_error(AnswerCode.NO_CONFIGURATION, message, request_id)
         if not self._entry.may_deny():
-            message = "this instance can't tell whether its configuration is the latest"
-            return make_error(AnswerCode.NO_CONFIGURATION, message, request_id)
+            return refuse_as_outdated(request_id)
         message = f"no route for host {host!r} and path {path!r}"
         return make_error(AnswerCode.NO_ROUTE, message, request_id)
 
@@ -226,6 +256,12 @@
             raise BadCall(make_error(code, str(error), request_id)) from error
 
 
+def refuse_as_outdated(request_id: RequestId) -> Answer:
+    """Refuse, without denying it, what a change that hasn't arrived here may have brought."""
+    message = "this instance can't tell whether its configuration is the latest"
+    return make_error(AnswerCode.NO_CONFIGURATION, message, request_id)
+
+
 @lru_cache
 def find_environ_key(header: str) -> str:
     """Return the name under which WSGI keeps a header."""
--- a/packages/node/src/persimmonusher_node/calls.py
+++ b/packages/node/src/persimmonusher_node/calls.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass, field
 
 from persimmonusher_model.identifiers import CallerId, RequestId
+from persimmonusher_model.organisations import Organisation
 from persimmonusher_model.profile import Profile
 from persimmonusher_model.routing import RouteRule
 from persimmonusher_node.caller_reader import CallerReader
 from persimmonusher_node.headers import HeaderList
+from persimmonusher_node.identification import Identity
 
 
 @dataclass(frozen=True)
@@ -32,6 +34,21 @@
     rule: RouteRule | None = None
     """What the routing document asks for the request, where its route stands there."""
 
+    identity: Identity | None = None
+    """Whose request it is; None where requests carry no API keys."""
+
+    @property
+    def organisation(self) -> Organisation | None:
+        """Return the organisation whose request it is, where one is known."""
+        return None if self.identity is None else self.identity.organisation
+
+    def find_priority(self) -> int:
+        """Return the rank, 0 the most urgent: the organisation's or else the route's."""
+        organisation = self.organisation
+        if organisation is not None and organisation.priority is not None:
+            return organisation.priority
+        return 0 if self.rule is None else self.rule.priority
+
     def is_idempotent(self, profile: Profile) -> bool:
         """Tell whether the request may be sent again: its route says so, else its profile."""
         if self.rule is not None:
--- a/packages/node/src/persimmonusher_node/configuration_client.py
+++ b/packages/node/src/persimmonusher_node/configuration_client.py
@@ -23,6 +23,7 @@
 )
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import ProfileName, Revision, ServiceName
+from persimmonusher_model.organisations import OrganisationBook
 from persimmonusher_model.profile import Profile
 from persimmonusher_model.routing import RouteRule
 from persimmonusher_node.applied_configuration import AppliedConfiguration
@@ -112,6 +113,12 @@
         document = self._applied.document
         return None if document is None else document.find_rule(host, path)
 
+    @property
+    def organisations(self) -> OrganisationBook | None:
+        """Return the organisations in force; None where requests carry no API keys."""
+        document = self._applied.document
+        return None if document is None else document.organisations
+
     def may_know(self, service: ServiceName) -> bool:
         """Tell whether a service is one that the configuration names, or may come to name."""
         document = self._applied.document
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -59,7 +59,8 @@
             dialect,
         )
         keyed = KeyedForwarder(self.forwarder, parts.claims)
-        entry = Entry(self.services, self.forwarder, keyed)
+        decimals = dialect.retry_after_decimals
+        entry = Entry(self.services, self.forwarder, keyed, parts.quotas, decimals)
         body_seconds = settings.limits.body_seconds
         self.application = CallersApplication(entry, instance_id, clock, body_seconds, dialect)
         self.watch = Watch(self.services, self.forwarder, upstream, clock)
--- a/packages/node/src/persimmonusher_node/dialect.py
+++ b/packages/node/src/persimmonusher_node/dialect.py
@@ -36,6 +36,11 @@
     """Whether an answer in a content coding, which callers never ask for, is a garbled one."""
     retry_after_decimals: int = 0
     """Decimal places of Retry-After that callers read; the standard knows whole seconds only."""
+    credentials: str = "Authorization"
+    """Carries the caller's API key, behind the name of a scheme; never passed on."""
+    credentials_scheme: str = "Bearer"
+    organisation: str = CALLER
+    """Tells the backend server whose request it is; what a caller sends under it is dropped."""
 
 
 OWN_DIALECT: Final = Dialect()
--- a/packages/node/src/persimmonusher_node/entry.py
+++ b/packages/node/src/persimmonusher_node/entry.py
@@ -3,24 +3,40 @@
 from typing import Final
 
 from persimmonusher_model.identifiers import Revision
+from persimmonusher_model.organisations import OrganisationBook, RequestQuota
 from persimmonusher_node.answers import Answer, AnswerCode, make_error
 from persimmonusher_node.calls import Call
 from persimmonusher_node.forwarding import Forwarder
+from persimmonusher_node.headers import CallerOutcome
 from persimmonusher_node.keyed import KeyedForwarder
-from persimmonusher_node.ports import Freshness
+from persimmonusher_node.ports import Freshness, Quotas, QuotaVerdict
 from persimmonusher_node.services import LiveService, RoutedService, ServiceBook
 
 LONGEST_KEY: Final = 256
 """Characters; keys are held on several instances for the key window."""
+SHORTEST_QUOTA_SECONDS: Final = 0.2
+"""Least time after which a caller beyond its organisation's quota may come back."""
+QUOTA_UNKNOWN_SECONDS: Final = 0.5
+"""When a caller may come back whose quota nobody could tell: about the time until an instance has
+found another keeper."""
 
 
 class Entry:
     """Chooses how a request is forwarded: by its route, its idempotency and its key."""
 
-    def __init__(self, services: ServiceBook, forwarder: Forwarder, keyed: KeyedForwarder) -> None:
+    def __init__(
+        self,
+        services: ServiceBook,
+        forwarder: Forwarder,
+        keyed: KeyedForwarder,
+        quotas: Quotas,
+        decimals: int = 0,
+    ) -> None:
         self._services = services
         self._forwarder = forwarder
         self._keyed = keyed
+        self._quotas = quotas
+        self._decimals = decimals
 
     def is_ready(self) -> bool:
         """Tell whether a configuration is in force here.
@@ -50,8 +66,39 @@
         """Return how stale the configuration may be; None where that isn't known."""
         return self._services.find_freshness()
 
+    @property
+    def organisations(self) -> OrganisationBook | None:
+        """Return the organisations in force; None where requests carry no API keys."""
+        return self._services.organisations
+
     def handle(self, call: Call, live: LiveService) -> Answer:
-        """Answer a whole request; waits for the answer."""
+        """Answer a whole request within its organisation's quota; waits for the answer."""
+        organisation = call.organisation
+        if organisation is None or organisation.quota is None:
+            return self._forward(call, live)
+        verdict = self._quotas.take(organisation)
+        if verdict is not QuotaVerdict.GRANTED:
+            return self._refuse_quota(verdict, organisation.quota, call)
+        answer: Answer | None = None
+        try:
+            answer = self._forward(call, live)
+            return answer
+        finally:
+            if answer is not None and answer.outcome is CallerOutcome.NOT_RUN:
+                self._quotas.give_back(organisation)
+
+    def _refuse_quota(self, verdict: QuotaVerdict, quota: RequestQuota, call: Call) -> Answer:
+        if verdict is QuotaVerdict.EXCEEDED:
+            code, message = AnswerCode.QUOTA_EXCEEDED, "the organisation's quota is used up"
+            seconds = max(SHORTEST_QUOTA_SECONDS, 1.0 / quota.per_second)
+        else:
+            code, message = AnswerCode.QUOTA_UNKNOWN, "the organisation's quota can't be told"
+            seconds = QUOTA_UNKNOWN_SECONDS
+        return make_error(
+            code, message, call.request_id, retry_after=seconds, decimals=self._decimals
+        )
+
+    def _forward(self, call: Call, live: LiveService) -> Answer:
         if call.is_idempotent(live.profile):
             return self._forwarder.forward(call, live)
         if call.key is not None:
--- a/packages/node/src/persimmonusher_node/exchange.py
+++ b/packages/node/src/persimmonusher_node/exchange.py
@@ -29,22 +29,31 @@
 ) -> UpstreamRequest:
     """Make the request for a backend server, with the time that is left."""
     headers: dict[str, str] = {}
-    for name, value in select_headers(call.headers, list_replaced(dialect)):
+    dropped = list_replaced(dialect, call.identity is not None)
+    for name, value in select_headers(call.headers, dropped):
         headers[name] = f"{headers[name]}, {value}" if name in headers else value
     left = max(1, int((request.deadline - now) * 1000.0))
     headers[dialect.deadline] = str(left)
     headers[dialect.request_id] = call.request_id
     if dialect.expected_server is not None:
         headers[dialect.expected_server] = server.server_id
+    if call.organisation is not None:
+        headers[dialect.organisation] = call.organisation.name
     return UpstreamRequest(
         call.request_id, call.method, call.target, headers, call.body, request.idempotent
     )
 
 
 @lru_cache
-def list_replaced(dialect: Dialect) -> frozenset[str]:
-    """List the request headers that the entry writes anew for the backend server."""
-    names = (dialect.deadline, dialect.request_id, dialect.expected_server or "")
+def list_replaced(dialect: Dialect, identified: bool = False) -> frozenset[str]:
+    """List the request headers that the entry writes anew, or keeps from the backend server.
+
+    Where requests are identified, these are also the caller's API key and what it says of its
+    organisation.
+    """
+    names = [dialect.deadline, dialect.request_id, dialect.expected_server or ""]
+    if identified:
+        names += [dialect.credentials, dialect.organisation]
     return frozenset({"content-length", "expect", *(name.lower() for name in names)})
 
 
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -110,7 +110,7 @@
             call.arrived + allowed / 1000.0,
             compute_fingerprint(call),
             call.rule.attempts if call.rule else None,
-            call.rule.priority if call.rule else 0,
+            call.find_priority(),
         )
         record = RequestRecord(
             request_id,
--- a/packages/node/src/persimmonusher_node/parts.py
+++ b/packages/node/src/persimmonusher_node/parts.py
@@ -1,10 +1,17 @@
 """The adapters of the ports that one instance runs with."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from persimmonusher_node.component import Component
-from persimmonusher_node.ports import ConfigurationView, KeyClaims, Membership, ServerDirectory
+from persimmonusher_node.ports import (
+    ConfigurationView,
+    KeyClaims,
+    Membership,
+    Quotas,
+    ServerDirectory,
+    Unlimited,
+)
 from persimmonusher_node.records import RecordRing
 from persimmonusher_node.services import ServiceBook
 
@@ -27,3 +34,4 @@
     claims: KeyClaims
     components: tuple[Component, ...] = ()
     make_more: Callable[[ServiceBook, RecordRing], Sequence[Component]] = make_no_more
+    quotas: Quotas = field(default_factory=Unlimited)
--- a/packages/node/src/persimmonusher_node/ports.py
+++ b/packages/node/src/persimmonusher_node/ports.py
@@ -17,6 +17,7 @@
     Revision,
     ServiceName,
 )
+from persimmonusher_model.organisations import Organisation, OrganisationBook
 from persimmonusher_model.profile import Profile
 from persimmonusher_model.routing import RouteRule
 
@@ -58,6 +59,11 @@
         """Return the routing document's longest route that matches, or None."""
         return None
 
+    @property
+    def organisations(self) -> OrganisationBook | None:
+        """Return the organisations in force; None where requests carry no API keys."""
+        return None
+
     @abstractmethod
     def find_service(self, host: str, path: str) -> ServiceName | None:
         """Return the service of the longest route that matches, or None."""
@@ -181,3 +187,35 @@
     @abstractmethod
     def give_up(self, key: ClaimKey) -> None:
         """Record that the outcome is unknown; a resend is told so and is never run."""
+
+
+class QuotaVerdict(Enum):
+    """Whether a request is within its organisation's quota."""
+
+    GRANTED = "granted"
+    EXCEEDED = "exceeded"
+    UNKNOWN = "unknown"
+    """Nobody who counts the organisation's requests could be reached."""
+
+
+class Quotas(ABC):
+    """The organisations' quotas, which hold over all instances together."""
+
+    @abstractmethod
+    def take(self, organisation: Organisation) -> QuotaVerdict:
+        """Count one request against its organisation's quota; may wait."""
+
+    @abstractmethod
+    def give_back(self, organisation: Organisation) -> None:
+        """Take back one that was granted for a request which was not run in the end."""
+
+
+class Unlimited(Quotas):
+    """No quotas, for an instance whose configuration has none."""
+
+    def take(self, organisation: Organisation) -> QuotaVerdict:
+        """Grant every request."""
+        return QuotaVerdict.GRANTED
+
+    def give_back(self, organisation: Organisation) -> None:
+        """Do nothing: nothing is counted."""
--- a/packages/node/src/persimmonusher_node/services.py
+++ b/packages/node/src/persimmonusher_node/services.py
@@ -12,6 +12,7 @@
 from persimmonusher_decisions.work import Decision
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, Revision, ServiceName
+from persimmonusher_model.organisations import OrganisationBook
 from persimmonusher_model.profile import Profile
 from persimmonusher_model.routing import RouteRule
 from persimmonusher_node.ports import ConfigurationView, Freshness, Membership, ServerDirectory
@@ -94,6 +95,11 @@
         """Return how stale the configuration may be; None where that isn't known."""
         return self._view.find_freshness()
 
+    @property
+    def organisations(self) -> OrganisationBook | None:
+        """Return the organisations in force; None where requests carry no API keys."""
+        return self._view.organisations
+
     def open_with(self, opening: Callable[[LiveService], None]) -> None:
         """Have each service opened by a call, which may wait, before its first request."""
         self._opening = opening
--- a/packages/node/src/persimmonusher_node/settings.py
+++ b/packages/node/src/persimmonusher_node/settings.py
@@ -94,6 +94,12 @@
     """Further attempts of a service in a window of time, as a part of its requests."""
     retry_slack: float | None = Field(default=None, ge=0, le=100_000)
     """The same beyond that part, of all instances together."""
+    quota_window_seconds: float | None = Field(default=None, gt=0, le=3_600)
+    """The time over which an organisation's requests are held against its quota."""
+    quota_overshoot: float | None = Field(default=None, ge=0, le=1)
+    """Part of a quota by which the requests in that time may exceed it."""
+    quota_slack: float | None = Field(default=None, ge=0, le=100_000)
+    """Requests beyond that part."""
 
 
 class Keeper(BaseModel):
--- a/packages/node/src/persimmonusher_node/settings_bounds.py
+++ b/packages/node/src/persimmonusher_node/settings_bounds.py
@@ -2,7 +2,8 @@
 
 from typing import Any, Final
 
-from persimmonusher_node.settings import Settings
+from persimmonusher_decisions.quota_shares import QuotaTerms
+from persimmonusher_node.settings import Bounds, Settings
 
 EXIT_SECONDS: Final = 0.8
 """Time between the last answer of a stop and the process's end, which the kill must not cut short:
@@ -32,6 +33,16 @@
     return settings.model_copy(update=derived)
 
 
+def make_quota_terms(bounds: Bounds) -> QuotaTerms:
+    """Return how far quotas may be exceeded; not at all where nothing is stated."""
+    stated = {
+        "window_seconds": bounds.quota_window_seconds,
+        "overshoot": bounds.quota_overshoot,
+        "slack": bounds.quota_slack,
+    }
+    return QuotaTerms(**{name: value for name, value in stated.items() if value is not None})
+
+
 def _bound_retries(settings: Settings) -> dict[str, Any]:
     bounds = settings.bounds
     fields: dict[str, Any] = {}
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -30,6 +30,7 @@
 from persimmonusher_node.tiers.edge import Edge
 from persimmonusher_node.tiers.entry_ports import FollowedMembership, NoClaims, RegisteredDirectory
 from persimmonusher_node.tiers.follower import KeeperFollower
+from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas
 from persimmonusher_node.tiers.peer_notices import PeerNoticeService
 
 _log = get_logger(__name__)
@@ -73,8 +74,13 @@
         own = Instance(
             InstanceId(settings.instance_id), FailureDomain(settings.failure_domain), "", ("entry",)
         )
+        quotas = KeeperQuotas(settings.instance_id, self.follower.list_keepers, channels, clock)
         parts = Parts(
-            view, RegisteredDirectory(view), FollowedMembership(own, self.follower), NoClaims()
+            view,
+            RegisteredDirectory(view),
+            FollowedMembership(own, self.follower),
+            NoClaims(),
+            quotas=quotas,
         )
         self.plane = DataPlane(settings, parts, observer, clock, random, edge.dialect)
         self.plane.forwarder.publish_with(self.follower.report)
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -139,6 +139,16 @@
         """Return how stale the configuration may be, and which keeper said so."""
         return self.lease.find_freshness()
 
+    def list_keepers(self) -> Sequence[str]:
+        """List the known keepers' addresses, the followed one and those nearby in front."""
+        followed = None if self._place is None else self._place.address
+        domain = self._settings.failure_domain
+
+        def rank(place: KeeperPlace) -> tuple[bool, bool]:
+            return (place.address != followed, place.failure_domain != domain)
+
+        return [place.address for place in sorted(self._places, key=rank)]
+
     def replace_seeds(self, seeds: Sequence[str]) -> None:
         """Take other seeds, from changed settings, beside the keepers that are known."""
         known = {place.address for place in self._places}
--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -22,6 +22,7 @@
 from persimmonusher_node.metrics import MetricsApplication
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.settings import Settings
+from persimmonusher_node.settings_bounds import make_quota_terms
 from persimmonusher_node.shutdown import StopSignal
 from persimmonusher_node.tiers.edge import Edge
 from persimmonusher_node.tiers.follow_service import FollowService
@@ -31,6 +32,7 @@
     KeeperMetrics,
 )
 from persimmonusher_node.tiers.leader import LeaderCalls
+from persimmonusher_node.tiers.quota_service import QuotaService
 
 TIMING: Final = LogTiming(heartbeat=0.4, election_timeout=1.2, first_election=0.3)
 """Idle keepers send each other heartbeats only, and bytes between failure domains are dear: half as
@@ -70,6 +72,14 @@
         self._follow = FollowService(
             settings.failure_domain, self._role, self._view, channels, clock
         )
+        self._quotas = QuotaService(
+            self._role,
+            self._view,
+            channels,
+            make_quota_terms(settings.bounds),
+            tolerance.voters,
+            clock,
+        )
 
     def _read_gauges(self) -> KeeperGauges | None:
         try:
@@ -99,7 +109,7 @@
         settings = self._settings
         listen = settings.listen
         with ExitStack() as stack:
-            handlers = [*self._role.list_peer_handlers(), self._follow]
+            handlers = [*self._role.list_peer_handlers(), self._follow, self._quotas]
             grpc = GrpcListener(listen.peers, handlers, {settings.peer_token: "peer"})
             grpc.start()
             stack.callback(grpc.stop)
--- a/packages/node/tests/entry_harness.py
+++ b/packages/node/tests/entry_harness.py
@@ -6,6 +6,7 @@
 
 import socket  # noqa: E402
 import unittest  # noqa: E402
+from collections import Counter  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 from dataclasses import dataclass, field  # noqa: E402
 from http.client import HTTPConnection, HTTPResponse  # noqa: E402
@@ -20,6 +21,7 @@
     ServerId,
     ServiceName,
 )
+from persimmonusher_model.organisations import Organisation  # noqa: E402
 from persimmonusher_model.profile import Profile  # noqa: E402
 from persimmonusher_node.clock import SystemClock  # noqa: E402
 from persimmonusher_node.daemon import make_listener_limits  # noqa: E402
@@ -34,7 +36,7 @@
 )
 from persimmonusher_node.observer import FinishedRequest, RequestObserver  # noqa: E402
 from persimmonusher_node.parts import Parts  # noqa: E402
-from persimmonusher_node.ports import Instance  # noqa: E402
+from persimmonusher_node.ports import Instance, Quotas, QuotaVerdict  # noqa: E402
 from persimmonusher_node.settings import Limits, Listeners, Settings  # noqa: E402
 
 SERVICE = ServiceName("entries")
@@ -198,6 +200,21 @@
         self.finished.append(finished)
 
 
+class ScriptedQuotas(Quotas):
+    """Gives the same verdict on every request, and counts them by organisation."""
+
+    def __init__(self) -> None:
+        self.verdict = QuotaVerdict.GRANTED
+        self.taken: Counter[str] = Counter()
+
+    def take(self, organisation: Organisation) -> QuotaVerdict:
+        self.taken[organisation.name] += 1
+        return self.verdict
+
+    def give_back(self, organisation: Organisation) -> None:
+        self.taken[organisation.name] -= 1
+
+
 class EntryTestCase(unittest.TestCase):
     """Starts one entry before two scripted servers; `profile` and `limits` may be overridden."""
 
@@ -223,7 +240,14 @@
         self.directory = MemoryDirectory()
         self.claims = MemoryClaims()
         instance = Instance(InstanceId("e1"), FailureDomain("a"), "127.0.0.1:1", ("entry",))
-        parts = Parts(self.view, self.directory, MemoryMembership([instance]), self.claims)
+        self.quotas = ScriptedQuotas()
+        parts = Parts(
+            self.view,
+            self.directory,
+            MemoryMembership([instance]),
+            self.claims,
+            quotas=self.quotas,
+        )
         self.observer = KeepingObserver()
         self.plane = DataPlane(
             settings, parts, self.observer, SystemClock(), Random(1), self.dialect
--- a/packages/node/tests/test_tiers.py
+++ b/packages/node/tests/test_tiers.py
@@ -19,8 +19,14 @@
 from persimmonusher_agreement.configuration_keeper import LossTolerance  # noqa: E402
 from persimmonusher_agreement.registration import RegisteredState, Registration  # noqa: E402
 from persimmonusher_decisions.notices import Notice, NoticeKind  # noqa: E402
+from persimmonusher_decisions.quota_shares import QuotaTerms  # noqa: E402
 from persimmonusher_model.errors import ErrorCode, UsherError  # noqa: E402
-from persimmonusher_model.identifiers import ServerId, ServiceName  # noqa: E402
+from persimmonusher_model.identifiers import CallerId, ServerId, ServiceName  # noqa: E402
+from persimmonusher_model.organisations import (  # noqa: E402
+    Organisation,
+    RequestQuota,
+    digest_key,
+)
 from persimmonusher_model.profile import Profile  # noqa: E402
 from persimmonusher_model.routing import (  # noqa: E402
     CallerLimits,
@@ -37,14 +43,17 @@
 from persimmonusher_node.keeper import KeeperRole  # noqa: E402
 from persimmonusher_node.keeper_seeds import SeededFormation  # noqa: E402
 from persimmonusher_node.peers import ChannelPool  # noqa: E402
+from persimmonusher_node.ports import QuotaVerdict  # noqa: E402
 from persimmonusher_node.settings import Listeners, Role, Settings  # noqa: E402
 from persimmonusher_node.tiers.entry_daemon import FollowedView  # noqa: E402
 from persimmonusher_node.tiers.entry_ports import RegisteredDirectory  # noqa: E402
 from persimmonusher_node.tiers.follow_service import FollowService  # noqa: E402
 from persimmonusher_node.tiers.follower import KeeperFollower  # noqa: E402
 from persimmonusher_node.tiers.keeper_control import KeeperControl  # noqa: E402
+from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas  # noqa: E402
 from persimmonusher_node.tiers.leader import LeaderCalls  # noqa: E402
 from persimmonusher_node.tiers.peer_notices import PeerNoticeService  # noqa: E402
+from persimmonusher_node.tiers.quota_service import QuotaService  # noqa: E402
 
 SERVICE = ServiceName("entries")
 IN_FORCE_SECONDS = Settings.model_fields["stale_seconds"].default
@@ -52,16 +61,22 @@
 
 
 class PlainCodec(DocumentCodec):
-    """A document of one route, in JSON: {"version": N}."""
+    """A document of one route, in JSON: {"version": N, "quotas": {NAME: REQUESTS A SECOND}}."""
 
     def parse(self, content: bytes) -> RoutingDocument:
-        version = json.loads(content)["version"]
+        fields = json.loads(content)
+        version = fields["version"]
         if version < 0:
             raise UsherError(ErrorCode.BAD_VALUE, "the version is negative")
         parts = (WeightedService(SERVICE, 1),)
         rule = RouteRule("r", "shop.example", "/", True, 0, 100, 1000, 2, parts)
         limits = CallerLimits(16_384, 65_536, 3.0, 15.0)
-        return RoutingDocument(version, limits, (rule,), (ServiceEntry(SERVICE, "/health", 390),))
+        organisations = tuple(
+            Organisation(CallerId(name), (digest_key(name),), None, RequestQuota(rate, rate))
+            for name, rate in fields.get("quotas", {}).items()
+        )
+        services = (ServiceEntry(SERVICE, "/health", 390),)
+        return RoutingDocument(version, limits, (rule,), services, organisations)
 
 
 def find_port() -> int:
@@ -101,9 +116,11 @@
         leader = LeaderCalls(self.role, channels, clock)
         self.control = KeeperControl(self.settings, self.role, self.view, leader, PlainCodec())
         follow = FollowService(self.settings.failure_domain, self.role, self.view, channels, clock)
+        terms = QuotaTerms(slack=20.0)
+        quotas = QuotaService(self.role, self.view, channels, terms, 3, clock)
         self.listener = GrpcListener(
             self.settings.listen.peers,
-            [*self.role.list_peer_handlers(), follow],
+            [*self.role.list_peer_handlers(), follow, quotas],
             {"peers": "peer"},
         )
         self.listener.start()
@@ -130,6 +147,7 @@
         self.view = FollowedView(settings, channels, clock, Random(number), document=document)
         self.follower = KeeperFollower(settings, self.view, channels, clock, Random(number))
         self.view.follower = self.follower
+        self.quotas = KeeperQuotas(f"e{number}", self.follower.list_keepers, channels, clock)
         self.directory = RegisteredDirectory(self.view)
         self.heard: list[Notice] = []
         self.follower.take_notice = self.heard.append
@@ -162,8 +180,8 @@
             self.assertLess(time.monotonic(), deadline, "waited in vain")
             eventlet.sleep(0.02)
 
-    def put(self, version: int, keeper: int = 0) -> bytes:
-        content = json.dumps({"version": version}).encode()
+    def put(self, version: int, keeper: int = 0, **fields: Any) -> bytes:
+        content = json.dumps({"version": version, **fields}).encode()
         self.wait_for(lambda: self.try_put(content, keeper))
         return content
 
@@ -294,3 +312,53 @@
         first.lease.list_loads = second.lease.list_loads = dict
         heard.clear()
         self.wait_for(lambda: {} in heard)
+
+    def find_organisation(self, entry: EntryNode) -> Organisation:
+        book = entry.view.organisations
+        assert book is not None
+        found = book.find(CallerId("acme"))
+        assert found is not None
+        return found
+
+    def put_quota(self, rate: int) -> None:
+        self.put(1, quotas={"acme": rate})
+        for entry in self.entries:
+            self.wait_for(lambda entry=entry: entry.view.is_current() and entry.view.organisations)
+
+    def count_granted(self, requests: int) -> int:
+        """Ask for requests at both entries by turns; return how many were granted."""
+        verdicts = []
+        for number in range(requests):
+            entry = self.entries[number % len(self.entries)]
+            verdicts.append(entry.quotas.take(self.find_organisation(entry)))
+        self.assertNotIn(QuotaVerdict.UNKNOWN, verdicts)
+        return verdicts.count(QuotaVerdict.GRANTED)
+
+    def test_a_quota_holds_over_entries_of_every_keeper(self) -> None:
+        """Guards against an organisation that gets its quota anew from each keeper."""
+        self.put_quota(10)
+        begun = time.monotonic()
+        granted = self.count_granted(200)
+        earned = 10 * (time.monotonic() - begun)
+        self.assertLessEqual(granted, 10 + 20 + earned)
+        self.assertGreaterEqual(granted, 1)
+        eventlet.sleep(1.0)
+        self.assertGreaterEqual(self.count_granted(20), 5)
+
+    def test_a_lost_keepers_entries_get_their_requests_granted_by_another(self) -> None:
+        """Guards against organisations that are refused for as long as one keeper is gone."""
+        self.put_quota(1000)
+        self.assertEqual(self.count_granted(4), 4)
+        self.keepers[0].stack.close()
+        self.assertEqual(self.count_granted(4), 4)
+
+    def test_a_token_at_hand_is_used_while_no_keeper_answers(self) -> None:
+        """Guards against requests refused in the second in which all keepers start again."""
+        self.put_quota(1000)
+        entry = self.entries[0]
+        organisation = self.find_organisation(entry)
+        self.wait_for(lambda: entry.quotas.take(organisation) and entry.quotas._held, 15.0)
+        for keeper in self.keepers:
+            keeper.stack.close()
+        self.assertIs(entry.quotas.take(organisation), QuotaVerdict.GRANTED)
+        self.assertIs(entry.quotas.take(organisation), QuotaVerdict.UNKNOWN)
--- a/packages/protocol/src/persimmonusher_protocol/control_grpc.py
+++ b/packages/protocol/src/persimmonusher_protocol/control_grpc.py
@@ -115,3 +115,47 @@
             persimmonusher_protocol.control_pb2.NoticeBatch,
             persimmonusher_protocol.keeper_pb2.Ack,
         )
+
+
+class QuotasBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Take(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.QuotaRequest, persimmonusher_protocol.control_pb2.QuotaReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Lend(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.LendRequest, persimmonusher_protocol.control_pb2.LendReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/persimmonusher.control.Quotas/Take': grpclib.const.Handler(
+                self.Take,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonusher_protocol.control_pb2.QuotaRequest,
+                persimmonusher_protocol.control_pb2.QuotaReply,
+            ),
+            '/persimmonusher.control.Quotas/Lend': grpclib.const.Handler(
+                self.Lend,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonusher_protocol.control_pb2.LendRequest,
+                persimmonusher_protocol.control_pb2.LendReply,
+            ),
+        }
+
+
+class QuotasStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Take = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonusher.control.Quotas/Take',
+            persimmonusher_protocol.control_pb2.QuotaRequest,
+            persimmonusher_protocol.control_pb2.QuotaReply,
+        )
+        self.Lend = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonusher.control.Quotas/Lend',
+            persimmonusher_protocol.control_pb2.LendRequest,
+            persimmonusher_protocol.control_pb2.LendReply,
+        )
