Let copies of slow lookups use nearly all of the retry budget

Cause: where servers swallow work, the lookups that weren't served were those whose copy found no budget: an entry of a hundred has 2 retries in 10 s for a service, of which copies had half, while the fleet's budget was hardly used.

Ruled out: the copies' own chance. 23% of what reaches the status service hangs, so that a copy saves three of four.

--- a/packages/decisions/src/persimmonusher_decisions/hedging.py
+++ b/packages/decisions/src/persimmonusher_decisions/hedging.py
@@ -9,9 +9,9 @@
 LATEST_SHARE: Final = 0.5
 """Part of a request's whole time after which its copy goes out at the latest: the copy needs as
 long as the work takes."""
-BUDGET_SHARE: Final = 0.5
+BUDGET_SHARE: Final = 0.9
 """Part of the retry budget that copies may use: a failed request needs its second attempt more than
-one that may still be answered."""
+one that may still be answered, and a swallowed one will fail."""
 
 
 def find_hedge_delay(
