Tell all entries of overdue requests, and take it back once they are answered

Cause: servers that swallow three quarters of their work show nothing until a request's time is over, 2 to 8 s later. What was overdue was known to the entry that had sent it only, and only beyond three times the usual time, since an entry that sees a request of a kind every few seconds has no distribution of its own.

It is told to all, and the server passed by until the answer comes, if it does.

--- a/packages/decisions/src/persimmonusher_decisions/doubts.py
+++ b/packages/decisions/src/persimmonusher_decisions/doubts.py
@@ -19,6 +19,7 @@
 NEEDED: Final = {
     NoticeKind.FAILED_LATE: 2,
     NoticeKind.UNREACHED: 3,
+    NoticeKind.OVERDUE: 1,
     NoticeKind.RECOVERED: 2,
 }
 """How often a kind must be seen, each time of another request, to be believed. A server that fails
@@ -27,6 +28,7 @@
 SECONDS: Final = {
     NoticeKind.FAILED_LATE: DOUBT_SECONDS,
     NoticeKind.UNREACHED: UNREACHED_SECONDS,
+    NoticeKind.OVERDUE: DOUBT_SECONDS,
     NoticeKind.RECOVERED: PROOF_SECONDS,
 }
 
--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -29,9 +29,6 @@
 BUSY: Final = 1.0
 """Load for each slot of the least loaded trusted server from which on a request would have to wait:
 then lookups, which can be sent again, try suspected servers, and all requests the spared ones."""
-LOOKUP_SECONDS: Final = 4.0
-"""Time since the last lookup for which other requests leave it to lookups to try suspected servers.
-A service without lookups has no other way."""
 SPARED_LOAD: Final = 0.5
 """Load for each slot by which a server that the floor spares must be less loaded than a trusted
 one. It may well be ill, and one that fails at once looks idle."""
@@ -70,7 +67,6 @@
         self._far: list[ServerTrack] = []
         self._probed: list[ServerTrack] = []
         self._refresh_at = -inf
-        self._lookup_at = -inf
         self._mean_others = 0.0
         self.ramp_seconds = 0.0
         self.proving_seconds = 0.0
@@ -119,8 +115,6 @@
         return best or self._find_least(self._open, None)
 
     def _choose_first(self, idempotent: bool, now: float) -> ServerTrack | None:
-        if idempotent:
-            self._lookup_at = now
         best = self._find_least(self._sample(now), None)
         if best is not None and best.load <= BUSY:
             return best
@@ -129,7 +123,7 @@
             if proved is not None:
                 return proved
         candidates = self._pick_candidates()
-        if best is not None and (best.load <= CROWDED or self._has_lookups(now)):
+        if best is not None and best.load <= CROWDED:
             spared = [track for track in candidates if track.spared and track.is_suspected(now)]
             other = self._find_least(spared, None)
             return other if other is not None and other.load < best.load - SPARED_LOAD else best
@@ -144,10 +138,6 @@
         near = self._find_longest_suspected(self._near, None, now, self.proving_seconds)
         return near or self._find_longest_suspected(self._far, None, now, self.proving_seconds)
 
-    def _has_lookups(self, now: float) -> bool:
-        """Tell whether lookups go to this service, which try suspected servers at a lower price."""
-        return now - self._lookup_at < LOOKUP_SECONDS
-
     def _choose_among(
         self,
         trusted: Sequence[ServerTrack],
--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -131,6 +131,46 @@
         else:
             self.take(notice, track, tracks, profile, now)
 
+    def note_overdue(
+        self,
+        dispatch: Dispatch,
+        track: ServerTrack,
+        tracks: Collection[ServerTrack],
+        profile: Profile,
+        now: float,
+    ) -> None:
+        """Take that a request here is overdue; tell it."""
+        self._notices.append(self._make_notice(NoticeKind.OVERDUE, dispatch, track))
+        is_first = not track.is_suspected(now)
+        self.suspect(track, tracks, profile, now)
+        if is_first:
+            track.overdue_request = dispatch.request.request_id
+
+    def note_answered(self, dispatch: Dispatch, track: ServerTrack, now: float) -> None:
+        """Take that a request which was overdue here was answered well; tell it."""
+        notice = self._make_notice(NoticeKind.ANSWERED, dispatch, track)
+        self._notices.append(notice)
+        self._acquit(notice, track, now)
+
+    @staticmethod
+    def _acquit(notice: Notice, track: ServerTrack, now: float) -> bool:
+        """Use a server again whose only fault was a request that was answered late."""
+        if track.overdue_request != notice.request_id or not track.is_suspected(now):
+            return False
+        track.overdue_request = RequestId("")
+        track.suspect_until = now
+        track.suspicions = max(0, track.suspicions - 1)
+        return True
+
+    def _make_notice(self, kind: NoticeKind, dispatch: Dispatch, track: ServerTrack) -> Notice:
+        return Notice(
+            kind,
+            self._service,
+            track.server_id,
+            track.server.boot_id,
+            request_id=dispatch.request.request_id,
+        )
+
     def _learn_duration(self, track: ServerTrack, in_a_row: bool) -> None:
         """Move the time for which servers are passed by towards what illnesses last here."""
         if track.suspicions:
@@ -168,9 +208,16 @@
         if notice.kind is NoticeKind.RECOVERED:
             proves = track.is_suspected(now) and track.suspected_at < now - notice.seconds
             return proves and self._restore(track, notice.request_id, now)
+        if notice.kind is NoticeKind.ANSWERED:
+            return self._acquit(notice, track, now)
         if notice.kind in NEEDED and not track.doubts.add(notice.kind, notice.request_id, now):
             return False
-        return self.suspect(track, tracks, profile, now)
+        is_overdue = notice.kind is NoticeKind.OVERDUE
+        is_first = is_overdue and not track.is_suspected(now)
+        is_news = self.suspect(track, tracks, profile, now)
+        if is_first or not is_overdue:
+            track.overdue_request = notice.request_id if is_overdue else RequestId("")
+        return is_news
 
     def suspect(
         self, track: ServerTrack, tracks: Collection[ServerTrack], profile: Profile, now: float
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -3,6 +3,7 @@
 from persimmonusher_decisions.doubts import Doubts
 from persimmonusher_decisions.evidence_messages import EjectionState, ServerEvidence
 from persimmonusher_decisions.server import BackendServer, ServerState
+from persimmonusher_model.identifiers import RequestId
 
 
 class ServerTrack:
@@ -20,6 +21,7 @@
         "others",
         "out",
         "outstanding",
+        "overdue_request",
         "penalty",
         "probe_at",
         "ramp_from",
@@ -66,6 +68,8 @@
         """When it was last seen to fail."""
         self.suspicions = 0
         """Times that it was suspected in a row, each soon after the end of the last one."""
+        self.overdue_request = RequestId("")
+        """The overdue request that alone it is suspected for, if any."""
         self.spared = False
         """Whether it gets first attempts all the same, as too many are suspected."""
 
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -236,7 +236,9 @@
         """Let time pass: refuse waiting requests that are late, release those that may go."""
         self._evidence.mark_overdue(now)
         for attempt in self._evidence.take_overdue(now):
-            self._suspicion.suspect(attempt.track, self._tracks.values(), self._profile, now)
+            self._suspicion.note_overdue(
+                attempt.dispatch, attempt.track, self._tracks.values(), self._profile, now
+            )
         if self._lease.expire(now):
             self._rebuild(now)
         if not len(self._admission.queue):
@@ -251,7 +253,7 @@
 
     def hedge_delay(self, request: Request, now: float) -> float | None:
         """Return the seconds after which `hedge` may be asked, None where it need not be."""
-        limit = self._evidence.find_slow_limit(request.request_class)
+        limit = self._evidence.find_copy_limit(request)
         return find_hedge_delay(self._profile, request, limit, now)
 
     def hedge(self, dispatch: Dispatch, now: float) -> Dispatch | None:
--- a/packages/decisions/tests/decisions_helpers.py
+++ b/packages/decisions/tests/decisions_helpers.py
@@ -48,6 +48,7 @@
     idempotent: bool = True,
     seconds: float = 10.0,
     fingerprint: str = "",
+    target: float | None = None,
 ) -> Request:
     return Request(
         RequestId(name),
@@ -57,6 +58,7 @@
         now,
         now + seconds,
         fingerprint or name,
+        target=target,
     )
 
 
