Give a server that returns few requests until one is done well

Cause: a server that was passed by and is ill still takes a full share of requests again until the first of them is overdue, a second later.

--- a/packages/decisions/src/persimmonusher_decisions/evidence.py
+++ b/packages/decisions/src/persimmonusher_decisions/evidence.py
@@ -15,9 +15,12 @@
 """Classes with a latency baseline of their own; further ones share one."""
 SHARED_CLASS: Final = ""
 OVERDUE_DEVIATIONS: Final = 1.65
+"""Deviations above the middle from which on a request is overdue: one in twenty is by itself, and
+its server is used again when it is answered."""
 COPY_DEVIATIONS: Final = 2.0
-OVERDUE_TARGET_SHARE: Final = 0.6
-COPY_TARGET_SHARE: Final = 0.6
+"""The same for a copy, which costs a place in the retry budget: one in 40."""
+TARGET_SHARE: Final = 0.6
+"""Part of a route's target that stands in for either while too few answers are known."""
 ROUTINE_ANSWERS: Final = 16
 """Good answers that are told of at once, without anything abnormal."""
 ROUTINE_SECONDS: Final = 1.0
@@ -151,21 +154,19 @@
 
         Before a class has had some answers here, its route's target stands in for them.
         """
-        return self._find_unusual(request, OVERDUE_DEVIATIONS, OVERDUE_TARGET_SHARE)
+        return self._find_unusual(request, OVERDUE_DEVIATIONS)
 
     def find_copy_limit(self, request: Request) -> float | None:
         """Return the time in flight after which a copy is worth its price, None where unknown."""
-        return self._find_unusual(request, COPY_DEVIATIONS, COPY_TARGET_SHARE)
+        return self._find_unusual(request, COPY_DEVIATIONS)
 
-    def _find_unusual(
-        self, request: Request, deviations: float, target_share: float
-    ) -> float | None:
+    def _find_unusual(self, request: Request, deviations: float) -> float | None:
         spread = self._spreads.get(request.request_class)
         limit = None if spread is None else spread.find_limit(deviations)
         if limit is not None:
             return limit
         if request.target is not None:
-            return target_share * request.target
+            return TARGET_SHARE * request.target
         return self.find_slow_limit(request.request_class)
 
     def take_overdue(self, now: float) -> list[Attempt]:
--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -37,6 +37,8 @@
 try it: before, most are still ill."""
 SCAN_LIMIT: Final = 16
 """Servers looked at for one request at most. With more, a random run of this length is."""
+TRIAL_SHARE: Final = 0.2
+"""Chance of a server on trial to be compared for a request."""
 COMPARED: Final = 2
 """Servers without suspicion compared for a first attempt, of the near ones and of the others each.
 What is known of other instances' work is up to half a second old: told of the same idle server, all
@@ -179,7 +181,13 @@
     ) -> Iterable[ServerTrack]:
         start = int(self._random.random() * len(servers))
         run = islice(chain(servers[start:], servers[:start]), SCAN_LIMIT)
-        return islice((track for track in run if not track.is_suspected(now)), COMPARED)
+        return islice((track for track in run if self._may_take(track, now)), COMPARED)
+
+    def _may_take(self, track: ServerTrack, now: float) -> bool:
+        """Tell whether a server is compared; one on trial seldom is."""
+        if track.is_suspected(now):
+            return False
+        return not track.is_on_trial(now) or self._random.random() < TRIAL_SHARE
 
     def _pick_candidates(self) -> Sequence[ServerTrack]:
         servers = self._open
--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -37,6 +37,9 @@
 free, an earlier return wins nothing, and while they are busy lookups bring it about."""
 SMALL_SERVICE_SHARE: Final = 0.56
 """Part of a service's servers that may be passed by whatever its floor, in a small service."""
+TRIAL_SECONDS: Final = 4.0
+"""Time after a server was passed by in which it gets few requests, until one is done well: an
+instance of a large fleet sees the same server about once in it."""
 MAX_NOTICES: Final = 256
 """Notices that wait to be told; more are dropped, as thousands of failures say no more."""
 
@@ -82,6 +85,9 @@
     the others are busy, lookups go to those that failed the longest ago: such a request can be sent
     again when it fails.
 
+    One that returns because its time is over may be ill still, and says so only when a request there
+    is overdue. So it is on trial: few requests go there until one was done well, whoever sent it.
+
     A server that fails again soon after its time is passed by for twice as long: how long an
     illness lasts isn't known, and each return of a server that is still ill costs a request.
     """
@@ -158,7 +164,7 @@
         if track.overdue_request != notice.request_id or not track.is_suspected(now):
             return False
         track.overdue_request = RequestId("")
-        track.suspect_until = now
+        track.suspect_until = track.trial_until = now
         track.suspicions = max(0, track.suspicions - 1)
         return True
 
@@ -180,7 +186,7 @@
     def record_answer(self, dispatch: Dispatch, track: ServerTrack, now: float) -> None:
         """Take a good answer: its time, and what it says of a server that is passed by."""
         latency = now - dispatch.started
-        if track.is_suspected(now) and track.suspected_at < dispatch.started:
+        if track.is_on_trial(now) and track.suspected_at < dispatch.started:
             self._restore(track, dispatch.request.request_id, now)
             self._notices.append(
                 Notice(
@@ -206,7 +212,7 @@
     ) -> bool:
         """Take what was seen here or elsewhere; tell whether it changes how the server is used."""
         if notice.kind is NoticeKind.RECOVERED:
-            proves = track.is_suspected(now) and track.suspected_at < now - notice.seconds
+            proves = track.is_on_trial(now) and track.suspected_at < now - notice.seconds
             return proves and self._restore(track, notice.request_id, now)
         if notice.kind is NoticeKind.ANSWERED:
             return self._acquit(notice, track, now)
@@ -235,6 +241,7 @@
         track.suspected_at = now
         longest = LARGEST_FACTOR * profile.suspect_ms / 1000.0
         track.suspect_until = now + min(longest, seconds * 2 ** (track.suspicions - 1))
+        track.trial_until = track.suspect_until + TRIAL_SECONDS
         track.spared = False
         suspected = [item for item in tracks if item.is_passed_by(now)]
         allowed = find_most_suspects(len(tracks), profile)
@@ -246,10 +253,13 @@
 
     @staticmethod
     def _restore(track: ServerTrack, request_id: RequestId, now: float) -> bool:
-        """Take a lookup done well; tell whether it was the last that it took to use the server."""
+        """Take work done well; tell whether it was the last that it took to use the server."""
+        if not track.is_suspected(now):
+            track.trial_until = now
+            return True
         proved = track.doubts.add(NoticeKind.RECOVERED, request_id, now)
         if proved:
-            track.suspect_until = now
+            track.suspect_until = track.trial_until = now
         return proved
 
     def _classify(self, outcome: Outcome) -> NoticeKind:
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -35,6 +35,7 @@
         "suspected_at",
         "suspicions",
         "told_at",
+        "trial_until",
         "timed",
     )
 
@@ -66,6 +67,8 @@
         """Passed by until then, as some instance has just seen it fail."""
         self.suspected_at = now
         """When it was last seen to fail."""
+        self.trial_until = now
+        """Used with caution until then, after it was passed by."""
         self.suspicions = 0
         """Times that it was suspected in a row, each soon after the end of the last one."""
         self.overdue_request = RequestId("")
@@ -87,6 +90,10 @@
         """Tell whether an instance has just seen it fail."""
         return self.suspect_until > now
 
+    def is_on_trial(self, now: float) -> bool:
+        """Tell whether it was passed by lately and nobody has seen it well since."""
+        return self.trial_until > now
+
     def is_passed_by(self, now: float) -> bool:
         """Tell whether first attempts go elsewhere for that."""
         return self.suspect_until > now and not self.spared
--- a/packages/decisions/tests/test_heavy_load.py
+++ b/packages/decisions/tests/test_heavy_load.py
@@ -214,6 +214,29 @@
         self.assertGreater(traffic.find_seconds_passed_by(lost.server.server_id, 2.2), 0.0)
 
 
+class TrialTest(unittest.TestCase):
+    def test_a_server_that_returns_gets_few_requests_until_one_is_done_well(self) -> None:
+        """Guards against a full share of requests for a server that is ill still."""
+        traffic = make_traffic(6, PROFILE)
+        ill = ServerId("s0")
+        failed = Notice(NoticeKind.FAILED, SERVICE, ill, 1, "", RequestId("f"))
+        traffic.apply_notice(failed, 1.0)
+        before = self.count(traffic, ill, 6.0)
+        proof = Notice(NoticeKind.RECOVERED, SERVICE, ill, 1, "", RequestId("p"), 0.3)
+        traffic.apply_notice(proof, 6.5)
+        self.assertGreater(self.count(traffic, ill, 7.0), 2 * before)
+
+    def count(self, traffic: ServiceTraffic, server: ServerId, now: float) -> int:
+        """Count the requests of 300 that a server gets, none of which is answered well."""
+        chosen = 0
+        for number in range(300):
+            request = make_request(f"{now}-{number}", now, idempotent=False)
+            dispatch = dispatched(traffic.offer(request, now))
+            traffic.finish(dispatch, Outcome(OutcomeKind.CANCELLED, 0.0), now)
+            chosen += dispatch.server.server_id == server
+        return chosen
+
+
 class RecoveryTest(unittest.TestCase):
     def setUp(self) -> None:
         self.traffic = make_traffic(3, PROFILE)
