--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -85,8 +85,8 @@
     the others are busy, lookups go to those that failed the longest ago: such a request can be sent
     again when it fails.
 
-    One that returns because its time is over may be ill still, and says so only when a request there
-    is overdue. So it is on trial: few requests go there until one was done well, whoever sent it.
+    One that returns because its time is over may be ill still, and shows it only once a request
+    there is overdue. So it is on trial: few requests go there until one was done well anywhere.
 
     A server that fails again soon after its time is passed by for twice as long: how long an
     illness lasts isn't known, and each return of a server that is still ill costs a request.
