--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -70,6 +70,8 @@
         self._probed: list[ServerTrack] = []
         self._refresh_at = -inf
         self._mean_others = 0.0
+        self.mean_load = 0.0
+        """Requests in progress for each slot of the servers that take work, as far as known."""
         self.ramp_seconds = 0.0
         self.proving_seconds = 0.0
         """Time after a failure before which no lookup tries the server."""
@@ -260,6 +262,7 @@
         known = [track.others for track in self._open if track.others is not None]
         mean = sum(known) / len(known) if known else 0.0
         self._mean_others = mean
+        self.mean_load = self._find_mean_load()
         report_keep = exp(-elapsed / REPORT_MEMORY_SECONDS)
         penalty_keep = exp(-elapsed / PENALTY_MEMORY_SECONDS)
         for track in self._tracks:
@@ -273,6 +276,11 @@
             for servers in (self._open, self._near, self._far):
                 self._random.shuffle(servers)
 
+    def _find_mean_load(self) -> float:
+        if not self._open:
+            return 0.0
+        return sum(track.known_load for track in self._open) / len(self._open)
+
     def _is_near(self, track: ServerTrack) -> bool:
         return track.server.failure_domain == self._failure_domain
 
--- a/packages/decisions/tests/heavy_loads.py
+++ b/packages/decisions/tests/heavy_loads.py
@@ -62,3 +62,11 @@
     target_seconds=1.54,
 )
 """Lookups of which a copy sent after the usual time still comes in time."""
+HANGING_BURSTS = replace(
+    HANGING_LOOKUPS,
+    servers=55,
+    requests_a_second=250.0,
+    burst_factor=1.6,
+    burst_seconds=2.5,
+)
+"""Bursts beyond the slots of the servers that are well."""
--- a/packages/decisions/tests/test_heavy_load.py
+++ b/packages/decisions/tests/test_heavy_load.py
@@ -8,6 +8,7 @@
 from decisions_helpers import GOOD, SERVICE, dispatched, make_request, make_traffic
 from fleet_simulation import FleetSimulation, Load, Served
 from heavy_loads import (
+    HANGING_BURSTS,
     HANGING_ENTRIES,
     HANGING_LOOKUPS,
     HANGING_PROFILE,
@@ -15,7 +16,7 @@
     PROFILE,
 )
 
-from persimmonusher_decisions import placement
+from persimmonusher_decisions import hedging, placement, traffic
 from persimmonusher_decisions.admission import SHORTEST_RETRY_AFTER, SHORTEST_RETURN
 from persimmonusher_decisions.evidence import EvidenceLog
 from persimmonusher_decisions.notices import Notice, NoticeKind
@@ -146,6 +147,22 @@
                 served = play(load, HANGING_PROFILE)
                 self.assertLess(served.failed_share, share * unheeded.failed_share)
 
+    def test_copies_and_suspicion_make_no_burst_worse(self) -> None:
+        """Guards against copies and passed-by servers that take the room which a burst needs."""
+        with (
+            patch.object(EvidenceLog, "take_overdue", return_value=[]),
+            patch.object(hedging, "CALM_LOAD", 0.0),
+        ):
+            cautious = play(HANGING_BURSTS, HANGING_PROFILE)
+        served = play(HANGING_BURSTS, HANGING_PROFILE)
+        self.assertLess(served.failed_share, 1.1 * cautious.failed_share)
+        with (
+            patch.object(traffic, "QUEUEING_LOAD", inf),
+            patch.object(hedging, "CALM_LOAD", inf),
+        ):
+            heedless = play(HANGING_BURSTS, HANGING_PROFILE)
+        self.assertLess(served.failed_share, 0.8 * heedless.failed_share)
+
     def test_ways_that_swallow_requests_cost_no_more(self) -> None:
         """Guards against servers taken from all for what some instances can't reach.
 
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -60,7 +60,7 @@
         )
         keyed = KeyedForwarder(self.forwarder, parts.claims)
         decimals = dialect.retry_after_decimals
-        entry = Entry(self.services, self.forwarder, keyed, parts.quotas, decimals)
+        entry = Entry(self.services, self.forwarder, keyed, parts.quotas, clock, decimals)
         body_seconds = settings.limits.body_seconds
         self.application = CallersApplication(entry, instance_id, clock, body_seconds, dialect)
         self.watch = Watch(self.services, self.forwarder, upstream, clock)
--- a/packages/node/src/persimmonusher_node/entry.py
+++ b/packages/node/src/persimmonusher_node/entry.py
@@ -2,13 +2,17 @@
 
 from typing import Final
 
+from structlog import get_logger
+
+from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import Revision
-from persimmonusher_model.organisations import OrganisationBook, RequestQuota
+from persimmonusher_model.organisations import Organisation, OrganisationBook, RequestQuota
 from persimmonusher_node.answers import Answer, AnswerCode, make_error
 from persimmonusher_node.calls import Call
 from persimmonusher_node.forwarding import Forwarder
 from persimmonusher_node.headers import CallerOutcome
 from persimmonusher_node.keyed import KeyedForwarder
+from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.ports import Freshness, Quotas, QuotaVerdict
 from persimmonusher_node.services import LiveService, RoutedService, ServiceBook
 
@@ -20,6 +24,8 @@
 """When a caller may come back whose quota nobody could tell: about the time until an instance has
 found another keeper."""
 
+_log = get_logger(__name__)
+
 
 class Entry:
     """Chooses how a request is forwarded: by its route, its idempotency and its key."""
@@ -30,12 +36,14 @@
         forwarder: Forwarder,
         keyed: KeyedForwarder,
         quotas: Quotas,
+        clock: Clock,
         decimals: int = 0,
     ) -> None:
         self._services = services
         self._forwarder = forwarder
         self._keyed = keyed
         self._quotas = quotas
+        self._lines = LineBudget(clock)
         self._decimals = decimals
 
     def is_ready(self) -> bool:
@@ -78,7 +86,7 @@
             return self._forward(call, live)
         verdict = self._quotas.take(organisation)
         if verdict is not QuotaVerdict.GRANTED:
-            return self._refuse_quota(verdict, organisation.quota, call)
+            return self._refuse_quota(verdict, organisation, organisation.quota, call)
         answer: Answer | None = None
         try:
             answer = self._forward(call, live)
@@ -87,7 +95,19 @@
             if answer is not None and answer.outcome is CallerOutcome.NOT_RUN:
                 self._quotas.give_back(organisation)
 
-    def _refuse_quota(self, verdict: QuotaVerdict, quota: RequestQuota, call: Call) -> Answer:
+    def _refuse_quota(
+        self, verdict: QuotaVerdict, organisation: Organisation, quota: RequestQuota, call: Call
+    ) -> Answer:
+        if self._lines.take():
+            _log.info(
+                "request-over-quota",
+                request_id=call.request_id,
+                organisation=organisation.name,
+                verdict=verdict.value,
+                per_second=quota.per_second,
+                burst=quota.burst,
+                lines_left_out=self._lines.take_left_out(),
+            )
         if verdict is QuotaVerdict.EXCEEDED:
             code, message = AnswerCode.QUOTA_EXCEEDED, "the organisation's quota is used up"
             seconds = max(SHORTEST_QUOTA_SECONDS, 1.0 / quota.per_second)
