Learn nothing from overdue requests that may be answered yet, and tell them once

Changed: what rests on overdue requests alone has an end of its own, teaches nothing, and is told and taken back once. It is logged where it was seen.

Ruled out: quotas.

--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -145,18 +145,15 @@
         profile: Profile,
         now: float,
     ) -> None:
-        """Take that a request here is overdue; tell it."""
-        self._notices.append(self._make_notice(NoticeKind.OVERDUE, dispatch, track))
-        is_first = not track.is_suspected(now)
-        self.suspect(track, tracks, profile, now)
-        if is_first:
-            track.overdue_request = dispatch.request.request_id
+        """Take that a request here is overdue; tell it where that is news."""
+        if self._doubt(dispatch.request.request_id, track, tracks, profile, now):
+            self._notices.append(self._make_notice(NoticeKind.OVERDUE, dispatch, track))
 
     def note_answered(self, dispatch: Dispatch, track: ServerTrack, now: float) -> None:
-        """Take that a request which was overdue here was answered well; tell it."""
+        """Take that a request that was overdue here was answered well; tell it if that was told."""
         notice = self._make_notice(NoticeKind.ANSWERED, dispatch, track)
-        self._notices.append(notice)
-        self._acquit(notice, track, now)
+        if self._acquit(notice, track, now):
+            self._notices.append(notice)
 
     @staticmethod
     def _acquit(notice: Notice, track: ServerTrack, now: float) -> bool:
@@ -164,8 +161,7 @@
         if track.overdue_request != notice.request_id or not track.is_suspected(now):
             return False
         track.overdue_request = RequestId("")
-        track.suspect_until = track.trial_until = now
-        track.suspicions = max(0, track.suspicions - 1)
+        track.suspect_until = track.trial_until = max(now, track.settled_until)
         return True
 
     def _make_notice(self, kind: NoticeKind, dispatch: Dispatch, track: ServerTrack) -> Notice:
@@ -218,12 +214,9 @@
             return self._acquit(notice, track, now)
         if notice.kind in NEEDED and not track.doubts.add(notice.kind, notice.request_id, now):
             return False
-        is_overdue = notice.kind is NoticeKind.OVERDUE
-        is_first = is_overdue and not track.is_suspected(now)
-        is_news = self.suspect(track, tracks, profile, now)
-        if is_first or not is_overdue:
-            track.overdue_request = notice.request_id if is_overdue else RequestId("")
-        return is_news
+        if notice.kind is NoticeKind.OVERDUE:
+            return self._doubt(notice.request_id, track, tracks, profile, now)
+        return self.suspect(track, tracks, profile, now)
 
     def suspect(
         self, track: ServerTrack, tracks: Collection[ServerTrack], profile: Profile, now: float
@@ -231,17 +224,48 @@
         """Pass a server by from now on, for the profile's time; tell whether that is news."""
         if not profile.suspect_ms:
             return False
-        is_news = not track.is_passed_by(now)
         seconds = self._factor * profile.suspect_ms / 1000.0
-        if not track.is_suspected(now):
-            in_a_row = now - track.suspect_until < seconds
+        if track.settled_until <= now:
+            in_a_row = now - track.settled_until < seconds
             self._learn_duration(track, in_a_row)
             track.suspicions = min(LONGEST_ROW, track.suspicions + 1) if in_a_row else 1
+        longest = LARGEST_FACTOR * profile.suspect_ms / 1000.0
+        until = now + min(longest, seconds * 2 ** (track.suspicions - 1))
+        track.settled_until = until
+        track.overdue_request = RequestId("")
+        return self._pass_by(until, track, tracks, profile, now)
+
+    def _doubt(
+        self,
+        request_id: RequestId,
+        track: ServerTrack,
+        tracks: Collection[ServerTrack],
+        profile: Profile,
+        now: float,
+    ) -> bool:
+        """Pass a server by for an overdue request, unless it is already; tell whether that is news.
+
+        Nothing is learned from it: it may be answered yet.
+        """
+        if not profile.suspect_ms or track.is_suspected(now):
+            return False
+        track.overdue_request = request_id
+        until = now + self._factor * profile.suspect_ms / 1000.0
+        return self._pass_by(until, track, tracks, profile, now)
+
+    @staticmethod
+    def _pass_by(
+        until: float,
+        track: ServerTrack,
+        tracks: Collection[ServerTrack],
+        profile: Profile,
+        now: float,
+    ) -> bool:
+        is_news = not track.is_passed_by(now)
         track.doubts.forget(NoticeKind.RECOVERED)
         track.suspected_at = now
-        longest = LARGEST_FACTOR * profile.suspect_ms / 1000.0
-        track.suspect_until = now + min(longest, seconds * 2 ** (track.suspicions - 1))
-        track.trial_until = track.suspect_until + TRIAL_SECONDS
+        track.suspect_until = until
+        track.trial_until = until + TRIAL_SECONDS
         track.spared = False
         suspected = [item for item in tracks if item.is_passed_by(now)]
         allowed = find_most_suspects(len(tracks), profile)
@@ -259,7 +283,7 @@
             return True
         proved = track.doubts.add(NoticeKind.RECOVERED, request_id, now)
         if proved:
-            track.suspect_until = track.trial_until = now
+            track.suspect_until = track.settled_until = track.trial_until = now
         return proved
 
     def _classify(self, outcome: Outcome) -> NoticeKind:
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -28,6 +28,7 @@
         "reason",
         "server",
         "server_id",
+        "settled_until",
         "slow",
         "spared",
         "slots",
@@ -67,6 +68,8 @@
         """Passed by until then, as some instance has just seen it fail."""
         self.suspected_at = now
         """When it was last seen to fail."""
+        self.settled_until = now
+        """The same for failures alone, without requests that are overdue."""
         self.trial_until = now
         """Used with caution until then, after it was passed by."""
         self.suspicions = 0
