--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -189,7 +189,7 @@
 
 def name_event(notice: Notice, seconds_passed_by: float) -> str:
     """Return the name under which a notice is logged."""
-    if notice.kind in (NoticeKind.RECOVERED, NoticeKind.ANSWERED):
+    if notice.kind is NoticeKind.RECOVERED:
         return "server-recovered"
     return "server-passed-by" if seconds_passed_by else "server-doubted"
 
