Answer what is left at the end of a stop before its connection is closed

Cause: a request that a server or a way swallows lasts until its own time is over, up to 8 s now; the end of a stop, 5.2 s after SIGTERM, reset its connection with no answer.

Ruled out: a request taken too late in the stop; it came 1.3 s after SIGTERM, with 3.9 s left.

Before and after: test_shutdown.SwallowedRequestTest gets no answer, and 504 with an unknown outcome.

--- a/packages/node/src/persimmonusher_node/shutdown.py
+++ b/packages/node/src/persimmonusher_node/shutdown.py
@@ -12,6 +12,7 @@
 from eventlet.event import Event
 from structlog import get_logger
 
+from persimmonusher_decisions.work import OutcomeKind
 from persimmonusher_model.clock import Clock
 from persimmonusher_node.callers import LONGEST_DEADLINE_MS, CallersApplication
 from persimmonusher_node.forwarding import Forwarder
@@ -19,6 +20,9 @@
 from persimmonusher_node.settings import Settings
 
 POLL_SECONDS: Final = 0.05
+LAST_ANSWERS_SECONDS: Final = 0.2
+"""Time for the answers to requests that the end of a stop leaves unserved; the process ends well
+before it is killed all the same."""
 
 _log = get_logger(__name__)
 
@@ -85,10 +89,18 @@
         started = self._clock.monotonic()
         whole = self._listener.wait_until_idle(lambda: self._is_overdue(started))
         if not whole:
+            self._answer_overdue()
             _log.warning("cut off callers that neither sent nor read")
             self._listener.abort()
         return whole
 
+    def _answer_overdue(self) -> None:
+        """Answer what no server has: told of a timeout, a caller knows more than after a reset."""
+        for run in self._forwarder.list_runs():
+            run.stop(OutcomeKind.TIMEOUT)
+        until = self._clock.monotonic() + LAST_ANSWERS_SECONDS
+        self._listener.wait_until_idle(lambda: self._clock.monotonic() > until)
+
     def _is_overdue(self, started: float) -> bool:
         stop_seconds = self._settings.stop_seconds
         if stop_seconds is not None:
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -83,6 +83,31 @@
         self.assertTrue(stopping.wait())
 
 
+class SwallowedRequestTest(EntryTestCase):
+    server_names = ("s1",)
+
+    # Guards against a reset in place of an answer for a request that a server has swallowed.
+    def test_a_request_that_outlasts_the_stop_is_answered(self) -> None:
+        self.script(stall(10.0, answer(b"never")))
+        listen = Listeners(**dict.fromkeys(Listeners.model_fields, "127.0.0.1:0"))
+        settings = Settings(
+            instance_id="e1",
+            failure_domain="a",
+            listen=listen,
+            peer_token="secret",
+            stop_delay_seconds=0.2,
+            stop_seconds=0.8,
+        )
+        stop = GracefulStop(
+            settings, self.plane.application, self.listener, self.plane.forwarder, SystemClock()
+        )
+        swallowed = eventlet.spawn(self.call, "GET", "/search")
+        eventlet.sleep(0.1)
+        self.assertFalse(stop.run())
+        told = swallowed.wait()
+        self.assertEqual((told.status, told.outcome), (504, "unknown"))
+
+
 class AcceptGapTest(EntryTestCase):
     def test_no_caller_is_let_in_between_the_last_accept_and_the_close(self) -> None:
         """A caller connects and sends its entry just after the stop's last accept.
