--- a/packages/node/src/persimmonusher_node/tiers/keeper_quotas.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_quotas.py
@@ -82,12 +82,16 @@
         self._held.setdefault(organisation.name, HeldToken(expires))
 
     def _note_request(self, name: CallerId) -> bool:
-        """Tell whether another request of the organisation came before a token would be void."""
+        """Tell whether another request of the organisation came before a token would be void.
+
+        Organisations whose tokens are void are forgotten, so that memory follows the traffic.
+        """
         now = self._clock.monotonic()
         former = self._seen.pop(name, None)
         self._seen[name] = now
         while next(iter(self._seen.values())) < now - HELD_SECONDS:
-            self._seen.popitem(last=False)
+            forgotten, _ = self._seen.popitem(last=False)
+            self._held.pop(forgotten, None)
         return former is not None and now - former < HELD_SECONDS
 
     async def _ask(self, name: CallerId, wants_ahead: bool, ahead_only: bool) -> QuotaVerdict:
--- a/packages/node/src/persimmonusher_node/tiers/quota_service.py
+++ b/packages/node/src/persimmonusher_node/tiers/quota_service.py
@@ -27,6 +27,8 @@
 FRUITLESS_SECONDS: Final = 0.25
 """Time for which nobody is asked again after no keeper had a token to lend: an organisation far
 beyond its quota costs a few calls a second, not some for each request."""
+FRUITLESS_KEPT: Final = 4_096
+"""Organisations beyond their quotas that are remembered; with more, all are asked for anew."""
 APART_SECONDS: Final = 3.0
 """A keeper out of touch with a majority for longer grants nothing: another may have taken its place
 among the voters, and its share with it."""
@@ -103,6 +105,8 @@
             )
             now = self._clock.monotonic()
             self._shares.add(name, quota, sum(replies), now)
+            if len(self._fruitless_until) >= FRUITLESS_KEPT:
+                self._fruitless_until.clear()
             if sum(replies) < 1.0:
                 self._fruitless_until[name] = now + FRUITLESS_SECONDS
             return sum(replies) >= 1.0
