Refuse names of organisations that a header can't carry

Cause: an organisation's name is told to servers in a header, and was taken as it came. One beyond Latin-1, or with a line break, made each of its requests fail inside the entry; a key or name with half of a surrogate pair made the keeper fail with 500 in place of 400.

Ruled out: a smuggled header; the HTTP library refuses line breaks, at the cost of the request.

Before and after: four cases of test_documents, taken or ended by an exception; refused with their place now.

--- a/packages/model/src/persimmonusher_model/organisations.py
+++ b/packages/model/src/persimmonusher_model/organisations.py
@@ -1,5 +1,6 @@
 """Organisations: whose requests come with which API keys, how many, and how urgent they are."""
 
+import re
 import secrets
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
@@ -13,12 +14,15 @@
 """Stands for an API key inside one process; another process makes another digest of it."""
 
 DIGEST_BYTES: Final = 16
+HEADER_TEXT: Final = re.compile(r"[!-~]+( +[!-~]+)*")
+"""What a header can carry as it is; a line break in it would begin another header."""
 _SALT: Final = secrets.token_bytes(DIGEST_BYTES)
 
 
 def digest_key(key: str) -> KeyDigest:
     """Return what stands for an API key, which is a secret and kept nowhere as it is."""
-    return KeyDigest(blake2b(key.encode(), digest_size=DIGEST_BYTES, key=_SALT).digest())
+    data = key.encode(errors="surrogatepass")
+    return KeyDigest(blake2b(data, digest_size=DIGEST_BYTES, key=_SALT).digest())
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +74,9 @@
     holders: dict[KeyDigest, CallerId] = {}
     for number, one in enumerate(organisations):
         path = f"organisations.{number}"
+        if HEADER_TEXT.fullmatch(one.name) is None:
+            message = f"{one.name!r} must be visible ASCII, as servers are told it in a header"
+            yield Finding(ErrorCode.BAD_VALUE, f"{path}.name", message)
         if one.name in names:
             message = f"two organisations are named {one.name!r}"
             yield Finding(ErrorCode.BAD_VALUE, f"{path}.name", message)
