Bound an entry's wait for a quota where it knows no keeper

Cause: the time was looked at for each keeper, so that without any the loop never ended. By reading; keepers are known by then on each way that was found.

Before and after: test_keeper_quotas, ended by its timeout of 1.7 s; UNKNOWN within it. A held token is a time, not a class of its own.

--- a/packages/node/src/persimmonusher_node/tiers/keeper_quotas.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_quotas.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from math import inf
 from typing import Final
 
 import structlog
@@ -37,13 +37,6 @@
 held, so that the keepers don't count it among those that are."""
 
 
-@dataclass(frozen=True, slots=True)
-class HeldToken:
-    """A token for one request, until a moment."""
-
-    expires: float
-
-
 class KeeperQuotas(Quotas):
     """Counts requests by the keepers' grants."""
 
@@ -59,7 +52,8 @@
         """Returns the keepers' addresses, the one to ask first in front."""
         self._channels = channels
         self._clock = clock
-        self._held: dict[CallerId, HeldToken] = {}
+        self._held: dict[CallerId, float] = {}
+        """When the token ends that is at hand for an organisation."""
         self._asking: set[CallerId] = set()
         """Organisations for which a token to hold is being asked for."""
         self._seen: OrderedDict[CallerId, float] = OrderedDict()
@@ -69,17 +63,16 @@
         """Use the token at hand, or ask the keepers for one; waits for their answer."""
         name = organisation.name
         expects_more = self._note_request(name) and name not in self._asking
-        held = self._held.pop(name, None)
-        if held is not None and self._clock.monotonic() < held.expires:
+        if self._clock.monotonic() < self._held.pop(name, -inf):
             if expects_more:
-                start_coroutine(self._ask(name, expects_more, ahead_only=True))
+                start_coroutine(self._ask(name, wants_ahead=True, ahead_only=True))
             return QuotaVerdict.GRANTED
         return run_coroutine(self._ask(name, expects_more, ahead_only=False))
 
     def give_back(self, organisation: Organisation) -> None:
         """Keep a token for the next request, where none is kept."""
-        expires = self._clock.monotonic() + GIVEN_BACK_SECONDS
-        self._held.setdefault(organisation.name, HeldToken(expires))
+        ends = self._clock.monotonic() + GIVEN_BACK_SECONDS
+        self._held.setdefault(organisation.name, ends)
 
     def _note_request(self, name: CallerId) -> bool:
         """Tell whether another request of the organisation came before a token would be void.
@@ -110,18 +103,18 @@
 
     async def _ask_keepers(self, name: CallerId, request: pb.QuotaRequest) -> QuotaVerdict:
         until = self._clock.monotonic() + ASK_SECONDS
-        while True:
+        while self._clock.monotonic() < until:
             for address in self._list_keepers():
                 asked = self._clock.monotonic()
-                if asked >= until:
-                    return QuotaVerdict.UNKNOWN
-                reply = await self._ask_keeper(address, request, min(TRY_SECONDS, until - asked))
+                left = max(0.0, until - asked)
+                reply = await self._ask_keeper(address, request, min(TRY_SECONDS, left))
                 if reply is None:
                     continue
                 if reply.ahead:
-                    self._held[name] = HeldToken(asked + HELD_SECONDS)
+                    self._held[name] = asked + HELD_SECONDS
                 return QuotaVerdict.GRANTED if reply.granted else QuotaVerdict.EXCEEDED
             await asyncio.sleep(RETRY_SECONDS)
+        return QuotaVerdict.UNKNOWN
 
     async def _ask_keeper(
         self, address: str, request: pb.QuotaRequest, timeout: float
