Log and count the limits of requests a second that servers name

What can't be told today: whether an entry read a limit, which one is in force at an entry, and whether what was sent under it were first or further attempts. An entry now logs server-limit when a server's answer names another limit than before, counts attempts on such servers by kind (limited-first, limited-further), and has a gauge of limited servers. No decision changes: the limit is noted at the server's track and nothing else.

--- a/packages/decisions/src/persimmonusher_decisions/dispatcher.py
+++ b/packages/decisions/src/persimmonusher_decisions/dispatcher.py
@@ -44,6 +44,7 @@
             self._retries.earn(now)
             self._admission.record_start(request, now)
         number = self._evidence.find_free_number(request.request_id, attempt)
-        dispatch = Dispatch(request, track.server, number, now, unreached)
+        is_limited = track.rate_limit is not None
+        dispatch = Dispatch(request, track.server, number, now, unreached, is_limited)
         self._evidence.start(dispatch, track)
         return dispatch
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -21,6 +21,7 @@
         "out",
         "outstanding",
         "penalty",
+        "rate_limit",
         "probe_at",
         "ramp_from",
         "reason",
@@ -66,6 +67,8 @@
         """When it was last seen to fail."""
         self.suspicions = 0
         """Times that it was suspected in a row, each soon after the end of the last one."""
+        self.rate_limit: float | None = None
+        """Requests a second that it takes from all instances, None where it names no limit."""
         self.spared = False
         """Whether it gets first attempts all the same, as too many are suspected."""
 
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from persimmonusher_decisions.admission import Admission
+from persimmonusher_decisions.advice import ServerAdvice
 from persimmonusher_decisions.connections import ConnectionBudget
 from persimmonusher_decisions.digests import DigestMaker
 from persimmonusher_decisions.dispatcher import Dispatcher
@@ -57,6 +58,8 @@
     taking_work: bool
     reason: str
     outstanding: int
+    rate_limit: float | None = None
+    """Requests a second that it takes from all instances, None where it names no limit."""
 
 
 class ServiceTraffic:
@@ -210,6 +213,15 @@
             if total or track.server.failure_domain == self._failure_domain:
                 self._placement.learn_load(track, total)
 
+    def take_advice(self, dispatch: Dispatch, advice: ServerAdvice) -> bool:
+        """Take what a server's answer asks of all instances; tell whether its limit changed."""
+        track = self._tracks.get(dispatch.server.server_id)
+        if track is None or track.server.boot_id != dispatch.server.boot_id:
+            return False
+        is_news = track.rate_limit != advice.rate_limit
+        track.rate_limit = advice.rate_limit
+        return is_news
+
     def finish(self, dispatch: Dispatch, outcome: Outcome, now: float) -> tuple[Decision, ...]:
         """Record the end of an attempt and return the waiting requests it releases."""
         attempt = self._evidence.end(dispatch)
@@ -280,6 +292,7 @@
                 track.is_ready and track.out is None,
                 track.reason or track.server.state.value,
                 track.outstanding,
+                track.rate_limit,
             )
             for track in self._tracks.values()
         )
--- a/packages/decisions/src/persimmonusher_decisions/work.py
+++ b/packages/decisions/src/persimmonusher_decisions/work.py
@@ -67,6 +67,8 @@
     started: float
     unreached: int = 0
     """Earlier attempts of which no byte left; they cost neither the budget nor the servers."""
+    is_limited: bool = False
+    """Whether the server is known to limit the requests that it takes."""
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -17,7 +17,12 @@
 from persimmonusher_model.clock import Clock
 from persimmonusher_node.answers import AnswerCode
 from persimmonusher_node.dialect import OWN_DIALECT, Dialect
-from persimmonusher_node.exchange import classify_answer, make_upstream_request, read_load
+from persimmonusher_node.exchange import (
+    classify_answer,
+    make_upstream_request,
+    read_advice,
+    read_load,
+)
 from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.runs import Run
 from persimmonusher_node.services import LiveService
@@ -110,6 +115,20 @@
                     lines_left_out=self._lines.take_left_out(),
                 )
 
+    def _take_advice(self, live: LiveService, dispatch: Dispatch, answer: UpstreamAnswer) -> None:
+        """Hand on what a server asks of all instances, also where its answer streams on."""
+        advice = read_advice(answer, self._dialect)
+        if live.traffic.take_advice(dispatch, advice) and self._lines.take():
+            _log.info(
+                "server-limit",
+                server=dispatch.server.server_id,
+                service=live.name,
+                boot=dispatch.server.boot_id,
+                requests_a_second=advice.rate_limit,
+                request_id=dispatch.request.request_id,
+                lines_left_out=self._lines.take_left_out(),
+            )
+
     def _make(self, run: Run, dispatch: Dispatch) -> Ended:
         started = self._clock.monotonic()
         request = make_upstream_request(
@@ -127,6 +146,8 @@
         try:
             result = run_attempt(attempt)
             outcome = judge(result, self._clock.monotonic() - started, self._dialect)
+            if isinstance(result, UpstreamAnswer):
+                self._take_advice(run.live, dispatch, result)
             if outcome.kind not in NOT_RUN_KINDS and not is_unsent(result):
                 run.may_have_run = True
             ended = Ended(dispatch, result, outcome)
--- a/packages/node/src/persimmonusher_node/dialect.py
+++ b/packages/node/src/persimmonusher_node/dialect.py
@@ -9,6 +9,7 @@
     IDEMPOTENCY_KEY,
     LOAD,
     NOT_RUN,
+    RATE_LIMIT,
     REQUEST_CLASS,
     REQUEST_ID,
 )
@@ -25,6 +26,7 @@
     key: str = IDEMPOTENCY_KEY
     not_run: str = NOT_RUN
     load: str = LOAD
+    rate_limit: str = RATE_LIMIT
     expected_server: str | None = None
     """Names the server that a request is for; another one at its address answers 421."""
     signature: str | None = None
--- a/packages/node/src/persimmonusher_node/exchange.py
+++ b/packages/node/src/persimmonusher_node/exchange.py
@@ -1,8 +1,10 @@
 """Translation between a caller's exchange and a backend server's."""
 
+import re
 from functools import lru_cache
 from typing import Final
 
+from persimmonusher_decisions.advice import ServerAdvice
 from persimmonusher_decisions.server import BackendServer
 from persimmonusher_decisions.work import OutcomeKind, Request
 from persimmonusher_node.answers import Answer
@@ -20,6 +22,7 @@
 
 NOT_RUN_STATUSES: Final = frozenset({400, 429, 503})
 """Statuses with which a server may say that it did not run a request."""
+RATE: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 HIGHEST_LOAD: Final = 1_000_000
 """A reported load is bounded so that a nonsense figure can't overflow a sum."""
 
@@ -85,6 +88,21 @@
     return min(int(text), HIGHEST_LOAD)
 
 
+def read_advice(answer: UpstreamAnswer, dialect: Dialect = OWN_DIALECT) -> ServerAdvice:
+    """Return what the answer asks of all instances; what can't be read counts as not said."""
+    return ServerAdvice(rate_limit=read_rate(find_header(answer.headers, dialect.rate_limit)))
+
+
+def read_rate(text: str | None) -> float | None:
+    """Return a decimal number of requests a second, None where there is none.
+
+    >>> read_rate("1.5"), read_rate(" 20 "), read_rate("-1"), read_rate("inf"), read_rate(None)
+    (1.5, 20.0, None, None, None)
+    """
+    match = RATE.fullmatch((text or "").strip())
+    return float(match[0]) if match else None
+
+
 def translate_answer(answer: UpstreamAnswer, call: Call, dialect: Dialect = OWN_DIALECT) -> Answer:
     """Make the caller's answer from a backend server's."""
     headers = select_headers(answer.headers, list_own_answer_headers(dialect))
--- a/packages/node/src/persimmonusher_node/headers.py
+++ b/packages/node/src/persimmonusher_node/headers.py
@@ -27,6 +27,9 @@
 """Backend server to entry: see `NotRunReason`."""
 LOAD: Final = "Persimmonusher-Load"
 """Backend server to entry: requests in progress and queued there, all callers."""
+RATE_LIMIT: Final = "Persimmonusher-Rate-Limit"
+"""Backend server to entry: requests a second that it takes from all instances together, a decimal
+number, for as long as its answers say so."""
 RETRY_AFTER: Final = "Retry-After"
 
 
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -9,7 +9,7 @@
 from abc import ABC, abstractmethod
 from collections import Counter as Tally
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Final
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
@@ -39,6 +39,7 @@
     servers_left_out: dict[ServiceName, int]
     configuration_age_seconds: float = 0.0
     """0 where it isn't known."""
+    servers_limited: dict[ServiceName, int] = field(default_factory=dict)
 
 
 class MetricsSource(ABC):
@@ -93,7 +94,7 @@
         code = "" if finished.code is None else finished.code.value
         self._request_tally[record.service, finished.outcome.value, code] += 1
         for step in record.steps:
-            reason = "" if step.step == "dispatch" else step.reason
+            reason = step.summary if step.step == "dispatch" else step.reason
             self._step_tally[record.service, step.step, reason] += 1
 
     def render(self) -> bytes:
@@ -126,7 +127,7 @@
         self._gauges["revision"].set({}, gauges.revision)
         self._gauges["live_instances"].set({}, gauges.live_instances)
         self._gauges["configuration_age_seconds"].set({}, gauges.configuration_age_seconds)
-        for name in ("servers_taking_work", "servers_left_out"):
+        for name in ("servers_taking_work", "servers_left_out", "servers_limited"):
             by_service: dict[ServiceName, int] = getattr(gauges, name)
             for service, count in by_service.items():
                 self._gauges[name].set({"service": service}, count)
@@ -140,6 +141,7 @@
     "live_instances": "Instances believed alive, this one included.",
     "servers_taking_work": "Backend servers that get work from here.",
     "servers_left_out": "Backend servers that get none, such as ejected or draining ones.",
+    "servers_limited": "Backend servers that limit the requests that they take.",
 }
 
 
--- a/packages/node/src/persimmonusher_node/records.py
+++ b/packages/node/src/persimmonusher_node/records.py
@@ -20,6 +20,8 @@
     step: str
     reason: str
     server: ServerId | None = None
+    summary: str = ""
+    """Of a dispatch: what is counted of it, one of few words."""
 
 
 @dataclass
@@ -47,8 +49,9 @@
         """Note a decision."""
         after = now - self.arrived
         if isinstance(decision, Dispatch):
-            reason = f"attempt {decision.attempt}"
-            step = DecisionStep(after, "dispatch", reason, decision.server.server_id)
+            summary = describe_limited(decision)
+            reason = f"attempt {decision.attempt}{' under a limit' if summary else ''}"
+            step = DecisionStep(after, "dispatch", reason, decision.server.server_id, summary)
         elif isinstance(decision, Refusal):
             step = DecisionStep(after, "refuse", decision.reason.value)
         else:
@@ -66,6 +69,13 @@
         self.steps.append(DecisionStep(now - self.arrived, step, reason))
 
 
+def describe_limited(dispatch: Dispatch) -> str:
+    """Return how an attempt on a server that names a limit is counted, empty for another server."""
+    if not dispatch.is_limited:
+        return ""
+    return "limited-first" if dispatch.attempt == 1 else "limited-further"
+
+
 class RecordRing:
     """The latest records of this instance, the oldest dropped first."""
 
--- a/packages/node/tests/test_metrics.py
+++ b/packages/node/tests/test_metrics.py
@@ -1,7 +1,8 @@
 import unittest
 
-from entry_harness import SHED, EntryTestCase
+from entry_harness import SERVICE, SHED, EntryTestCase, answer
 
+from persimmonusher_decisions.server import ServerState
 from persimmonusher_node.metrics import (
     CLASSES_PER_SERVICE,
     InstanceGauges,
@@ -46,6 +47,17 @@
         self.assertIn('outcome="not-run",service="entries"} 1', text)
         self.assertIn('decision="refuse",reason="retries-exhausted",service="entries"} 1', text)
 
+    def test_attempts_under_a_servers_limit_are_counted(self) -> None:
+        self.script(*[answer(b"ok", "200 OK", "Persimmonusher-Rate-Limit: 500")] * 9)
+        self.directory.announce(self.servers[1].announce(ServerState.STOPPED, sequence=2))
+        self.call()
+        self.call()
+        text = self.render()
+        for reason in ("", "limited-first"):
+            line = f'decision="dispatch",reason="{reason}",service="entries"}} 1'
+            self.assertIn(line, text)
+        self.assertEqual(self.plane.read_gauges().servers_limited, {SERVICE: 1})
+
     def test_callers_can_not_make_labels_without_bound(self) -> None:
         for number in range(CLASSES_PER_SERVICE * 3):
             self.call(headers={"Persimmonusher-Class": f"class-{number}"})
