Log and count what servers ask for when they turn requests away

A server that turns a request away may ask for rest. An entry now logs server-rest, counts attempts on a resting server by kind (resting-first, resting-further), has a gauge of resting servers, and names it in the steps of a request. No decision changes.

--- a/packages/decisions/src/persimmonusher_decisions/advice.py
+++ b/packages/decisions/src/persimmonusher_decisions/advice.py
@@ -1,6 +1,15 @@
-"""What a backend server asks of all instances in its answers, beside the answers' own outcomes."""
+"""What a backend server asks of instances in its answers, beside the answers' own outcomes."""
 
 from dataclasses import dataclass
+from enum import Enum
+
+
+class Asked(Enum):
+    """What a server has asked for by the time at which something is sent to it."""
+
+    NOTHING = ""
+    LIMIT = "limited"
+    REST = "resting"
 
 
 @dataclass(frozen=True)
@@ -11,3 +20,5 @@
     """Requests a second that it takes from all instances together, None where it names no limit."""
     is_readable: bool = True
     """Whether a limit that it names could be read. One that couldn't changes nothing."""
+    rest_seconds: float = 0.0
+    """Time from the answer on in which it wants nothing more from this instance, 0 for none."""
--- a/packages/decisions/src/persimmonusher_decisions/dispatcher.py
+++ b/packages/decisions/src/persimmonusher_decisions/dispatcher.py
@@ -48,7 +48,7 @@
             self._admission.record_start(request, now)
         self._limits.spend(track, now)
         number = self._evidence.find_free_number(request.request_id, attempt)
-        is_limited = track.rate_limit is not None
-        dispatch = Dispatch(request, track.server, number, now, unreached, is_limited)
+        asked = track.find_asked(now)
+        dispatch = Dispatch(request, track.server, number, now, unreached, asked)
         self._evidence.start(dispatch, track)
         return dispatch
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -1,5 +1,6 @@
 """What one entry instance keeps about one server while it places work on it."""
 
+from persimmonusher_decisions.advice import Asked
 from persimmonusher_decisions.doubts import Doubts
 from persimmonusher_decisions.evidence_messages import EjectionState, ServerEvidence
 from persimmonusher_decisions.server import BackendServer, ServerState
@@ -24,6 +25,7 @@
         "outstanding",
         "penalty",
         "rate_limit",
+        "resting_until",
         "probe_at",
         "ramp_from",
         "reason",
@@ -75,6 +77,8 @@
         """When an answer last named a limit."""
         self.rate_limit: float | None = None
         """Requests a second that it takes from all instances, None where it names no limit."""
+        self.resting_until = now
+        """Wants nothing from this instance before that time, as it said."""
         self.spared = False
         """Whether it gets first attempts all the same, as too many are suspected."""
 
@@ -88,6 +92,12 @@
         """Return the requests in progress for each slot that are known of."""
         return (self.outstanding + (self.others or 0.0)) / self.slots
 
+    def find_asked(self, now: float) -> Asked:
+        """Return what it has asked for, the strictest of it."""
+        if self.resting_until > now:
+            return Asked.REST
+        return Asked.NOTHING if self.rate_limit is None else Asked.LIMIT
+
     def may_take(self, now: float) -> bool:
         """Tell whether this instance may send it another request now."""
         return self.closed_until <= now and self.outstanding < self.connection_limit
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -61,6 +61,8 @@
     outstanding: int
     rate_limit: float | None = None
     """Requests a second that it takes from all instances, None where it names no limit."""
+    rest_seconds: float = 0.0
+    """Time for which it still wants nothing from this instance."""
 
 
 class ServiceTraffic:
@@ -226,11 +228,12 @@
                 self._placement.learn_load(track, total)
 
     def take_advice(self, dispatch: Dispatch, advice: ServerAdvice, now: float) -> bool:
-        """Take what a server's answer asks of all instances; tell whether its limit changed."""
+        """Take what a server's answer asks for; tell whether its limit changed."""
         server = dispatch.server
         track = self._tracks.get(server.server_id)
         if track is None or track.server.boot_id != server.boot_id:
             return False
+        track.resting_until = max(track.resting_until, now + advice.rest_seconds)
         if not self._take_limit(track, advice, dispatch.started, now):
             return False
         notice = Notice(
@@ -317,6 +320,7 @@
                 track.reason or track.server.state.value,
                 track.outstanding,
                 track.rate_limit,
+                max(0.0, track.resting_until - now),
             )
             for track in self._tracks.values()
         )
--- a/packages/decisions/src/persimmonusher_decisions/work.py
+++ b/packages/decisions/src/persimmonusher_decisions/work.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import Final, TypeAlias
 
+from persimmonusher_decisions.advice import Asked
 from persimmonusher_decisions.server import BackendServer
 from persimmonusher_model.identifiers import CallerId, RequestId
 
@@ -67,8 +68,8 @@
     started: float
     unreached: int = 0
     """Earlier attempts of which no byte left; they cost neither the budget nor the servers."""
-    is_limited: bool = False
-    """Whether the server is known to limit the requests that it takes."""
+    asked: Asked = Asked.NOTHING
+    """What the server has asked for by then."""
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -107,8 +107,18 @@
         self.publish(notices)
 
     def _take_advice(self, live: LiveService, dispatch: Dispatch, answer: UpstreamAnswer) -> None:
-        """Hand on what a server asks of all instances, also where its answer streams on."""
+        """Hand on what a server asks for, also where its answer streams on."""
         advice = read_advice(answer, self._dialect)
+        if advice.rest_seconds and self._lines.take():
+            _log.info(
+                "server-rest",
+                server=dispatch.server.server_id,
+                service=live.name,
+                boot=dispatch.server.boot_id,
+                seconds=advice.rest_seconds,
+                request_id=dispatch.request.request_id,
+                lines_left_out=self._lines.take_left_out(),
+            )
         if live.traffic.take_advice(dispatch, advice, self._clock.monotonic()):
             self._publish(live)
 
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -84,11 +84,13 @@
         taking = {}
         left_out = {}
         limited = {}
+        resting = {}
         for live in self.services:
             statuses = live.traffic.describe(now)
             taking[live.name] = sum(status.taking_work for status in statuses)
             left_out[live.name] = len(statuses) - taking[live.name]
             limited[live.name] = sum(status.rate_limit is not None for status in statuses)
+            resting[live.name] = sum(status.rest_seconds > 0.0 for status in statuses)
         freshness = self.services.find_freshness()
         return InstanceGauges(
             self.forwarder.in_flight,
@@ -99,4 +101,5 @@
             left_out,
             0.0 if freshness is None else bound_age(freshness.age),
             limited,
+            resting,
         )
--- a/packages/node/src/persimmonusher_node/exchange.py
+++ b/packages/node/src/persimmonusher_node/exchange.py
@@ -13,6 +13,7 @@
 from persimmonusher_node.headers import (
     OUTCOME,
     REPLAYED,
+    RETRY_AFTER,
     CallerOutcome,
     HeaderList,
     NotRunReason,
@@ -22,7 +23,11 @@
 
 NOT_RUN_STATUSES: Final = frozenset({400, 429, 503})
 """Statuses with which a server may say that it did not run a request."""
-RATE: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
+REST_STATUSES: Final = frozenset({429, 503})
+"""Statuses whose Retry-After asks for rest."""
+LONGEST_REST_SECONDS: Final = 3_600.0
+"""A server that asks for more is tried again after that."""
+DECIMAL: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 HIGHEST_LOAD: Final = 1_000_000
 """A reported load is bounded so that a nonsense figure can't overflow a sum."""
 
@@ -91,17 +96,29 @@
 def read_advice(answer: UpstreamAnswer, dialect: Dialect = OWN_DIALECT) -> ServerAdvice:
     """Return what the answer asks of all instances; what can't be read counts as not said."""
     text = find_header(answer.headers, dialect.rate_limit)
-    rate = None if text is None else read_rate(text)
-    return ServerAdvice(rate, is_readable=text is None or rate is not None)
+    rate = None if text is None else read_decimal(text)
+    is_readable = text is None or rate is not None
+    return ServerAdvice(rate, is_readable, read_rest(answer))
 
 
-def read_rate(text: str) -> float | None:
-    """Return a decimal number of requests a second, None where there is none.
+def read_rest(answer: UpstreamAnswer) -> float:
+    """Return the seconds of rest that a server asks for in turning a request away, else 0.
 
-    >>> read_rate("1.5"), read_rate(" 20 "), read_rate("-1"), read_rate("inf")
+    A date, which HTTP allows too, counts as not said: servers' clocks may be wrong.
+    """
+    if answer.status not in REST_STATUSES:
+        return 0.0
+    seconds = read_decimal(find_header(answer.headers, RETRY_AFTER) or "")
+    return min(LONGEST_REST_SECONDS, seconds or 0.0)
+
+
+def read_decimal(text: str) -> float | None:
+    """Return a decimal number of 0 or more, None where the text is no such number.
+
+    >>> read_decimal("1.5"), read_decimal(" 20 "), read_decimal("-1"), read_decimal("inf")
     (1.5, 20.0, None, None)
     """
-    match = RATE.fullmatch(text.strip())
+    match = DECIMAL.fullmatch(text.strip())
     return float(match[0]) if match else None
 
 
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -40,6 +40,7 @@
     configuration_age_seconds: float = 0.0
     """0 where it isn't known."""
     servers_limited: dict[ServiceName, int] = field(default_factory=dict)
+    servers_resting: dict[ServiceName, int] = field(default_factory=dict)
 
 
 class MetricsSource(ABC):
@@ -127,7 +128,7 @@
         self._gauges["revision"].set({}, gauges.revision)
         self._gauges["live_instances"].set({}, gauges.live_instances)
         self._gauges["configuration_age_seconds"].set({}, gauges.configuration_age_seconds)
-        for name in ("servers_taking_work", "servers_left_out", "servers_limited"):
+        for name in _SERVER_GAUGES:
             by_service: dict[ServiceName, int] = getattr(gauges, name)
             for service, count in by_service.items():
                 self._gauges[name].set({"service": service}, count)
@@ -142,7 +143,14 @@
     "servers_taking_work": "Backend servers that get work from here.",
     "servers_left_out": "Backend servers that get none, such as ejected or draining ones.",
     "servers_limited": "Backend servers that limit the requests that they take.",
+    "servers_resting": "Backend servers that asked this instance for rest.",
 }
+_SERVER_GAUGES: Final = (
+    "servers_taking_work",
+    "servers_left_out",
+    "servers_limited",
+    "servers_resting",
+)
 
 
 class MetricsApplication:
--- a/packages/node/src/persimmonusher_node/records.py
+++ b/packages/node/src/persimmonusher_node/records.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from persimmonusher_decisions.advice import Asked
 from persimmonusher_decisions.work import Decision, Dispatch, Outcome, Refusal
 from persimmonusher_model.identifiers import CallerId, RequestId, ServerId, ServiceName
 from persimmonusher_node.ports import Freshness
@@ -49,8 +50,10 @@
         """Note a decision."""
         after = now - self.arrived
         if isinstance(decision, Dispatch):
-            summary = describe_limited(decision)
-            reason = f"attempt {decision.attempt}{' under a limit' if summary else ''}"
+            summary = describe_asked(decision)
+            reason = f"attempt {decision.attempt}"
+            if decision.asked is not Asked.NOTHING:
+                reason += f", {decision.asked.value}"
             step = DecisionStep(after, "dispatch", reason, decision.server.server_id, summary)
         elif isinstance(decision, Refusal):
             step = DecisionStep(after, "refuse", decision.reason.value)
@@ -69,11 +72,11 @@
         self.steps.append(DecisionStep(now - self.arrived, step, reason))
 
 
-def describe_limited(dispatch: Dispatch) -> str:
-    """Return how an attempt on a server that names a limit is counted, empty for another server."""
-    if not dispatch.is_limited:
+def describe_asked(dispatch: Dispatch) -> str:
+    """Return how an attempt on a server that asked for less is counted, empty for another one."""
+    if dispatch.asked is Asked.NOTHING:
         return ""
-    return "limited-first" if dispatch.attempt == 1 else "limited-further"
+    return f"{dispatch.asked.value}-{'first' if dispatch.attempt == 1 else 'further'}"
 
 
 class RecordRing:
--- a/packages/node/tests/test_metrics.py
+++ b/packages/node/tests/test_metrics.py
@@ -58,6 +58,13 @@
             self.assertIn(line, text)
         self.assertEqual(self.plane.read_gauges().servers_limited, {SERVICE: 1})
 
+    def test_attempts_on_resting_servers_are_counted(self) -> None:
+        rest = answer(b"", "503 Busy", "Persimmonusher-Not-Run: shed", "Retry-After: 9")
+        self.script(*[rest] * 9)
+        self.call("POST", body=b"x")
+        self.assertEqual(self.plane.read_gauges().servers_resting, {SERVICE: 2})
+        self.assertIn('decision="dispatch"', self.render())
+
     def test_callers_can_not_make_labels_without_bound(self) -> None:
         for number in range(CLASSES_PER_SERVICE * 3):
             self.call(headers={"Persimmonusher-Class": f"class-{number}"})
