Send a server nothing in the rest that it asked an instance for

What was seen: a server that had turned an entry away and asked for 3 s of rest got 4 to 6 requests from it in that time; callers got further refusals.

A refusal only added to the server's score for some seconds, which ranks it behind others and promises nothing; where all servers are short, the least bad one is chosen. Class: a constraint kept as a preference, the same as for limits.

Now the time is kept at the server's track, and placement passes a closed server by on each of its ways. What was placed before is asked about once more before its first byte, and placed elsewhere at no cost (withheld). Where all servers rest, a request is refused at once with the time in which the first one returns, also one that the last server left has just turned away. A date, a negative or doubled value asks for nothing; over an hour counts as an hour; a new start of the server owes nothing.

--- a/packages/decisions/src/persimmonusher_decisions/evidence.py
+++ b/packages/decisions/src/persimmonusher_decisions/evidence.py
@@ -39,7 +39,7 @@
         OutcomeKind.UNREACHED,
     }
 )
-SILENT_KINDS: Final = frozenset({OutcomeKind.CANCELLED, OutcomeKind.DRAINING})
+SILENT_KINDS: Final = frozenset({OutcomeKind.CANCELLED, OutcomeKind.DRAINING, OutcomeKind.WITHHELD})
 
 
 class Attempt:
--- a/packages/decisions/src/persimmonusher_decisions/further_attempts.py
+++ b/packages/decisions/src/persimmonusher_decisions/further_attempts.py
@@ -45,8 +45,8 @@
     def retry(self, profile: Profile, dispatch: Dispatch, outcome: Outcome, now: float) -> Decision:
         """Decide on another attempt of a request whose last one has ended, safely as to running."""
         request = dispatch.request
-        if outcome.kind is OutcomeKind.UNREACHED:
-            return self._retry_unreached(dispatch, now)
+        if outcome.kind in (OutcomeKind.UNREACHED, OutcomeKind.WITHHELD):
+            return self._retry_unsent(dispatch, now)
         allowed = request.max_attempts or profile.max_retries + 1
         spent = dispatch.attempt - dispatch.unreached >= allowed
         crashing = self._quarantine.find_seconds_left(request.fingerprint, now) > 0.0
@@ -62,6 +62,9 @@
         reason = RefusalReason.RETRY_BUDGET if may_go else RefusalReason.RETRIES_EXHAUSTED
         if outcome.kind not in (OutcomeKind.REFUSED, OutcomeKind.DRAINING):
             return self._admission.refuse(request, reason, now)
+        closed = self._placement.find_seconds_closed(now)
+        if closed:
+            return self._admission.refuse_closed(request, closed)
         if dispatch.attempt - dispatch.unreached == 1:
             reason = RefusalReason.OVERLOAD
         recent = self._evidence.recent_latency or 0.0
@@ -84,7 +87,7 @@
             return None
         return self._dispatcher.start(dispatch.request, track, dispatch.attempt + 1, now)
 
-    def _retry_unreached(self, dispatch: Dispatch, now: float) -> Decision:
+    def _retry_unsent(self, dispatch: Dispatch, now: float) -> Decision:
         """Place a request again of which no byte left; that costs no server any work."""
         request = dispatch.request
         if not self._is_late(dispatch, now) and dispatch.unreached + 1 < UNREACHED_ATTEMPTS:
@@ -93,6 +96,9 @@
             again = self._dispatcher.place(request, number, tried, now, unreached)
             if again is not None:
                 return again
+        closed = self._placement.find_seconds_closed(now)
+        if closed:
+            return self._admission.refuse_closed(request, closed)
         return self._admission.refuse(request, RefusalReason.OVERLOAD, now)
 
     def _is_late(self, dispatch: Dispatch, now: float) -> bool:
--- a/packages/decisions/src/persimmonusher_decisions/rate_limits.py
+++ b/packages/decisions/src/persimmonusher_decisions/rate_limits.py
@@ -64,7 +64,7 @@
             track.limit_named_at = now
         if rate == track.rate_limit:
             return False
-        track.closed_until = self._find_opening(track, rate, now)
+        track.open_at_turn(self._find_turn(track, rate, now))
         track.rate_limit = rate
         return True
 
@@ -72,21 +72,21 @@
         """Count a request that is sent now: this turn is over."""
         if track.rate_limit is not None:
             self.skip_turns(track, now)
-            track.closed_until += self.find_interval(track.rate_limit)
+            track.open_at_turn(track.turn_at + self.find_interval(track.rate_limit))
 
     def skip_turns(self, track: ServerTrack, now: float) -> None:
         """Go on to the next turn where those before are over."""
-        over = now - TURN_SECONDS - track.closed_until
+        over = now - TURN_SECONDS - track.turn_at
         if track.rate_limit is not None and over > 0.0:
             interval = self.find_interval(track.rate_limit)
-            track.closed_until += ceil(over / interval) * interval
+            track.open_at_turn(track.turn_at + ceil(over / interval) * interval)
 
-    def _find_opening(self, track: ServerTrack, rate: float | None, now: float) -> float:
+    def _find_turn(self, track: ServerTrack, rate: float | None, now: float) -> float:
         """Return when the next turn at a server begins whose limit changes."""
         if rate is None:
             return now
         share = self._random.random()
         if track.rate_limit is not None:
-            left = max(0.0, track.closed_until - now)
+            left = max(0.0, track.turn_at - now)
             share = min(1.0, left / self.find_interval(track.rate_limit))
         return now + share * self.find_interval(rate)
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -38,6 +38,7 @@
         "suspected_at",
         "suspicions",
         "told_at",
+        "turn_at",
         "timed",
     )
 
@@ -72,7 +73,10 @@
         self.suspicions = 0
         """Times that it was suspected in a row, each soon after the end of the last one."""
         self.closed_until = now
-        """Gets nothing from this instance before that time, whatever the others' load."""
+        """Gets nothing from this instance before that time, whatever the others' load: the later
+        of `turn_at` and `resting_until`."""
+        self.turn_at = now
+        """When the next turn of this instance begins, where the server names a limit."""
         self.limit_named_at = now
         """When an answer last named a limit."""
         self.rate_limit: float | None = None
@@ -92,6 +96,16 @@
         """Return the requests in progress for each slot that are known of."""
         return (self.outstanding + (self.others or 0.0)) / self.slots
 
+    def open_at_turn(self, at: float) -> None:
+        """Give this instance its next turn at a moment."""
+        self.turn_at = at
+        self.closed_until = max(at, self.resting_until)
+
+    def rest(self, until: float) -> None:
+        """Send it nothing before a moment; a shorter rest doesn't end a longer one."""
+        self.resting_until = max(self.resting_until, until)
+        self.closed_until = max(self.turn_at, self.resting_until)
+
     def find_asked(self, now: float) -> Asked:
         """Return what it has asked for, the strictest of it."""
         if self.resting_until > now:
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -233,7 +233,8 @@
         track = self._tracks.get(server.server_id)
         if track is None or track.server.boot_id != server.boot_id:
             return False
-        track.resting_until = max(track.resting_until, now + advice.rest_seconds)
+        if advice.rest_seconds:
+            track.rest(now + advice.rest_seconds)
         if not self._take_limit(track, advice, dispatch.started, now):
             return False
         notice = Notice(
@@ -248,6 +249,11 @@
         self._named.append(notice)
         return True
 
+    def may_send(self, dispatch: Dispatch, now: float) -> bool:
+        """Tell whether the server still wants what was placed on it; ask before the first byte."""
+        track = self._tracks.get(dispatch.server.server_id)
+        return track is None or track.resting_until <= now
+
     def finish(self, dispatch: Dispatch, outcome: Outcome, now: float) -> tuple[Decision, ...]:
         """Record the end of an attempt and return the waiting requests it releases."""
         attempt = self._evidence.end(dispatch)
@@ -255,7 +261,7 @@
             return ()
         track = attempt.track
         kind = outcome.kind
-        if kind is not OutcomeKind.CANCELLED:
+        if kind not in (OutcomeKind.CANCELLED, OutcomeKind.WITHHELD):
             self._admission.record_attempt(kind is OutcomeKind.REFUSED)
         if kind is OutcomeKind.SUCCESS:
             self._learning.take_success(attempt, outcome, now)
--- a/packages/decisions/src/persimmonusher_decisions/work.py
+++ b/packages/decisions/src/persimmonusher_decisions/work.py
@@ -34,6 +34,8 @@
     FAILURE = "failure"
     """An answer of class 5xx: the server failed real work."""
     TIMEOUT = "timeout"
+    WITHHELD = "withheld"
+    """Not sent: the server asked for rest after it was chosen."""
     UNREACHED = "unreached"
     """No byte of the request left: no connection, or one that broke before."""
     REFUSED = "refused"
--- a/packages/decisions/tests/asking_servers.py
+++ b/packages/decisions/tests/asking_servers.py
@@ -51,6 +51,16 @@
     at: float
 
 
+@dataclass(frozen=True)
+class Rest:
+    """A refusal that asked an instance for rest, and when the instance had it."""
+
+    server_id: ServerId
+    instance: int
+    at: float
+    seconds: float
+
+
 @dataclass
 class Seen:
     """What servers and callers saw."""
@@ -58,6 +68,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     told: dict[ServerId, dict[int, float]] = field(default_factory=dict)
     """When each instance first had an answer of a server that asks for something."""
+    rests: list[Rest] = field(default_factory=list)
     refused: int = 0
     served: int = 0
 
@@ -148,7 +159,11 @@
         # A request in fifty fails, and is sent again where it may be.
         kind = OutcomeKind.FAILURE if self._random.random() < 0.02 else OutcomeKind.SUCCESS
         advice = self._advise(server_id, self._now + WORK_SECONDS)
-        self._after(WORK_SECONDS, lambda: self._answer(index, dispatch, kind, advice))
+        if advice.rest_seconds:
+            kind = OutcomeKind.REFUSED
+            self._after(0.0, lambda: self._answer(index, dispatch, kind, advice))
+        else:
+            self._after(WORK_SECONDS, lambda: self._answer(index, dispatch, kind, advice))
 
     def _answer(
         self, index: int, dispatch: Dispatch, kind: OutcomeKind, advice: ServerAdvice
@@ -156,6 +171,9 @@
         if advice != SILENT:
             told = self.seen.told.setdefault(dispatch.server.server_id, {})
             told.setdefault(index, self._now)
+        if advice.rest_seconds:
+            rest = Rest(dispatch.server.server_id, index, self._now, advice.rest_seconds)
+            self.seen.rests.append(rest)
         instance = self._instances[index]
         instance.take_advice(dispatch, advice, self._now)
         outcome = Outcome(kind, self._now - dispatch.started)
@@ -165,9 +183,9 @@
             self._tell(notice)
         if kind is OutcomeKind.SUCCESS:
             self.seen.served += 1
-        elif dispatch.request.idempotent:
+        elif dispatch.request.idempotent or kind is OutcomeKind.REFUSED:
             again = instance.retry(dispatch, outcome, self._now)
-            if isinstance(again, Dispatch):
+            if isinstance(again, Dispatch) or kind is OutcomeKind.REFUSED:
                 self._follow(index, again)
 
     def _tell(self, notice: Notice) -> None:
--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -30,7 +30,14 @@
 
 AttemptResult: TypeAlias = UpstreamAnswer | AttemptError
 
-NOT_RUN_KINDS: Final = frozenset({OutcomeKind.REFUSED, OutcomeKind.UNREACHED, OutcomeKind.DRAINING})
+NOT_RUN_KINDS: Final = frozenset(
+    {
+        OutcomeKind.REFUSED,
+        OutcomeKind.UNREACHED,
+        OutcomeKind.DRAINING,
+        OutcomeKind.WITHHELD,
+    }
+)
 """Ends of an attempt that prove that the backend server did not run the request."""
 
 _log = get_logger(__name__)
@@ -132,6 +139,7 @@
             request,
             run.request.deadline,
             lambda: run.may_begin(self._clock.monotonic()),
+            lambda: run.live.traffic.may_send(dispatch, self._clock.monotonic()),
         )
         run.add_attempt(dispatch, attempt)
         outcome = Outcome(OutcomeKind.CANCELLED, 0.0)
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -60,7 +60,7 @@
 
 
 def begin_always() -> bool:
-    """Let an attempt begin, where nobody may leave meanwhile."""
+    """Let an attempt begin, where nobody may leave and no server asks for rest meanwhile."""
     return True
 
 
@@ -79,10 +79,12 @@
         request: UpstreamRequest,
         deadline: float,
         may_begin: Callable[[], bool] = begin_always,
+        may_send: Callable[[], bool] = begin_always,
     ) -> "Attempt":
         """Prepare an attempt; `run` carries it out, `cancel` may end it from elsewhere.
 
-        `may_begin` is asked at the last moment before the first byte.
+        At the last moment before the first byte `may_begin` is asked, on behalf of the caller, and
+        `may_send`, on behalf of the server.
         """
         pool = self._pools.get(server.address)
         if pool is None:
@@ -90,7 +92,14 @@
             self._pools[server.address] = pool
         pool.used = self._clock.monotonic()
         return Attempt(
-            pool, request, deadline, self._clock, self._buffered_bytes, self._dialect, may_begin
+            pool,
+            request,
+            deadline,
+            self._clock,
+            self._buffered_bytes,
+            self._dialect,
+            may_begin,
+            may_send,
         )
 
     def expire(self) -> None:
@@ -119,9 +128,11 @@
         buffered_bytes: int,
         dialect: Dialect = OWN_DIALECT,
         may_begin: Callable[[], bool] = begin_always,
+        may_send: Callable[[], bool] = begin_always,
     ) -> None:
         self._pool = pool
         self._may_begin = may_begin
+        self._may_send = may_send
         self._dialect = dialect
         self._request = request
         self._deadline = deadline
@@ -179,7 +190,10 @@
     def _check_wanted(self) -> None:
         """Raise where the attempt must not begin any more; nothing has left yet."""
         if self._stopped is None and self._may_begin():
-            return
+            if self._may_send():
+                return
+            message = "the backend server asked for rest before the first byte"
+            raise AttemptError(OutcomeKind.WITHHELD, AnswerCode.OVERLOAD, message, is_unsent=True)
         # `may_begin` may have stopped this attempt along with its request.
         if self._stopped is OutcomeKind.TIMEOUT:
             message = "the deadline passed before the first byte"
--- /dev/null
+++ b/packages/node/tests/test_server_advice.py
@@ -0,0 +1,75 @@
+"""What an entry reads in servers' answers beside the answers themselves."""
+
+import time
+import unittest
+
+from entry_harness import PROFILE, EntryTestCase, ScriptedServer, answer
+
+from persimmonusher_decisions.advice import ServerAdvice
+from persimmonusher_decisions.work import OutcomeKind
+from persimmonusher_node.clock import SystemClock
+from persimmonusher_node.exchange import LONGEST_REST_SECONDS, read_advice
+from persimmonusher_node.upstream import AttemptError, Upstream, UpstreamAnswer, UpstreamRequest
+
+
+def read(status: int, **headers: str) -> ServerAdvice:
+    named = tuple((name.replace("_", "-"), value) for name, value in headers.items())
+    return read_advice(UpstreamAnswer(status, named, b""))
+
+
+class ReadAdviceTest(unittest.TestCase):
+    # Guards against values of other shapes being taken for a limit, or for the end of one.
+    def test_a_limit_is_a_decimal_number(self) -> None:
+        for text, rate in (("1", 1.0), ("1.5", 1.5), ("0", 0.0), ("100000", 100_000.0)):
+            self.assertEqual(read(200, Persimmonusher_Rate_Limit=text), ServerAdvice(rate))
+        for text in ("", "nan", "inf", "-1", "1,5", "1, 1", "1e3", "9" * 30, "٣"):
+            advice = read(200, Persimmonusher_Rate_Limit=text)
+            self.assertEqual(advice, ServerAdvice(None, is_readable=False), text)
+        self.assertEqual(read(200), ServerAdvice())
+
+    # Guards against a rest that nobody asked for, or one without end.
+    def test_a_rest_is_asked_for_by_turning_a_request_away(self) -> None:
+        for text, seconds in (("3", 3.0), ("0.25", 0.25), ("99999", LONGEST_REST_SECONDS)):
+            self.assertEqual(read(503, Retry_After=text).rest_seconds, seconds)
+        for text in ("", "-3", "Thu, 03 Dec 2026 10:00:00 GMT", "3, 3", "nan"):
+            self.assertEqual(read(503, Retry_After=text).rest_seconds, 0.0)
+        self.assertEqual(read(200, Retry_After="3").rest_seconds, 0.0)
+
+
+class RestingServerTest(EntryTestCase):
+    profile = PROFILE.model_copy(update={"max_retries": 1, "retry_budget_percent": 50})
+    server_names = ("s1",)
+
+    # Guards against a request being sent to a server that asked for rest, or waiting for it.
+    def test_what_comes_in_a_rest_is_refused_at_once(self) -> None:
+        self.script(answer(b"", "503 Busy", "Persimmonusher-Not-Run: shed", "Retry-After: 2"))
+        for _ in range(3):
+            began = time.monotonic()
+            told = self.call("POST", body=b"x")
+            self.assertEqual((told.status, told.outcome), (503, "not-run"))
+            self.assertEqual(told.headers["retry-after"], "2")
+            self.assertLess(time.monotonic() - began, 0.3)
+        self.assertEqual(len(self.servers[0].ran), 1)
+
+    # Guards against a first byte being sent after the server has asked for rest.
+    def test_an_attempt_asks_for_the_server_at_the_last_moment(self) -> None:
+        server = ScriptedServer("s9")
+        self.addCleanup(server.stop)
+        upstream = Upstream(SystemClock(), 1_000)
+        self.addCleanup(upstream.close)
+        wanted = iter((True, False))
+        attempt = upstream.start_attempt(
+            server.announce(),
+            UpstreamRequest("r1", "GET", "/", {}, b"", True),
+            time.monotonic() + 5.0,
+            may_send=lambda: next(wanted),
+        )
+        with self.assertRaises(AttemptError) as raised:
+            attempt.run()
+        self.assertIs(raised.exception.kind, OutcomeKind.WITHHELD)
+        self.assertTrue(raised.exception.is_unsent)
+        self.assertEqual(server.ran, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
