Send nothing to a server that says in its answers that it leaves

Cause: the word was read by nobody; a server counted as leaving only when it refused a request for that reason, or when its announcement had travelled by the keepers. Class: the same as for limits and rests, a server's word taken as no word.

Now any answer that says so, whatever its status, drops the server for this start of it, as a refusal for that reason does, and what was placed on it before is placed elsewhere before its first byte.

--- a/packages/decisions/src/persimmonusher_decisions/advice.py
+++ b/packages/decisions/src/persimmonusher_decisions/advice.py
@@ -22,3 +22,5 @@
     """Whether a limit that it names could be read. One that couldn't changes nothing."""
     rest_seconds: float = 0.0
     """Time from the answer on in which it wants nothing more from this instance, 0 for none."""
+    is_leaving: bool = False
+    """Whether it says that it leaves: it wants nothing new from anyone."""
--- a/packages/decisions/tests/test_rests.py
+++ b/packages/decisions/tests/test_rests.py
@@ -1,6 +1,7 @@
 """Servers that turn requests away and want nothing from that instance for some seconds."""
 
 import unittest
+from dataclasses import replace
 
 from asking_servers import SILENT, WAY_SECONDS, AskingServers, Rest, Scene, Seen
 from decisions_helpers import GOOD, SERVICE, dispatched, make_request, make_server, make_traffic
@@ -154,5 +155,27 @@
         self.assertEqual(self.traffic.take_notices(), ())
 
 
+class LeavingServerTest(unittest.TestCase):
+    # Guards against work for a server that says it leaves before its announcement does.
+    def test_a_server_that_says_it_leaves_gets_nothing_more_in_this_start(self) -> None:
+        traffic = make_traffic(servers=2, profile=PROFILE)
+        placed = dispatched(traffic.offer(make_request("r1", 1.0), 1.0))
+        sent = dispatched(traffic.offer(make_request("r2", 1.0), 1.0))
+        leaving = sent.server
+        self.assertTrue(traffic.take_advice(sent, ServerAdvice(is_leaving=True), 1.1))
+        self.assertFalse(traffic.take_advice(sent, ServerAdvice(is_leaving=True), 1.2))
+        self.assertIs(traffic.may_send(placed, 1.2), placed.server != leaving)
+        self.assertFalse(traffic.may_send(sent, 1.2))
+        later = replace(leaving, sequence=leaving.sequence + 1)
+        others = [make_server(index) for index in range(2) if index != int(leaving.server_id[1:])]
+        traffic.replace_servers([later, *others], 1.3)
+        for number in range(8):
+            chosen = dispatched(traffic.offer(make_request(f"c{number}", 1.4), 1.4))
+            self.assertNotEqual(chosen.server.server_id, leaving.server_id)
+            traffic.finish(chosen, GOOD, 1.4)
+        traffic.replace_servers([replace(leaving, boot_id=2)], 2.0)
+        dispatched(traffic.offer(make_request("n", 2.1), 2.1))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -127,7 +127,8 @@
                 lines_left_out=self._lines.take_left_out(),
             )
         if live.traffic.take_advice(dispatch, advice, self._clock.monotonic()):
-            self._publish(live)
+            self._note_draining(dispatch.server)
+        self._publish(live)
 
     def _make(self, run: Run, dispatch: Dispatch) -> Ended:
         started = self._clock.monotonic()
--- a/packages/node/src/persimmonusher_node/dialect.py
+++ b/packages/node/src/persimmonusher_node/dialect.py
@@ -7,6 +7,7 @@
     CALLER,
     DEADLINE,
     IDEMPOTENCY_KEY,
+    LEAVING,
     LOAD,
     NOT_RUN,
     RATE_LIMIT,
@@ -27,6 +28,7 @@
     not_run: str = NOT_RUN
     load: str = LOAD
     rate_limit: str = RATE_LIMIT
+    leaving: str = LEAVING
     expected_server: str | None = None
     """Names the server that a request is for; another one at its address answers 421."""
     signature: str | None = None
--- a/packages/node/src/persimmonusher_node/headers.py
+++ b/packages/node/src/persimmonusher_node/headers.py
@@ -30,6 +30,8 @@
 RATE_LIMIT: Final = "Persimmonusher-Rate-Limit"
 """Backend server to entry: requests a second that it takes from all instances together, a decimal
 number, for as long as its answers say so."""
+LEAVING: Final = "Persimmonusher-Leaving"
+"""Backend server to entry: `1` in all answers of a server that leaves."""
 RETRY_AFTER: Final = "Retry-After"
 
 
--- a/packages/node/tests/test_server_advice.py
+++ b/packages/node/tests/test_server_advice.py
@@ -35,6 +35,12 @@
             self.assertEqual(read(503, Retry_After=text).rest_seconds, 0.0)
         self.assertEqual(read(200, Retry_After="3").rest_seconds, 0.0)
 
+    # Guards against a server being left out for a word that doesn't say that it leaves.
+    def test_only_1_says_that_a_server_leaves(self) -> None:
+        self.assertTrue(read(500, Persimmonusher_Leaving="1").is_leaving)
+        for text in ("0", "", "false", "1, 1"):
+            self.assertFalse(read(200, Persimmonusher_Leaving=text).is_leaving)
+
 
 class RestingServerTest(EntryTestCase):
     profile = PROFILE.model_copy(update={"max_retries": 1, "retry_budget_percent": 50})
