--- a/packages/ctl/src/persimmonusher_ctl/request_story.py
+++ b/packages/ctl/src/persimmonusher_ctl/request_story.py
@@ -19,6 +19,7 @@
     "seen",
     "outcome",
     "seconds",
+    "requests_a_second",
     "state",
     "service",
     "boot",
@@ -30,6 +31,8 @@
     "told_by",
     "told_age",
 )
+ASKED_EVENTS: Final = frozenset({"server-limit"})
+"""What closes servers to an instance. A request for which all were closed names none of them."""
 
 CAUSES: Final = {
     "failure": "its server answered with a failure, and it was not sent again",
@@ -43,6 +46,7 @@
     "queue-full": "every server was full, and so was the queue",
     "queue-timeout": "no server had room within the longest wait",
     "no-server": "no server of its service took work",
+    "servers-closed": "every server had asked for rest, or limited what it takes from here",
     "quarantined": "the same request had broken several servers",
 }
 """What the last step of a request means, by its reason."""
@@ -86,6 +90,7 @@
         request_id,
         servers,
         {line.instance for line in requests},
+        {line.text("service") for line in requests},
         begin - BEFORE,
         max(line.at for line in requests) + AFTER,
     )
@@ -102,6 +107,7 @@
         request_id: str,
         servers: set[str],
         instances: set[str],
+        services: set[str],
         begin: datetime,
         end: datetime,
     ) -> None:
@@ -110,6 +116,7 @@
         self._instances = instances
         self._begin = begin
         self._end = end
+        self._services = services
         self._failed = dict.fromkeys(sorted(servers), 0)
 
     def describe(self, line: LogLine) -> StoryLine | None:
@@ -122,6 +129,8 @@
         server = line.text("server")
         own_view = line.instance in self._instances
         of_server = server in self._servers and (own_view or not line.text("seen"))
+        if own_view and line.event in ASKED_EVENTS and line.text("service") in self._services:
+            of_server = True
         if not of_server and (server or not own_view):
             return None
         details = (f"{name} {line.text(name)}" for name in _DETAILS if line.text(name))
--- a/packages/decisions/src/persimmonusher_decisions/admission.py
+++ b/packages/decisions/src/persimmonusher_decisions/admission.py
@@ -139,7 +139,7 @@
     def refuse_closed(self, request: Request, seconds: float) -> Refusal:
         """Refuse a request that no server takes from this instance for so long."""
         retry_after = min(LONGEST_RETRY_AFTER, max(SHORTEST_RETRY_AFTER, seconds))
-        return Refusal(request, RefusalReason.OVERLOAD, retry_after)
+        return Refusal(request, RefusalReason.SERVERS_CLOSED, retry_after)
 
     def _find_retry_after(self, now: float) -> float:
         rates = [rate.find(now) or 0.0 for rate in self._rates.values()]
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -325,7 +325,7 @@
             ServerStatus(
                 track.server,
                 track.is_ready and track.out is None,
-                track.reason or track.server.state.value,
+                track.reason or track.find_asked(now).value or track.server.state.value,
                 track.outstanding,
                 track.rate_limit,
                 max(0.0, track.resting_until - now),
--- a/packages/decisions/src/persimmonusher_decisions/work.py
+++ b/packages/decisions/src/persimmonusher_decisions/work.py
@@ -89,6 +89,8 @@
     DEADLINE = "deadline"
     """The time left is too short for the service to answer."""
     NO_SERVER = "no-server"
+    SERVERS_CLOSED = "servers-closed"
+    """Every server that could be used is closed to this instance for longer than can be waited."""
     QUARANTINED = "quarantined"
     OVERLOAD = "overload"
     RETRIES_EXHAUSTED = "retries-exhausted"
--- a/packages/node/src/persimmonusher_node/answers.py
+++ b/packages/node/src/persimmonusher_node/answers.py
@@ -41,6 +41,7 @@
     QUEUE_TIMEOUT = "queue-timeout"
     DEADLINE = "deadline"
     NO_SERVER = "no-server"
+    SERVERS_CLOSED = "servers-closed"
     QUARANTINED = "quarantined"
     OVERLOAD = "overload"
     RETRIES_EXHAUSTED = "retries-exhausted"
@@ -85,6 +86,7 @@
     AnswerCode.QUEUE_TIMEOUT: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.DEADLINE: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.NO_SERVER: ErrorForm(503, _NOT_RUN, 1.0),
+    AnswerCode.SERVERS_CLOSED: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.QUARANTINED: ErrorForm(503, _NOT_RUN, 60.0),
     AnswerCode.OVERLOAD: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.RETRIES_EXHAUSTED: ErrorForm(502, _UNKNOWN, 1.0),
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -235,6 +235,7 @@
     RefusalReason.QUEUE_TIMEOUT: "no backend server had room within the queue's longest wait",
     RefusalReason.DEADLINE: "the time left is too short for the service to answer",
     RefusalReason.NO_SERVER: "no backend server of the service takes work",
+    RefusalReason.SERVERS_CLOSED: "every backend server asked for rest or limits what it takes",
     RefusalReason.QUARANTINED: "the same request has broken several backend servers",
     RefusalReason.OVERLOAD: "the service is overloaded",
     RefusalReason.RETRIES_EXHAUSTED: "every attempt on a backend server failed",
