--- a/packages/ctl/src/persimmonusher_ctl/request_story.py
+++ b/packages/ctl/src/persimmonusher_ctl/request_story.py
@@ -31,7 +31,7 @@
     "told_by",
     "told_age",
 )
-ASKED_EVENTS: Final = frozenset({"server-limit"})
+ASKED_EVENTS: Final = frozenset({"server-limit", "server-rest"})
 """What closes servers to an instance. A request for which all were closed names none of them."""
 
 CAUSES: Final = {
--- a/packages/ctl/tests/test_request_story.py
+++ b/packages/ctl/tests/test_request_story.py
@@ -60,14 +60,12 @@
 class RequestStoryTest(unittest.TestCase):
     def test_servers_that_asked_for_less_stand_beside_a_request_that_none_took(self) -> None:
         lines = [
-            make_line(
-                20.0, "entry-1", "server-limit", server="s1", service="v", requests_a_second=1.0
-            ),
+            make_line(20.0, "entry-1", "server-rest", server="s1", service="v", seconds=3.0),
             make_line(
                 20.1, "entry-1", "server-limit", server="s2", service="v", requests_a_second=1.5
             ),
-            make_line(20.2, "entry-1", "server-limit", server="s3", service="other", seconds=3.0),
-            make_line(20.3, "entry-2", "server-limit", server="s4", service="v", seconds=3.0),
+            make_line(20.2, "entry-1", "server-rest", server="s3", service="other", seconds=3.0),
+            make_line(20.3, "entry-2", "server-rest", server="s4", service="v", seconds=3.0),
             make_line(
                 21.0,
                 "entry-1",
@@ -85,7 +83,7 @@
         assert story is not None
         asked = [(line.server, line.detail) for line in story.lines if line.server]
         self.assertEqual([server for server, _ in asked], ["s1", "s2"])
-        self.assertIn("requests_a_second 1.0", asked[0][1])
+        self.assertIn("seconds 3.0", asked[0][1])
         self.assertIn("requests_a_second 1.5", asked[1][1])
         self.assertIn("asked for rest", story.cause)
 
