--- /dev/null
+++ b/packages/decisions/tests/test_asking_series.py
@@ -0,0 +1,124 @@
+"""Seeded series of servers that name limits, ask for rest and leave, with disturbed instances.
+
+Other seeds by hand: `ASKING_SEEDS="20 21 22"` in the environment of the test run.
+"""
+
+import os
+import unittest
+from dataclasses import dataclass
+from random import Random
+
+from asking_servers import SILENT, WAY_SECONDS, WORK_SECONDS, AskingServers, Scene, Seen
+
+from persimmonusher_decisions.advice import ServerAdvice
+from persimmonusher_model.identifiers import ServerId
+from persimmonusher_model.profile import Profile
+
+SEEDS = tuple(map(int, os.environ.get("ASKING_SEEDS", "1 2 3 4 5 6").split()))
+PROFILE = Profile(suspect_ms=4_000, hedge_slow=True, retry_slack=50, retry_budget_percent=20)
+SECONDS = 40.0
+STABLE_SECONDS = 3.0
+WINDOW_SECONDS = 4.0
+TOLD_SECONDS = 0.5
+GRACE_SECONDS = 0.5
+SENT_IN_REST = 2
+DRAIN_SECONDS = 2.0
+
+
+@dataclass(frozen=True)
+class Wish:
+    """What a server asks for over a time."""
+
+    server_id: ServerId
+    begin: float
+    end: float
+    advice: ServerAdvice
+
+    def holds(self, server_id: ServerId, now: float) -> bool:
+        """Tell whether a server's answers say so at a moment."""
+        return server_id == self.server_id and self.begin <= now < self.end
+
+
+def draw_wishes(random: Random, servers: int) -> list[Wish]:
+    """Draw one server that leaves and, for each other one, a time of a limit or of rests."""
+    wishes = []
+    for index in range(servers):
+        begin = random.uniform(2.0, 20.0)
+        end = begin + random.uniform(1.0, 15.0)
+        advice = random.choice(
+            (
+                ServerAdvice(rate_limit=random.choice((0.5, 1.0, 1.5, 4.0, 10.0))),
+                ServerAdvice(rest_seconds=random.choice((0.8, 2.0, 3.0, 6.0))),
+            )
+        )
+        if index == 0:
+            end, advice = SECONDS, ServerAdvice(is_leaving=True)
+        wishes.append(Wish(ServerId(f"s{index}"), begin, end, advice))
+    return wishes
+
+
+def draw_scene(random: Random) -> Scene:
+    return Scene(
+        instances=random.choice((6, 36, 80)),
+        servers=random.randint(2, 8),
+        requests_a_second=random.choice((0.5, 2.0, 4.0)),
+        seconds=SECONDS,
+        lost_share=random.choice((0.0, 0.3, 0.9)),
+        cut_share=random.choice((0.0, 0.3)),
+        counted_share=random.choice((1.0, 0.6)),
+        disturbances=random.randint(0, 20),
+    )
+
+
+class AskingSeriesTest(unittest.TestCase):
+    def check_limit(self, seen: Seen, wish: Wish) -> None:
+        rate = wish.advice.rate_limit or 0.0
+        counted = [arrival.at for arrival in seen.list_told_arrivals(wish.server_id, TOLD_SECONDS)]
+        for end in counted:
+            if wish.begin + WORK_SECONDS + STABLE_SECONDS <= end < wish.end:
+                count = sum(end - WINDOW_SECONDS < at <= end for at in counted)
+                self.assertLessEqual(count, 1.5 * rate * WINDOW_SECONDS + 5, wish)
+
+    def check_rests(self, seen: Seen, wish: Wish) -> None:
+        arrivals = seen.list_arrivals(wish.server_id)
+        for rest in seen.rests:
+            if rest.server_id != wish.server_id or rest.instance in seen.disturbed:
+                continue
+            begin = rest.at - WAY_SECONDS + GRACE_SECONDS
+            count = sum(
+                arrival.instance == rest.instance and begin <= arrival.at < rest.at + rest.seconds
+                for arrival in arrivals
+            )
+            self.assertLessEqual(count, SENT_IN_REST, rest)
+
+    def check_leaving(self, seen: Seen, wish: Wish) -> None:
+        late = seen.list_told_arrivals(wish.server_id, DRAIN_SECONDS)
+        self.assertEqual(late, [], wish)
+
+    # Guards against any word of a server being passed by while instances restart and hear nothing.
+    def test_what_servers_ask_for_is_kept_in_seeded_series(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.run_seed(seed)
+
+    def run_seed(self, seed: int) -> None:
+        random = Random(seed)
+        scene = draw_scene(random)
+        wishes = draw_wishes(random, scene.servers)
+
+        def advise(server_id: ServerId, now: float) -> ServerAdvice:
+            return next((wish.advice for wish in wishes if wish.holds(server_id, now)), SILENT)
+
+        seen = AskingServers(scene, PROFILE, advise, seed).run()
+        self.assertGreater(seen.served, 0)
+        for wish in wishes:
+            if wish.advice.rate_limit is not None:
+                self.check_limit(seen, wish)
+            elif wish.advice.rest_seconds:
+                self.check_rests(seen, wish)
+            else:
+                self.check_leaving(seen, wish)
+
+
+if __name__ == "__main__":
+    unittest.main()
