--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -12,6 +12,7 @@
 
 from persimmonusher_decisions.admission import Admission
 from persimmonusher_decisions.advice import ServerAdvice
+from persimmonusher_decisions.advice_book import AdviceBook
 from persimmonusher_decisions.connections import ConnectionBudget
 from persimmonusher_decisions.digests import DigestMaker
 from persimmonusher_decisions.dispatcher import Dispatcher
@@ -79,7 +80,6 @@
     ) -> None:
         self._profile = profile
         self._failure_domain = failure_domain
-        self._service = service
         self._live = 1
         self._tracks: dict[ServerId, ServerTrack] = {}
         self._started: bool = False
@@ -95,8 +95,7 @@
         self._lease = EjectionLease(failure_domain)
         self._digests = DigestMaker(service, instance_id, incarnation, failure_domain)
         self._suspicion = Suspicion(service)
-        self._named: list[Notice] = []
-        """Limits that servers named here and that other instances are to be told of."""
+        self._advice = AdviceBook(service, self._limits)
         self._dispatcher = Dispatcher(
             self._placement, self._evidence, self._admission, self._retries, self._limits
         )
@@ -189,8 +188,7 @@
 
     def take_notices(self) -> tuple[Notice, ...]:
         """Return the failures that other instances are to be told of at once."""
-        named, self._named = tuple(self._named), []
-        return (*self._suspicion.take_notices(), *named)
+        return (*self._suspicion.take_notices(), *self._advice.take_notices())
 
     def apply_notice(self, notice: Notice, now: float) -> bool:
         """Take what another instance saw; tell whether it changes how the server is used."""
@@ -198,8 +196,8 @@
         if track is None or track.server.boot_id != notice.boot_id:
             return False
         if notice.kind is NoticeKind.LIMITED:
-            advice = ServerAdvice(notice.rate_limit)
-            return self._take_limit(track, advice, now - notice.seconds, now)
+            self._limits.count_entries(self._live, now)
+            return self._advice.take_notice(notice, track, now)
         if notice.kind is NoticeKind.CRASHED:
             self._quarantine.note_strike(notice.fingerprint, notice.server_id, now)
         return self._suspicion.take(notice, track, self._tracks.values(), self._profile, now)
@@ -233,23 +231,11 @@
         track = self._tracks.get(server.server_id)
         if track is None or track.server.boot_id != server.boot_id:
             return False
-        if advice.rest_seconds:
-            track.rest(now + advice.rest_seconds)
-        if self._take_limit(track, advice, dispatch.started, now):
-            notice = Notice(
-                NoticeKind.LIMITED,
-                self._service,
-                server.server_id,
-                server.boot_id,
-                request_id=dispatch.request.request_id,
-                seconds=now - dispatch.started,
-                rate_limit=advice.rate_limit,
-            )
-            self._named.append(notice)
-        is_news = advice.is_leaving and not track.draining
-        if is_news:
-            self._drop_draining(dispatch, now)
-        return is_news
+        self._limits.count_entries(self._live, now)
+        is_leaving = self._advice.take(track, dispatch, advice, now)
+        if is_leaving:
+            self._rebuild(now)
+        return is_leaving
 
     def may_send(self, dispatch: Dispatch, now: float) -> bool:
         """Tell whether the server still wants what was placed on it; ask before the first byte."""
@@ -333,12 +319,6 @@
             for track in self._tracks.values()
         )
 
-    def _take_limit(
-        self, track: ServerTrack, advice: ServerAdvice, asked: float, now: float
-    ) -> bool:
-        self._limits.count_entries(self._live, now)
-        return self._limits.take(track, advice, asked, now)
-
     def _release(self, now: float) -> tuple[Decision, ...]:
         released: list[Decision] = []
         queue = self._admission.queue
--- a/packages/decisions/tests/test_rests.py
+++ b/packages/decisions/tests/test_rests.py
@@ -115,6 +115,19 @@
         for moment in range(8):
             self.assertNotEqual(self.choose(1.7 + 0.25 * moment), resting)
 
+    # Guards against a turn at a server with a limit that begins while the server rests.
+    def test_a_turn_does_not_end_a_rest(self) -> None:
+        traffic = make_traffic(servers=1, profile=PROFILE)
+        resting = self.turn_away(traffic, 1.0)
+        for moment in range(70):
+            now = 1.05 + 0.04 * moment
+            rate = 40.0 + moment % 2
+            notice = Notice(NoticeKind.LIMITED, SERVICE, resting, 1, rate_limit=rate)
+            traffic.apply_notice(notice, now)
+            decision = traffic.offer(make_request(f"c{now}", now), now)
+            self.assertNotIsInstance(decision, Dispatch)
+            traffic.withdraw(decision.request)
+
     # Guards against a rest that is forgotten as servers, the profile or the fleet's size change.
     def test_changes_of_servers_and_profile_do_not_end_a_rest(self) -> None:
         resting = self.turn_away(self.traffic, 1.0)
