End a server's penalty instead of letting it fade for ever

Cause: the penalty faded by a factor and never ended. Between servers with nothing outstanding the least score wins, so any rest of it decided for good, and only a success, which it never got, would have ended it.

--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -20,6 +20,9 @@
 LARGEST_PENALTY_SLOTS: Final = 2.0
 """A server is taken for at most this many times its slots busier than it is, so that it still
 gets work when all others are that loaded: the share falls, capacity isn't removed."""
+LEAST_PENALTY_SLOTS: Final = 1 / 32
+"""Part of a server's slots below which its penalty ends. It only fades, and between idle servers
+any rest of it would decide for good."""
 REPORT_REACH: Final = 2.0
 """A report counts at most this many times the mean of all servers' reports, and at least the
 mean divided by it."""
@@ -300,6 +303,8 @@
             if track.others is not None:
                 track.others = mean + (track.others - mean) * report_keep
             track.penalty *= penalty_keep
+            if track.penalty < LEAST_PENALTY_SLOTS * track.slots:
+                track.penalty = 0.0
             share = self._ramp(track, now)
             track.base = (mean * share if track.others is None else track.others) + track.penalty
         if elapsed:
--- /dev/null
+++ b/packages/decisions/tests/test_penalties.py
@@ -0,0 +1,62 @@
+"""Servers that failed or refused once and are well from then on."""
+
+import unittest
+
+from decisions_helpers import dispatched, make_request, make_traffic
+
+from persimmonusher_decisions.work import Outcome, OutcomeKind
+from persimmonusher_model.identifiers import ServerId
+from persimmonusher_model.profile import Profile
+
+PROFILE = Profile(suspect_ms=4_000)
+RETURN_SECONDS = 12.0
+"""Four times the memory of a penalty, after which the share counts."""
+WATCHED_SECONDS = 20.0
+FAIR = 0.5
+"""Part of an equal share that a well server gets at least."""
+WELL = Outcome(OutcomeKind.SUCCESS, 0.02)
+KINDS = (OutcomeKind.REFUSED, OutcomeKind.FAILURE, OutcomeKind.TIMEOUT)
+
+
+class ReturnTest(unittest.TestCase):
+    def find_share(self, kind: OutcomeKind, servers: int, gap: float, at_once: int) -> float:
+        """Return a server's share of the work, of an equal one, well after its one bad answer."""
+        traffic = make_traffic(servers, PROFILE, domain="elsewhere")
+        bad = dispatched(traffic.offer(make_request("bad"), 0.0))
+        marked = bad.server.server_id
+        traffic.finish(bad, Outcome(kind, 0.6), 0.6)
+        chosen: list[ServerId] = []
+        in_flight = []
+        steps = int((RETURN_SECONDS + WATCHED_SECONDS) / gap)
+        for number in range(steps):
+            now = 1.0 + number * gap
+            sent = dispatched(traffic.offer(make_request(f"r{number}", now), now))
+            in_flight.append(sent)
+            if now > RETURN_SECONDS:
+                chosen.append(sent.server.server_id)
+            if len(in_flight) >= at_once:
+                traffic.finish(in_flight.pop(0), WELL, now + 0.5 * gap)
+            traffic.advance(now)
+        return chosen.count(marked) * servers / len(chosen)
+
+    # Guards against a server being left out for good by what is left of a penalty while all idle.
+    def test_a_well_server_gets_its_share_again_at_one_request_at_a_time(self) -> None:
+        for kind in KINDS:
+            with self.subTest(kind=kind):
+                self.assertGreater(self.find_share(kind, 3, 0.1, 1), FAIR)
+
+    # Guards against the same where each server sees a request in half a minute.
+    def test_a_well_server_gets_its_share_again_among_many(self) -> None:
+        for kind in KINDS:
+            with self.subTest(kind=kind):
+                self.assertGreater(self.find_share(kind, 149, 0.01, 1), FAIR)
+
+    # Guards against the same while requests are in progress.
+    def test_a_well_server_gets_its_share_again_under_load(self) -> None:
+        for kind in KINDS:
+            with self.subTest(kind=kind):
+                self.assertGreater(self.find_share(kind, 6, 0.02, 12), FAIR)
+
+
+if __name__ == "__main__":
+    unittest.main()
