Let an old report of a server's load end in the mean

The same class as the end of penalties, found by looking for it: a report fades towards the mean of all servers and never gets there. Between idle servers the one that had reported the least got all requests for good: of 200, those that had reported more got none (test_penalties, which failed before).

Tried and put back: an end at 1/32 of the slots, as for penalties.

--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -23,6 +23,8 @@
 LEAST_PENALTY_SLOTS: Final = 1 / 32
 """Part of a server's slots below which its penalty ends. It only fades, and between idle servers
 any rest of it would decide for good."""
+LEAST_DIFFERENCE: Final = 0.001
+"""Requests by which a report that fades differs from the mean at least; below, the mean counts."""
 REPORT_REACH: Final = 2.0
 """A report counts at most this many times the mean of all servers' reports, and at least the
 mean divided by it."""
@@ -301,7 +303,8 @@
         for track in self._tracks:
             track.bias = 0.0 if self._is_near(track) else self.far_load
             if track.others is not None:
-                track.others = mean + (track.others - mean) * report_keep
+                difference = (track.others - mean) * report_keep
+                track.others = mean if abs(difference) < LEAST_DIFFERENCE else mean + difference
             track.penalty *= penalty_keep
             if track.penalty < LEAST_PENALTY_SLOTS * track.slots:
                 track.penalty = 0.0
--- a/packages/decisions/tests/test_penalties.py
+++ b/packages/decisions/tests/test_penalties.py
@@ -58,5 +58,24 @@
                 self.assertGreater(self.find_share(kind, 6, 0.02, 12), FAIR)
 
 
+class ReportedLoadTest(unittest.TestCase):
+    # Guards against an old report of load deciding between idle servers for good.
+    def test_an_old_report_does_not_decide_between_idle_servers(self) -> None:
+        traffic = make_traffic(3, PROFILE, domain="elsewhere")
+        servers = [ServerId(f"s{number}") for number in range(3)]
+        traffic.apply_loads({servers[0]: 3, servers[1]: 2, servers[2]: 2})
+        chosen = []
+        for number in range(400):
+            now = 1.0 + 0.1 * number
+            sent = dispatched(traffic.offer(make_request(f"r{number}", now), now))
+            traffic.finish(sent, WELL, now + 0.02)
+            traffic.apply_loads({})
+            traffic.advance(now)
+            chosen.append(sent.server.server_id)
+        late = chosen[-200:]
+        for server in servers:
+            self.assertGreater(late.count(server), FAIR * len(late) / len(servers))
+
+
 if __name__ == "__main__":
     unittest.main()
