--- a/packages/node/tests/test_notice_relay.py
+++ b/packages/node/tests/test_notice_relay.py
@@ -1,6 +1,7 @@
 """What a keeper tells its entries of failures that other entries saw."""
 
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -57,6 +58,20 @@
         self.take(make_notice("a"), make_notice("b", NoticeKind.FAILED))
         self.assertEqual(len(self.told), 2)
 
+    # Guards against a limit that changes twice within a moment being told only once.
+    def test_a_limit_is_told_whenever_it_changes(self) -> None:
+        for rate in (1.0, None, 1.0, 1.0, 0.0, None):
+            self.take(replace(make_notice("a", NoticeKind.LIMITED), rate_limit=rate, seconds=0.25))
+        self.assertEqual([notice.rate_limit for notice in self.told], [1.0, None, 1.0, 0.0, None])
+        self.assertEqual(self.told[0].seconds, 0.25)
+
+    # Guards against a limit, which is no failure, making a failure or recovery news again.
+    def test_a_limit_between_two_failures_does_not_repeat_them(self) -> None:
+        failed = make_notice("a", NoticeKind.FAILED)
+        limited = replace(make_notice("b", NoticeKind.LIMITED), rate_limit=1.0)
+        self.take(failed, limited, failed)
+        self.assertEqual(len(self.told), 2)
+
     def test_a_failure_is_news_after_a_recovery(self) -> None:
         """An ill server does one lookup well, and everyone uses it again.
 
