Take a 429 of a request that ran as the caller's, not as the server's rest

A server may limit its callers by 429 with Retry-After; taken as a rest of the server, one caller beyond its limit would have closed it to an entry.

--- a/packages/node/src/persimmonusher_node/exchange.py
+++ b/packages/node/src/persimmonusher_node/exchange.py
@@ -23,8 +23,6 @@
 
 NOT_RUN_STATUSES: Final = frozenset({400, 429, 503})
 """Statuses with which a server may say that it did not run a request."""
-REST_STATUSES: Final = frozenset({429, 503})
-"""Statuses whose Retry-After asks for rest."""
 LONGEST_REST_SECONDS: Final = 3_600.0
 """A server that asks for more is tried again after that."""
 DECIMAL: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
@@ -99,15 +97,17 @@
     rate = None if text is None else read_decimal(text)
     is_readable = text is None or rate is not None
     is_leaving = (find_header(answer.headers, dialect.leaving) or "").strip() == "1"
-    return ServerAdvice(rate, is_readable, read_rest(answer), is_leaving)
+    return ServerAdvice(rate, is_readable, read_rest(answer, dialect), is_leaving)
 
 
-def read_rest(answer: UpstreamAnswer) -> float:
+def read_rest(answer: UpstreamAnswer, dialect: Dialect = OWN_DIALECT) -> float:
     """Return the seconds of rest that a server asks for in turning a request away, else 0.
 
-    A date, which HTTP allows too, counts as not said: servers' clocks may be wrong.
+    A 429 of a request that ran is for its caller. A date, which HTTP allows too, counts as not
+    said: servers' clocks may be wrong.
     """
-    if answer.status not in REST_STATUSES:
+    is_refusal = classify_answer(answer, dialect) is OutcomeKind.REFUSED
+    if answer.status != 503 and not is_refusal:
         return 0.0
     seconds = read_decimal(find_header(answer.headers, RETRY_AFTER) or "")
     return min(LONGEST_REST_SECONDS, seconds or 0.0)
--- a/packages/node/tests/test_server_advice.py
+++ b/packages/node/tests/test_server_advice.py
@@ -35,6 +35,12 @@
             self.assertEqual(read(503, Retry_After=text).rest_seconds, 0.0)
         self.assertEqual(read(200, Retry_After="3").rest_seconds, 0.0)
 
+    # Guards against a server being left out for what it told a single caller.
+    def test_a_429_asks_for_rest_only_where_the_request_did_not_run(self) -> None:
+        self.assertEqual(read(429, Retry_After="3").rest_seconds, 0.0)
+        turned_away = read(429, Retry_After="3", Persimmonusher_Not_Run="shed")
+        self.assertEqual(turned_away.rest_seconds, 3.0)
+
     # Guards against a server being left out for a word that doesn't say that it leaves.
     def test_only_1_says_that_a_server_leaves(self) -> None:
         self.assertTrue(read(500, Persimmonusher_Leaving="1").is_leaving)
