Don't refuse a request for closed servers while one is open

Found by reading the diff: a request whose body came slowly, or that waited for a quota, has used up its longest wait when it is offered; compared with the time until the first server opens, which is 0, it was refused as if all were closed. And a queue's expected wait was held against that time.

--- a/packages/decisions/src/persimmonusher_decisions/admission.py
+++ b/packages/decisions/src/persimmonusher_decisions/admission.py
@@ -84,7 +84,7 @@
         rate = self._rates[request.idempotent].find(now)
         if rate is not None:
             expected = (self.queue.count_ahead(request) + 1) / rate
-            longest = self.find_longest_wait(request, usual_latency, now)
+            longest = min(self._longest_wait(), request.deadline - now - usual_latency)
             if expected > WAIT_MARGIN * longest:
                 return self.refuse(request, RefusalReason.OVERLOAD, now)
         self.queue.push(request)
@@ -127,13 +127,13 @@
         """Return why it is too late for a request, None where it isn't."""
         if now + usual_latency > request.deadline:
             return RefusalReason.DEADLINE
-        if now - request.arrived > self._profile.queue_wait_ms / 1000.0:
+        if now - request.arrived > self._longest_wait():
             return RefusalReason.QUEUE_TIMEOUT
         return None
 
-    def find_longest_wait(self, request: Request, usual_latency: float, now: float) -> float:
-        """Return the seconds for which a request may wait from now on."""
-        queue_wait = request.arrived + self._profile.queue_wait_ms / 1000.0 - now
+    def find_wait_left(self, request: Request, usual_latency: float, now: float) -> float:
+        """Return the seconds after which it will be too late for a request, 0 or less if it is."""
+        queue_wait = request.arrived + self._longest_wait() - now
         return min(queue_wait, request.deadline - now - usual_latency)
 
     def refuse_closed(self, request: Request, seconds: float) -> Refusal:
@@ -141,6 +141,9 @@
         retry_after = min(LONGEST_RETRY_AFTER, max(SHORTEST_RETRY_AFTER, seconds))
         return Refusal(request, RefusalReason.SERVERS_CLOSED, retry_after)
 
+    def _longest_wait(self) -> float:
+        return self._profile.queue_wait_ms / 1000.0
+
     def _find_retry_after(self, now: float) -> float:
         rates = [rate.find(now) or 0.0 for rate in self._rates.values()]
         rate = sum(rates)
--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -104,8 +104,12 @@
         0 where one does now, or where none takes work at all.
         """
         self._skip_turns(now)
-        first = min((track.closed_until for track in self._open), default=now)
-        return max(0.0, first - now)
+        first = inf
+        for track in self._open:
+            if track.closed_until <= now:
+                return 0.0
+            first = min(first, track.closed_until)
+        return first - now if self._open else 0.0
 
     def replace(self, tracks: Iterable[ServerTrack], now: float) -> None:
         """Take the servers that are known, after any change of them or of who is out."""
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -350,7 +350,7 @@
     def _refuse_closed(self, request: Request, usual: float, now: float) -> Refusal | None:
         """Refuse a request for which the first server to take one again opens too late."""
         closed = self._placement.find_seconds_closed(now)
-        if closed <= self._admission.find_longest_wait(request, usual, now):
+        if not closed or closed <= self._admission.find_wait_left(request, usual, now):
             return None
         return self._admission.refuse_closed(request, closed)
 
--- a/packages/decisions/tests/test_rests.py
+++ b/packages/decisions/tests/test_rests.py
@@ -94,6 +94,16 @@
         assert isinstance(decision, Refusal), decision
         self.assertAlmostEqual(decision.retry_after, 1.5)
 
+    # Guards against servers that are open being told as closed to a request that came slowly.
+    def test_a_request_that_came_slowly_is_not_refused_for_closed_servers(self) -> None:
+        for number in range(100):
+            decision = self.traffic.offer(make_request(f"r{number}", 1.0), 1.0)
+            if not isinstance(decision, Dispatch):
+                break
+        slow = replace(make_request("slow", 1.0), arrived=-9.0)
+        decision = self.traffic.offer(slow, 1.0)
+        self.assertNotIsInstance(decision, (Dispatch, Refusal))
+
     # Guards against a caller sent back at once to servers that all rest.
     def test_a_request_that_the_last_server_turned_away_comes_back_after_the_rest(self) -> None:
         self.turn_away(self.traffic, 1.0)
