Look at all servers where none of a sample takes a request

A first attempt looks at 16 servers at most. Where these are closed, or at their connections, it waited, or was refused as if no server were left, while others were open. test_rests, the only open server of many, failed before.

--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -135,7 +135,8 @@
             if probe is not None:
                 return probe
         if tried is None:
-            return self._choose_first(idempotent, now)
+            best = self._choose_first(idempotent, now)
+            return best or self._find_least(self._open, None, now)
         candidates = self._pick_candidates()
         trusted = [track for track in candidates if not track.is_suspected(now)]
         best = self._choose_among(trusted, candidates, tried, now)
--- a/packages/decisions/tests/test_rests.py
+++ b/packages/decisions/tests/test_rests.py
@@ -94,6 +94,17 @@
         assert isinstance(decision, Refusal), decision
         self.assertAlmostEqual(decision.retry_after, 1.5)
 
+    # Guards against a request that no server of a sample takes being refused, or waiting.
+    def test_the_only_open_server_of_many_is_found(self) -> None:
+        traffic = make_traffic(servers=60, profile=PROFILE)
+        for number in range(59):
+            notice = Notice(NoticeKind.LIMITED, SERVICE, ServerId(f"s{number}"), 1, rate_limit=0.0)
+            traffic.apply_notice(notice, 1.0)
+            self.assertEqual(traffic.describe(1.0)[number].reason, "limited")
+        for number in range(20):
+            sent = dispatched(traffic.offer(make_request(f"r{number}", 1.01), 1.01))
+            traffic.finish(sent, GOOD, 1.01)
+
     # Guards against servers that are open being told as closed to a request that came slowly.
     def test_a_request_that_came_slowly_is_not_refused_for_closed_servers(self) -> None:
         for number in range(100):
