--- a/packages/decisions/src/persimmonusher_decisions/advice_book.py
+++ b/packages/decisions/src/persimmonusher_decisions/advice_book.py
@@ -25,7 +25,7 @@
     ) -> bool:
         """Take an answer's advice; tell whether it is news that the server leaves."""
         if advice.rest_seconds:
-            track.rest(now + advice.rest_seconds)
+            track.rest_until(now + advice.rest_seconds)
         if self._limits.take(track, advice, dispatch.started, now):
             self._notices.append(self._make_notice(dispatch, advice, now))
         is_news = advice.is_leaving and not track.draining
--- a/packages/decisions/src/persimmonusher_decisions/rate_limits.py
+++ b/packages/decisions/src/persimmonusher_decisions/rate_limits.py
@@ -52,19 +52,20 @@
         """Return the seconds between two turns of this instance, for a limit of the fleet."""
         return self._entries / (SHARED_PART * max(LEAST_RATE, rate))
 
-    def take(self, track: ServerTrack, advice: ServerAdvice, asked: float, now: float) -> bool:
-        """Take the limit in an answer to what was sent at `asked`; tell whether it is another one.
+    def take(self, track: ServerTrack, advice: ServerAdvice, sent: float, now: float) -> bool:
+        """Take the limit in an answer to what was sent at a time; tell whether it is another one.
 
-        An answer without a limit ends one only if it was asked for after the limit was last named.
+        An answer without a limit ends one only if its request was sent after the limit was last
+        named: the answer may be older than it came.
         """
         rate = advice.rate_limit
-        if not advice.is_readable or (rate is None and asked <= track.limit_named_at):
+        if not advice.is_readable or (rate is None and sent <= track.limit_named_at):
             return False
         if rate is not None:
             track.limit_named_at = now
         if rate == track.rate_limit:
             return False
-        track.open_at_turn(self._find_turn(track, rate, now))
+        track.set_turn(self._find_turn(track, rate, now))
         track.rate_limit = rate
         return True
 
@@ -72,14 +73,14 @@
         """Count a request that is sent now: this turn is over."""
         if track.rate_limit is not None:
             self.skip_turns(track, now)
-            track.open_at_turn(track.turn_at + self.find_interval(track.rate_limit))
+            track.set_turn(track.turn_at + self.find_interval(track.rate_limit))
 
     def skip_turns(self, track: ServerTrack, now: float) -> None:
         """Go on to the next turn where those before are over."""
         over = now - TURN_SECONDS - track.turn_at
         if track.rate_limit is not None and over > 0.0:
             interval = self.find_interval(track.rate_limit)
-            track.open_at_turn(track.turn_at + ceil(over / interval) * interval)
+            track.set_turn(track.turn_at + ceil(over / interval) * interval)
 
     def _find_turn(self, track: ServerTrack, rate: float | None, now: float) -> float:
         """Return when the next turn at a server begins whose limit changes."""
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -96,12 +96,12 @@
         """Return the requests in progress for each slot that are known of."""
         return (self.outstanding + (self.others or 0.0)) / self.slots
 
-    def open_at_turn(self, at: float) -> None:
+    def set_turn(self, at: float) -> None:
         """Give this instance its next turn at a moment."""
         self.turn_at = at
         self.closed_until = max(at, self.resting_until)
 
-    def rest(self, until: float) -> None:
+    def rest_until(self, until: float) -> None:
         """Send it nothing before a moment; a shorter rest doesn't end a longer one."""
         self.resting_until = max(self.resting_until, until)
         self.closed_until = max(self.turn_at, self.resting_until)
