Ports of tests that no outgoing connection is given

The port had been chosen by the kernel and closed again, some listeners were started meanwhile, and they connect to each other: the kernel may give the same port, which lies in its range for connections, to one of those. That it was this was not seen directly.

--- a/packages/node/tests/test_claims_fleet.py
+++ b/packages/node/tests/test_claims_fleet.py
@@ -2,11 +2,11 @@
 
 loop.install()
 
-import socket  # noqa: E402
 import unittest  # noqa: E402
 from random import Random  # noqa: E402
 
 import eventlet  # noqa: E402
+from free_ports import find_port  # noqa: E402
 
 from persimmonusher_agreement.roster import Member, Roster  # noqa: E402
 from persimmonusher_model.identifiers import (  # noqa: E402
@@ -159,11 +159,5 @@
         self.assertEqual(self.nodes[NAMES[1]].claim().status, ClaimStatus.NO_QUORUM)
 
 
-def find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/packages/node/tests/test_evidence_fleet.py
+++ b/packages/node/tests/test_evidence_fleet.py
@@ -2,11 +2,11 @@
 
 loop.install()
 
-import socket  # noqa: E402
 import unittest  # noqa: E402
 from random import Random  # noqa: E402
 
 import eventlet  # noqa: E402
+from free_ports import find_port  # noqa: E402
 
 from persimmonusher_decisions.server import BackendServer, ServerState  # noqa: E402
 from persimmonusher_decisions.work import (  # noqa: E402
@@ -176,11 +176,5 @@
         self.run_until_out(list(self.nodes.values()), 15.0)
 
 
-def find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/packages/node/tests/test_keeper_fleet.py
+++ b/packages/node/tests/test_keeper_fleet.py
@@ -6,7 +6,6 @@
 import json  # noqa: E402
 import os  # noqa: E402
 import shutil  # noqa: E402
-import socket  # noqa: E402
 import tempfile  # noqa: E402
 import time  # noqa: E402
 import unittest  # noqa: E402
@@ -15,6 +14,7 @@
 from unittest import mock  # noqa: E402
 
 import eventlet  # noqa: E402
+from free_ports import find_port  # noqa: E402
 from grpclib.server import Server  # noqa: E402
 
 from persimmonusher_agreement.configuration import Configuration  # noqa: E402
@@ -37,12 +37,6 @@
 from persimmonusher_node.settings import Keeper, Listeners, Settings  # noqa: E402
 
 
-def find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def make_change(change_id: str, kind: ObjectKind, name: str, based_on: int, body: object) -> Change:
     text = None if body is None else json.dumps(body)
     return Change(change_id, "clerk", ObjectKey(kind, name), Revision(based_on), text)
--- a/packages/node/tests/test_membership.py
+++ b/packages/node/tests/test_membership.py
@@ -8,6 +8,7 @@
 loop.install()
 
 import eventlet  # noqa: E402
+from free_ports import find_port  # noqa: E402
 
 from persimmonusher_decisions.server import BackendServer, ServerState  # noqa: E402
 from persimmonusher_model.identifiers import (  # noqa: E402
@@ -25,13 +26,6 @@
 WAIT_SECONDS = 5.0
 
 
-def find_port() -> int:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def make_settings(number: int, port: int, seed: int, token: str) -> Settings:
     other = "127.0.0.1:1"
     return Settings(
@@ -67,12 +61,12 @@
     def setUp(self) -> None:
         self.heard: list[tuple[str, int]] = []
         self.revisions = [0] * 5
-        self.seed = find_port()
+        self.seed = find_port(socket.SOCK_DGRAM)
         self.nodes = [self.make_node(number, "secret") for number in range(5)]
         self.directories = [GossipDirectory(node) for node in self.nodes]
 
     def make_node(self, number: int, token: str) -> UdpMembership:
-        port = self.seed if number == 0 else find_port()
+        port = self.seed if number == 0 else find_port(socket.SOCK_DGRAM)
         settings = make_settings(number, port, self.seed, token)
 
         def hear(address: str, revision: Revision) -> None:
--- a/packages/node/tests/test_tiers.py
+++ b/packages/node/tests/test_tiers.py
@@ -3,7 +3,6 @@
 loop.install()
 
 import json  # noqa: E402
-import socket  # noqa: E402
 import tempfile  # noqa: E402
 import time  # noqa: E402
 import unittest  # noqa: E402
@@ -15,6 +14,7 @@
 from typing import Any  # noqa: E402
 
 import eventlet  # noqa: E402
+from free_ports import find_port  # noqa: E402
 
 from persimmonusher_agreement.configuration_keeper import LossTolerance  # noqa: E402
 from persimmonusher_agreement.registration import RegisteredState, Registration  # noqa: E402
@@ -79,12 +79,6 @@
         return RoutingDocument(version, limits, (rule,), services, organisations)
 
 
-def find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 class KeeperNode:
     """One keeper in this process, as the daemon composes it."""
 
