--- a/packages/decisions/src/persimmonusher_decisions/rate_limits.py
+++ b/packages/decisions/src/persimmonusher_decisions/rate_limits.py
@@ -56,7 +56,7 @@
         """Take the limit in an answer to what was sent at a time; tell whether it is another one.
 
         An answer without a limit ends one only if its request was sent after the limit was last
-        named: the answer may be older than it came.
+        named: else the server may have answered before it named the limit.
         """
         rate = advice.rate_limit
         if not advice.is_readable or (rate is None and sent <= track.limit_named_at):
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -1,5 +1,7 @@
 """What one entry instance keeps about one server while it places work on it."""
 
+from math import inf
+
 from persimmonusher_decisions.advice import Asked
 from persimmonusher_decisions.doubts import Doubts
 from persimmonusher_decisions.evidence_messages import EjectionState, ServerEvidence
@@ -72,16 +74,16 @@
         """When it was last seen to fail."""
         self.suspicions = 0
         """Times that it was suspected in a row, each soon after the end of the last one."""
-        self.closed_until = now
+        self.closed_until = -inf
         """Gets nothing from this instance before that time, whatever the others' load: the later
         of `turn_at` and `resting_until`."""
-        self.turn_at = now
+        self.turn_at = -inf
         """When the next turn of this instance begins, where the server names a limit."""
-        self.limit_named_at = now
+        self.limit_named_at = -inf
         """When an answer last named a limit."""
         self.rate_limit: float | None = None
         """Requests a second that it takes from all instances, None where it names no limit."""
-        self.resting_until = now
+        self.resting_until = -inf
         """Wants nothing from this instance before that time, as it said."""
         self.spared = False
         """Whether it gets first attempts all the same, as too many are suspected."""
