--- a/packages/decisions/src/persimmonusher_decisions/advice.py
+++ b/packages/decisions/src/persimmonusher_decisions/advice.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True)
 class ServerAdvice:
-    """The requests of one answer. They hold for one start of the server."""
+    """What one answer asks for. It holds for one start of the server."""
 
     rate_limit: float | None = None
     """Requests a second that it takes from all instances together, None where it names no limit."""
--- a/packages/decisions/src/persimmonusher_decisions/further_attempts.py
+++ b/packages/decisions/src/persimmonusher_decisions/further_attempts.py
@@ -14,7 +14,9 @@
     Dispatch,
     Outcome,
     OutcomeKind,
+    Refusal,
     RefusalReason,
+    Request,
 )
 from persimmonusher_model.profile import Profile
 
@@ -62,9 +64,9 @@
         reason = RefusalReason.RETRY_BUDGET if may_go else RefusalReason.RETRIES_EXHAUSTED
         if outcome.kind not in (OutcomeKind.REFUSED, OutcomeKind.DRAINING):
             return self._admission.refuse(request, reason, now)
-        closed = self._placement.find_seconds_closed(now)
-        if closed:
-            return self._admission.refuse_closed(request, closed)
+        refusal = self._refuse_closed(request, now)
+        if refusal is not None:
+            return refusal
         if dispatch.attempt - dispatch.unreached == 1:
             reason = RefusalReason.OVERLOAD
         recent = self._evidence.recent_latency or 0.0
@@ -96,10 +98,13 @@
             again = self._dispatcher.place(request, number, tried, now, unreached)
             if again is not None:
                 return again
+        refusal = self._refuse_closed(request, now)
+        return refusal or self._admission.refuse(request, RefusalReason.OVERLOAD, now)
+
+    def _refuse_closed(self, request: Request, now: float) -> Refusal | None:
+        """Refuse a request that was not run until the first server opens, if all are closed."""
         closed = self._placement.find_seconds_closed(now)
-        if closed:
-            return self._admission.refuse_closed(request, closed)
-        return self._admission.refuse(request, RefusalReason.OVERLOAD, now)
+        return self._admission.refuse_closed(request, closed) if closed else None
 
     def _is_late(self, dispatch: Dispatch, now: float) -> bool:
         """Tell whether usual work would end only after the request's deadline."""
--- a/packages/node/src/persimmonusher_node/exchange.py
+++ b/packages/node/src/persimmonusher_node/exchange.py
@@ -92,7 +92,7 @@
 
 
 def read_advice(answer: UpstreamAnswer, dialect: Dialect = OWN_DIALECT) -> ServerAdvice:
-    """Return what the answer asks of all instances; what can't be read counts as not said."""
+    """Return what the answer asks of instances."""
     text = find_header(answer.headers, dialect.rate_limit)
     rate = None if text is None else read_decimal(text)
     is_readable = text is None or rate is not None
