Log and count why backend servers get no requests from an instance

persimmonusher_servers_taking_work counts suspected servers as taking work, and no line says why an idle server gets nothing.

The gauge persimmonusher_servers counts each service's servers by standing. A line server-standings, every 5 s for a service in use with a server not in full use, has the counts and names the servers with their standing and the rest of their suspicion.

--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -29,6 +29,7 @@
 from persimmonusher_decisions.rate_limits import RateLimits
 from persimmonusher_decisions.retries import RetryBudget
 from persimmonusher_decisions.server import BackendServer
+from persimmonusher_decisions.standing import Standing, find_standing
 from persimmonusher_decisions.suspicion import Suspicion
 from persimmonusher_decisions.track import ServerTrack
 from persimmonusher_decisions.window import ConcurrencyWindow
@@ -64,6 +65,9 @@
     """Requests per second that it accepts from all instances together; None for no limit."""
     rest_seconds: float = 0.0
     """Time left of the rest that it asked this instance for."""
+    standing: Standing = Standing.IN_USE
+    suspected_seconds: float = 0.0
+    """Time left of its suspicion."""
 
 
 class ServiceTraffic:
@@ -333,6 +337,8 @@
                 track.outstanding,
                 track.rate_limit,
                 max(0.0, track.resting_until - now),
+                find_standing(track, now),
+                max(0.0, track.suspect_until - now),
             )
             for track in self._tracks.values()
         )
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -1,11 +1,12 @@
 """The data plane of one instance: everything between the callers' listener and the ports."""
 
+from collections import Counter
 from dataclasses import replace
 from random import Random
 
 from persimmonusher_decisions.server import BackendServer, ServerState
 from persimmonusher_model.clock import Clock
-from persimmonusher_model.identifiers import FailureDomain, InstanceId, RequestId
+from persimmonusher_model.identifiers import FailureDomain, InstanceId, RequestId, ServiceName
 from persimmonusher_node.ages import bound_age
 from persimmonusher_node.callers import CallersApplication
 from persimmonusher_node.dialect import OWN_DIALECT, Dialect
@@ -18,6 +19,7 @@
 from persimmonusher_node.records import RecordRing, RequestRecord
 from persimmonusher_node.services import ServiceBook
 from persimmonusher_node.settings import Settings
+from persimmonusher_node.standing_log import StandingLog
 from persimmonusher_node.upstream import Upstream
 from persimmonusher_node.watch import Watch
 
@@ -63,7 +65,8 @@
         entry = Entry(self.services, self.forwarder, keyed, parts.quotas, clock, decimals)
         body_seconds = settings.limits.body_seconds
         self.application = CallersApplication(entry, instance_id, clock, body_seconds, dialect)
-        self.watch = Watch(self.services, self.forwarder, upstream, clock)
+        standing_log = StandingLog(self.services, clock)
+        self.watch = Watch(self.services, self.forwarder, upstream, standing_log, clock)
 
     def explain(self, request_id: RequestId) -> RequestRecord | None:
         """Return the record of a recent request at this instance, or None."""
@@ -85,12 +88,14 @@
         excluded = {}
         limited = {}
         resting = {}
+        standings: dict[ServiceName, dict[str, int]] = {}
         for live in self.services:
             statuses = live.traffic.describe(now)
             taking[live.name] = sum(status.taking_work for status in statuses)
             excluded[live.name] = len(statuses) - taking[live.name]
             limited[live.name] = sum(status.rate_limit is not None for status in statuses)
             resting[live.name] = sum(status.rest_seconds > 0.0 for status in statuses)
+            standings[live.name] = Counter(status.standing.value for status in statuses)
         freshness = self.services.find_freshness()
         return InstanceGauges(
             self.forwarder.in_flight,
@@ -102,4 +107,5 @@
             0.0 if freshness is None else bound_age(freshness.age),
             limited,
             resting,
+            standings,
         )
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -16,6 +16,7 @@
 from aioprometheus.histogram import Histogram as Buckets
 from aioprometheus.renderer import render
 
+from persimmonusher_decisions.standing import Standing
 from persimmonusher_model.identifiers import ServiceName
 from persimmonusher_node.observer import FinishedRequest, RequestObserver
 
@@ -42,6 +43,8 @@
     """0 if the age isn't known."""
     servers_limited: dict[ServiceName, int] = field(default_factory=dict)
     servers_resting: dict[ServiceName, int] = field(default_factory=dict)
+    standings: dict[ServiceName, dict[str, int]] = field(default_factory=dict)
+    """Servers by service and standing; a standing without servers may be left out."""
 
 
 class MetricsSource(ABC):
@@ -83,6 +86,9 @@
             name: Gauge(f"persimmonusher_{name}", text, registry=registry)
             for name, text in _GAUGES.items()
         }
+        self._standings = Gauge(
+            "persimmonusher_servers", "Backend servers by standing.", registry=registry
+        )
         self._classes: dict[str, dict[str, tuple[Buckets, Buckets]]] = {}
         self._request_tally: Tally[tuple[str, str, str]] = Tally()
         self._step_tally: Tally[tuple[str, str, str]] = Tally()
@@ -133,6 +139,10 @@
             by_service: dict[ServiceName, int] = getattr(gauges, name)
             for service, count in by_service.items():
                 self._gauges[name].set({"service": service}, count)
+        for service, counts in gauges.standings.items():
+            for standing in Standing:
+                labels = {"service": service, "standing": standing.value}
+                self._standings.set(labels, counts.get(standing.value, 0))
 
 
 _GAUGES: Final = {
--- a/packages/node/src/persimmonusher_node/watch.py
+++ b/packages/node/src/persimmonusher_node/watch.py
@@ -15,6 +15,7 @@
 from persimmonusher_node.component import Component
 from persimmonusher_node.forwarding import Forwarder
 from persimmonusher_node.services import ServiceBook
+from persimmonusher_node.standing_log import StandingLog
 from persimmonusher_node.upstream import Upstream
 
 TICK_SECONDS: Final = 0.05
@@ -32,11 +33,17 @@
     """Drives `ServiceBook`; ends requests whose deadline passed or whose caller disconnected."""
 
     def __init__(
-        self, services: ServiceBook, forwarder: Forwarder, upstream: Upstream, clock: Clock
+        self,
+        services: ServiceBook,
+        forwarder: Forwarder,
+        upstream: Upstream,
+        standing_log: StandingLog,
+        clock: Clock,
     ) -> None:
         self._services = services
         self._forwarder = forwarder
         self._upstream = upstream
+        self._standing_log = standing_log
         self._clock = clock
         self._thread: GreenThread | None = None
 
@@ -72,6 +79,7 @@
         if is_housekeeping:
             self._services.refresh_entry_count()
             self._upstream.expire()
+            self._standing_log.write()
         self._services.advance(self._forwarder.deliver_decision, is_housekeeping)
 
     def _end_expired_runs(self) -> None:
--- a/packages/node/tests/test_metrics.py
+++ b/packages/node/tests/test_metrics.py
@@ -1,14 +1,17 @@
 import unittest
 
 from entry_harness import SERVICE, SHED, EntryTestCase, answer
+from structlog.testing import capture_logs
 
 from persimmonusher_decisions.server import ServerState
+from persimmonusher_node.clock import SystemClock
 from persimmonusher_node.metrics import (
     CLASSES_PER_SERVICE,
     InstanceGauges,
     MetricsApplication,
     RequestMetrics,
 )
+from persimmonusher_node.standing_log import StandingLog
 
 GAUGES = InstanceGauges(1, 2, 3, 4, {}, {})
 
@@ -65,6 +68,28 @@
         self.assertEqual(self.plane.read_gauges().servers_resting, {SERVICE: 2})
         self.assertIn('decision="dispatch"', self.render())
 
+    # Guards against counting servers without requests as in use.
+    def test_servers_are_counted_by_standing(self) -> None:
+        rest = answer(b"", "503 Busy", "Persimmonusher-Not-Run: shed", "Retry-After: 9")
+        self.script(*[rest] * 9)
+        self.call("POST", body=b"x")
+        self.assertEqual(self.plane.read_gauges().standings, {SERVICE: {"resting": 2}})
+        metrics = RequestMetrics(self.plane.read_gauges)
+        line = 'persimmonusher_servers{service="entries",standing="resting"} 2'
+        self.assertIn(line, metrics.render().decode())
+
+    def test_a_line_names_the_servers_that_get_no_requests(self) -> None:
+        rest = answer(b"", "503 Busy", "Persimmonusher-Not-Run: shed", "Retry-After: 9")
+        self.script(*[rest] * 9)
+        self.call("POST", body=b"x")
+        with capture_logs() as lines:
+            log = StandingLog(self.plane.services, SystemClock())
+            log.write()
+            log.write()
+        (line,) = lines
+        self.assertEqual((line["event"], line["counts"]), ("server-standings", {"resting": 2}))
+        self.assertEqual(len(line["servers"]), 2)
+
     def test_callers_can_not_make_labels_without_bound(self) -> None:
         for number in range(CLASSES_PER_SERVICE * 3):
             self.call(headers={"Persimmonusher-Class": f"class-{number}"})
