A failing test of recovered servers that stay idle in calm

Requests need no suspected server there, so nobody finds out that these have recovered. Simulated without sockets; suspect_ms is 2,000.

--- a/packages/decisions/tests/test_well_servers.py
+++ b/packages/decisions/tests/test_well_servers.py
@@ -2,10 +2,11 @@
 
 import unittest
 from collections import defaultdict
+from dataclasses import replace
 
 from decisions_helpers import dispatched, make_request, make_traffic
 from fleet_simulation import FleetSimulation, Load
-from heavy_loads import PROFILE
+from heavy_loads import LOOKUPS_AND_PURCHASES, PROFILE
 
 from persimmonusher_decisions.suspicion import find_max_suspects
 from persimmonusher_decisions.traffic import ServiceTraffic
@@ -34,6 +35,26 @@
 """Least part of the healthy servers that must be in use."""
 
 
+CALM = replace(
+    LOOKUPS_AND_PURCHASES,
+    requests_a_second=86.0,
+    work_seconds=0.35,
+    fault_seconds=2.7,
+    seconds=40.0,
+)
+"""Less than half of the slots are busy, so that no request needs a suspected server."""
+LONG_FAULTS = replace(CALM, fault_every=20.0, fault_seconds=5.0, fault_chance=0.8)
+ENTRIES = Load(
+    requests_a_second=56.2,
+    work_spread=0.8,
+    fault_every=9.0,
+    fault_seconds=9.0,
+    fault_chance=0.3,
+    seconds=60.0,
+)
+"""Only entries, which can't be retried."""
+SMALL_FLEET = LARGE_FLEET.model_copy(update={"retry_slack": 64.0, "suspect_ms": 2_000})
+
 HEDGING = Profile(hedge_after_ms=50)
 
 
@@ -79,6 +100,15 @@
                 self.assertGreaterEqual(min(fleet.find_shares_used()), FLOOR_SHARE)
                 self.assertLess(served.failed_share, 0.04)
 
+    # Guards against suspicions that outlast the faults, so that recovered servers stay idle.
+    def test_recovered_servers_are_used_while_the_others_have_free_slots(self) -> None:
+        for name, load in {"short": CALM, "long": LONG_FAULTS, "entries": ENTRIES}.items():
+            for seed in SEEDS:
+                with self.subTest(faults=name, seed=seed):
+                    fleet = RecordedFleet(load, SMALL_FLEET, seed)
+                    fleet.run()
+                    self.assertGreaterEqual(min(fleet.find_shares_used()), FLOOR_SHARE)
+
     def test_more_servers_may_be_passed_by_where_chance_is_larger(self) -> None:
         cases = {1: 0, 3: 1, 6: 3, 9: 5, 14: 7, 21: 9, 33: 14, 94: 41}
         for servers, most in cases.items():
