Return suspected servers by single trials, not after a learned time

Cause: the length of a suspicion was learned. It grew by a quarter whenever a server failed within that length after its return, up to four times suspect_ms. The longer it was, the more failures counted; where three of ten servers are faulty at any time it never shrinks. Nothing asked a suspected server in calm, as lookups try them only while the others are busy, so that a suspicion ended by time alone.

Now a suspected server gets nothing for suspect_ms and then single requests: first from the instance whose request failed, then from the others, near ones first, one a second from the whole fleet, at most a tenth of an instance's requests, lookups where the service has any. Two that succeed end the suspicion everywhere, one that fails begins it again.

--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -42,7 +42,9 @@
         "slots",
         "suspect_until",
         "suspected_at",
-        "suspicions",
+        "failed_trials",
+        "trial_at",
+        "trials_from",
         "evidence_sent_at",
         "turn_at",
         "timed",
@@ -78,8 +80,12 @@
         `kept_by_floor`."""
         self.suspected_at = now
         """When the server was last suspected, because an instance saw it fail."""
-        self.suspicions = 0
-        """Suspicions in a row, each soon after the end of the one before; the newest included."""
+        self.failed_trials = 0
+        """Trials of the current suspicion that failed, in a row."""
+        self.trials_from = inf
+        """When the instances may begin to send the server trial requests."""
+        self.trial_at = inf
+        """When this instance may next send the server a single request although it is suspected."""
         self.closed_until = -inf
         """The later of `turn_at` and `resting_until`: this instance sends nothing before it,
         however loaded the other servers are."""
