Copy a lookup on a suspected server after little more than the median latency

A lookup that is a trial waits like any other for three times the median latency before its copy is sent, though its server is likely to be failing: where servers swallow requests, its caller gets the answer late. On a suspected server the copy now goes out after 0.4 of that time. The budget of copies holds.

--- a/packages/decisions/src/persimmonusher_decisions/hedging.py
+++ b/packages/decisions/src/persimmonusher_decisions/hedging.py
@@ -9,6 +9,9 @@
 MAX_DELAY_SHARE: Final = 0.5
 """Part of the time left to a request after which its copy is sent at the latest, so that there is
 time for the copy to be answered."""
+TRIAL_PATIENCE_SHARE: Final = 0.4
+"""Part of the usual delay after which a request on a suspected server is copied, a little more than
+the median latency: the server is likely to be failing."""
 HEDGE_BUDGET_SHARE: Final = 0.5
 """Part of the retry budget that hedged requests may use: a failed request needs a second attempt
 more than one that may still be answered."""
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -20,7 +20,7 @@
 from persimmonusher_decisions.evidence import SILENT_KINDS, EvidenceLog
 from persimmonusher_decisions.evidence_messages import EjectionSet, EvidenceDigest
 from persimmonusher_decisions.further_attempts import FurtherAttempts
-from persimmonusher_decisions.hedging import find_hedge_delay
+from persimmonusher_decisions.hedging import TRIAL_PATIENCE_SHARE, find_hedge_delay
 from persimmonusher_decisions.learning import OutcomeLearning
 from persimmonusher_decisions.locality import Locality
 from persimmonusher_decisions.notices import Notice, NoticeKind
@@ -310,9 +310,13 @@
                 refusals.append(refusal)
         return (*refusals, *self._release(now))
 
-    def hedge_delay(self, request: Request, now: float) -> float | None:
+    def hedge_delay(self, dispatch: Dispatch, now: float) -> float | None:
         """Return the seconds after which to call `hedge`, or None for no hedged request."""
+        request = dispatch.request
         limit = self._evidence.find_slow_limit(request.request_class)
+        track = self._tracks.get(dispatch.server.server_id)
+        if limit is not None and track is not None and track.is_suspected(now):
+            limit *= TRIAL_PATIENCE_SHARE
         return find_hedge_delay(self._profile, request, limit, now)
 
     def hedge(self, dispatch: Dispatch, now: float) -> Dispatch | None:
--- a/packages/decisions/tests/test_traffic.py
+++ b/packages/decisions/tests/test_traffic.py
@@ -6,6 +6,7 @@
 from decisions_helpers import (
     FAILED,
     GOOD,
+    SERVICE,
     dispatched,
     make_request,
     make_server,
@@ -15,6 +16,7 @@
 
 from persimmonusher_decisions.admission import Admission
 from persimmonusher_decisions.evidence_messages import EjectionState
+from persimmonusher_decisions.notices import Notice, NoticeKind
 from persimmonusher_decisions.server import ServerState
 from persimmonusher_decisions.traffic import ServiceTraffic
 from persimmonusher_decisions.work import (
@@ -226,19 +228,36 @@
     def test_a_lookup_is_copied_once_answers_hardly_take_as_long(self) -> None:
         """A server hangs; the usual latency follows from the answers so far."""
         traffic = make_traffic(3, Profile(hedge_slow=True))
-        request = make_request("r", seconds=4.0)
-        self.assertEqual(traffic.hedge_delay(request, 0.0), 2.0, "half of its time")
+        lookup = dispatched(traffic.offer(make_request("r", seconds=4.0), 0.0))
+        self.assertEqual(traffic.hedge_delay(lookup, 0.0), 2.0, "half of its time")
         for index in range(40):
             dispatch = dispatched(traffic.offer(make_request(f"w{index}"), 0.0))
             traffic.finish(dispatch, Outcome(OutcomeKind.SUCCESS, 0.3), 0.3)
-        delay = traffic.hedge_delay(request, 1.0)
+        delay = traffic.hedge_delay(lookup, 1.0)
         assert delay is not None
         self.assertAlmostEqual(delay, 0.9, delta=0.2)
-        self.assertIsNone(traffic.hedge_delay(make_request("e", idempotent=False), 1.0))
+        entry = dispatched(traffic.offer(make_request("e", 1.0, idempotent=False), 1.0))
+        self.assertIsNone(traffic.hedge_delay(entry, 1.0))
         single = replace(make_request("s", 1.0), max_attempts=1)
         first = dispatched(traffic.offer(single, 1.0))
         self.assertIsNone(traffic.hedge(first, 2.0), "one server only may have it")
 
+    # Guards against trials whose callers wait three times the usual latency for a likely failure.
+    def test_a_lookup_on_a_suspected_server_is_copied_sooner(self) -> None:
+        traffic = make_traffic(3, Profile(hedge_slow=True, suspect_ms=2_000))
+        for index in range(40):
+            dispatch = dispatched(traffic.offer(make_request(f"w{index}"), 0.0))
+            traffic.finish(dispatch, Outcome(OutcomeKind.SUCCESS, 0.3), 0.3)
+        lookup = dispatched(traffic.offer(make_request("r", 1.0), 1.0))
+        usual = traffic.hedge_delay(lookup, 1.0)
+        server = lookup.server
+        traffic.apply_notice(
+            Notice(NoticeKind.FAILED, SERVICE, server.server_id, server.boot_id), 1.0
+        )
+        trial = traffic.hedge_delay(lookup, 1.0)
+        assert usual is not None and trial is not None
+        self.assertLess(trial, usual / 2)
+
     def test_hedge_needs_calm_and_budget(self) -> None:
         traffic = make_traffic(3, Profile(hedge_after_ms=50))
         first = dispatched(traffic.offer(make_request("r"), 0.0))
--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -83,7 +83,7 @@
         started = self._clock.monotonic()
         delay = None
         if run.request.idempotent and dispatch.attempt == 1:
-            delay = run.live.traffic.hedge_delay(run.request, started)
+            delay = run.live.traffic.hedge_delay(dispatch, started)
         try:
             if delay is None:
                 return self._make(run, dispatch)
