--- a/packages/model/src/persimmonusher_model/profile.py
+++ b/packages/model/src/persimmonusher_model/profile.py
@@ -112,8 +112,10 @@
         ge=0,
         le=600_000,
         description="Time for which every instance passes a server by after one of them saw it "
-        "fail, within the floor; 0 leaves all to the assessor. For servers whose faults last some "
-        "seconds: with less the next request finds the same fault, with more well servers idle.",
+        "fail, within the floor; 0 leaves all to the assessor. After it single requests try the "
+        "server, lookups where the service has any, until two succeed. Each that fails starts the "
+        "time again, and from the fifth in a row on doubles it, up to four times. If too few "
+        "requests come to try it with, the server has its full share again after three times more.",
     )
     fewest_suspects: int = Field(
         default=0,
