--- a/packages/decisions/src/persimmonusher_decisions/notices.py
+++ b/packages/decisions/src/persimmonusher_decisions/notices.py
@@ -36,7 +36,7 @@
     request_id: RequestId = RequestId("")
     """The request that showed the event, so that a notice that arrives twice counts once."""
     seconds: float = 0.0
-    """For RECOVERED and LIMITED: how long ago the request was sent whose answer showed the event.
-    What was learned after that time isn't undone by the notice."""
+    """How long ago the request was sent that showed the event. For RECOVERED and LIMITED, what was
+    learned after that time isn't undone by the notice."""
     rate_limit: float | None = None
     """For LIMITED: requests per second from all instances together, None if the limit ended."""
--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -82,12 +82,10 @@
     lost as well before the first one times out. It isn't reported to others, since one request in
     forty is slow without a fault.
 
-    A suspected server that answers two lookups successfully is used again at once, everywhere.
+    A suspected server gets no first attempts for `suspect_ms`, and then single trial requests (see
+    `TrialSchedule`). Two that succeed end the suspicion everywhere, one that fails begins it again.
     While the others are busy, lookups go to the servers whose failure is the longest ago, as a
     lookup can be retried when it fails.
-
-    A server that fails again soon after a suspicion is avoided for twice as long: how long a fault
-    lasts isn't known, and each return of a server that is still faulty costs a request.
     """
 
     def __init__(self, service: ServiceName, trials: TrialSchedule) -> None:
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -76,8 +76,8 @@
         self.evidence_sent_at = now
         self.doubts = Doubts()
         self.suspect_until = now
-        """End of the current suspicion; until then first attempts avoid the server, unless
-        `kept_by_floor`."""
+        """End of the current suspicion; until then first attempts other than trials avoid the server,
+        unless `kept_by_floor`."""
         self.suspected_at = now
         """When the server was last suspected, because an instance saw it fail."""
         self.failed_trials = 0
