--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -76,7 +76,7 @@
         self.evidence_sent_at = now
         self.doubts = Doubts()
         self.suspect_until = now
-        """End of the current suspicion; until then first attempts other than trials avoid the server,
+        """End of the current suspicion; until then first attempts avoid the server, except trials,
         unless `kept_by_floor`."""
         self.suspected_at = now
         """When the server was last suspected, because an instance saw it fail."""
