--- a/packages/decisions/tests/ablation.py
+++ b/packages/decisions/tests/ablation.py
@@ -1,8 +1,9 @@
 """Shows the effect of each mechanism: the same loads with one mechanism switched off at a time.
 
 Run it by hand, `python ablation.py [SEEDS]`, with the packages on the path. It prints a table with
-the share of requests that weren't served and the share answered within a second: mean, smallest and
-largest over the seeds. It isn't a test; test_suspicion and test_heavy_load assert the requirements.
+the share of requests that weren't served, the share answered within a second, and the smallest part
+of the healthy servers that got requests in a window of 2 s: mean, smallest and largest over the
+seeds. It isn't a test; test_suspicion and test_heavy_load assert the requirements.
 """
 
 import sys
@@ -15,8 +16,9 @@
 from typing import Any
 from unittest.mock import patch
 
-from fleet_simulation import FleetSimulation, Load
+from fleet_simulation import Load
 from heavy_loads import LOOKUPS_AND_PURCHASES, PROFILE
+from recorded_fleet import RecordedFleet
 
 from persimmonusher_decisions import doubts, placement, suspicion, trials
 from persimmonusher_decisions.evidence import EvidenceLog
@@ -112,13 +114,14 @@
         yield
 
 
-def play(job: tuple[Load, int, int]) -> tuple[float, float]:
-    """Run one simulation; return the shares of requests not served, and answered in a second."""
+def play(job: tuple[Load, int, int]) -> tuple[float, float, float]:
+    """Run one simulation; return the shares not served, answered in a second, and in use."""
     load, number, seed = job
     ablation = ABLATIONS[number]
     with switch_off(ablation):
-        served = FleetSimulation(load, PROFILE.model_copy(update=ablation.profile), seed).run()
-    return served.failed_share, served.find_share_within(1.0)
+        fleet = RecordedFleet(load, PROFILE.model_copy(update=ablation.profile), seed)
+        served = fleet.run()
+    return served.failed_share, served.find_share_within(1.0), min(fleet.find_shares_used())
 
 
 def describe(values: list[float]) -> str:
@@ -130,11 +133,13 @@
     """Run all loads without each mechanism and print the table."""
     with ProcessPoolExecutor(3) as pool:
         for title, load in LOADS.items():
-            write(f"\n| {title}: off | not served, % | within 1 s, % |\n| --- | --- | --- |")
+            write(f"\n| {title}: off | not served, % | within 1 s, % | servers in use, % |")
+            write("| --- | --- | --- | --- |")
             for number, ablation in enumerate(ABLATIONS):
                 jobs = [(load, number, seed) for seed in range(seeds)]
-                lost, quick = zip(*pool.map(play, jobs), strict=True)
-                write(f"| {ablation.name} | {describe(list(lost))} | {describe(list(quick))} |")
+                columns = zip(*pool.map(play, jobs), strict=True)
+                cells = " | ".join(describe(list(column)) for column in columns)
+                write(f"| {ablation.name} | {cells} |")
 
 
 if __name__ == "__main__":
--- a/packages/decisions/tests/test_well_servers.py
+++ b/packages/decisions/tests/test_well_servers.py
@@ -1,20 +1,17 @@
 """A fleet of hundreds of instances whose servers fail in turn; healthy servers must be used."""
 
 import unittest
-from collections import defaultdict
 from dataclasses import replace
 
 from decisions_helpers import dispatched, make_request, make_traffic
-from fleet_simulation import FleetSimulation, Load
+from fleet_simulation import Load
 from heavy_loads import LOOKUPS_AND_PURCHASES, PROFILE
+from recorded_fleet import RecordedFleet
 
 from persimmonusher_decisions.suspicion import find_max_suspects
-from persimmonusher_decisions.traffic import ServiceTraffic
-from persimmonusher_decisions.work import Dispatch
 from persimmonusher_model.identifiers import ServerId
 from persimmonusher_model.profile import Profile
 
-WINDOW_SECONDS = 2.0
 LARGE_FLEET = PROFILE.model_copy(
     update={"retry_slack": 430.0, "health_floor_percent": 56, "fewest_suspects": 7}
 )
@@ -58,33 +55,6 @@
 HEDGING = Profile(hedge_after_ms=50)
 
 
-class RecordedFleet(FleetSimulation):
-    """A fleet simulation that records, by time window, which servers got requests."""
-
-    def __init__(self, load: Load, profile: Profile, seed: int) -> None:
-        super().__init__(load, profile, seed)
-        self.reached: defaultdict[int, set[ServerId]] = defaultdict(set)
-
-    def _reach(self, instance: ServiceTraffic, dispatch: Dispatch) -> None:
-        self.reached[int(self._now / WINDOW_SECONDS)].add(dispatch.server.server_id)
-        super()._reach(instance, dispatch)
-
-    def find_shares_used(self) -> list[float]:
-        """Return, by window, the part of the servers healthy in it and before that got requests."""
-        shares = []
-        for window in range(2, int(self._load.seconds / WINDOW_SECONDS)):
-            healthy = [name for name in self._servers if self._is_healthy(name, window)]
-            used = sum(name in self.reached[window] for name in healthy)
-            shares.append(used / len(healthy))
-        return shares
-
-    def _is_healthy(self, name: ServerId, window: int) -> bool:
-        """Return whether a server was healthy in a window and the one before."""
-        begin = (window - 1) * WINDOW_SECONDS
-        moments = [begin + 0.25 * step for step in range(16)]
-        return not any(self._servers[name].is_faulty(moment) for moment in moments)
-
-
 class WellServersTest(unittest.TestCase):
     def test_well_servers_of_a_middling_service_are_used(self) -> None:
         """Guards against avoiding so many recovered servers that the others are overloaded.
