Log and measure the times in which an entry's configuration is late

An entry wrote nothing when it left a working keeper for a better one, and no line or metric told for how long its configuration was beyond the bound. So an entry that leaves a keeper too early could not be told from one that waits for its keepers. No logic changes.

--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -9,6 +9,7 @@
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, RequestId, ServiceName
 from persimmonusher_node.ages import bound_age
 from persimmonusher_node.callers import CallersApplication
+from persimmonusher_node.configuration_ages import ConfigurationAges
 from persimmonusher_node.dialect import OWN_DIALECT, Dialect
 from persimmonusher_node.entry import Entry
 from persimmonusher_node.forwarding import Forwarder
@@ -66,6 +67,8 @@
         body_seconds = settings.limits.body_seconds
         self.application = CallersApplication(entry, instance_id, clock, body_seconds, dialect)
         standing_log = StandingLog(self.services, clock)
+        self.configuration_ages: ConfigurationAges | None = None
+        """Set by the daemon of an entry that follows a keeper."""
         self.watch = Watch(self.services, self.forwarder, upstream, standing_log, clock)
 
     def explain(self, request_id: RequestId) -> RequestRecord | None:
@@ -108,4 +111,5 @@
             limited,
             resting,
             standings,
+            self.configuration_ages,
         )
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -18,6 +18,7 @@
 
 from persimmonusher_decisions.standing import Standing
 from persimmonusher_model.identifiers import ServiceName
+from persimmonusher_node.configuration_ages import ConfigurationAges
 from persimmonusher_node.observer import FinishedRequest, RequestObserver
 
 CLASSES_PER_SERVICE: Final = 16
@@ -45,6 +46,8 @@
     servers_resting: dict[ServiceName, int] = field(default_factory=dict)
     standings: dict[ServiceName, dict[str, int]] = field(default_factory=dict)
     """Servers by service and standing; a standing without servers may be left out."""
+    configuration_ages: ConfigurationAges | None = None
+    """None where the configuration's age isn't known."""
 
 
 class MetricsSource(ABC):
@@ -89,6 +92,16 @@
         self._standings = Gauge(
             "persimmonusher_servers", "Backend servers by standing.", registry=registry
         )
+        self._ages = Histogram(
+            "persimmonusher_configuration_age_sampled_seconds",
+            "Samples of the configuration's age.",
+            registry=registry,
+        )
+        self._age_peaks = Gauge(
+            "persimmonusher_configuration_age_peak_seconds",
+            "The largest age of the last minutes, by the keeper that answered last.",
+            registry=registry,
+        )
         self._classes: dict[str, dict[str, tuple[Buckets, Buckets]]] = {}
         self._request_tally: Tally[tuple[str, str, str]] = Tally()
         self._step_tally: Tally[tuple[str, str, str]] = Tally()
@@ -139,6 +152,10 @@
             by_service: dict[ServiceName, int] = getattr(gauges, name)
             for service, count in by_service.items():
                 self._gauges[name].set({"service": service}, count)
+        if gauges.configuration_ages is not None:
+            self._ages.set_value({}, gauges.configuration_ages.buckets)
+            for keeper, peak in gauges.configuration_ages.list_peaks().items():
+                self._age_peaks.set({"keeper": keeper}, peak)
         for service, counts in gauges.standings.items():
             for standing in Standing:
                 labels = {"service": service, "standing": standing.value}
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -90,6 +90,7 @@
         self.plane.forwarder.set_publisher(self.follower.report)
         self.follower.on_notice = self._apply_notice
         self.follower.lease.list_loads = self._list_loads
+        self.plane.configuration_ages = self.follower.lease.ages
         self.follower.on_loads = self._apply_loads
 
     def _list_loads(self) -> dict[ServerId, int]:
--- a/packages/node/src/persimmonusher_node/tiers/follow_lease.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_lease.py
@@ -6,7 +6,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 import structlog
 
@@ -14,6 +14,8 @@
 from persimmonusher_agreement.keeper_choice import KeeperPlace
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import Revision, ServerId
+from persimmonusher_node.ages import bound_age
+from persimmonusher_node.configuration_ages import ConfigurationAges, LateSpell
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.keeper_calls import CALL_ERRORS
 from persimmonusher_node.peers import ChannelPool
@@ -31,6 +33,8 @@
 LATE_FRACTION: Final = 0.8
 """Part of `stale_seconds` beyond which the configuration is late: above the age without faults,
 which is two heartbeats of the keepers and the time between two calls."""
+SAMPLE_SECONDS: Final = 0.5
+"""Interval of the samples of the age, which also come with each answer."""
 
 
 class FollowLease:
@@ -50,6 +54,7 @@
         self._clock = clock
         self._random = random
         self._lease = FreshnessLease()
+        self.ages = ConfigurationAges(settings.stale_seconds)
         self._answered_by = ""
         self._keeper_age = 0.0
         self.list_loads: Callable[[], Mapping[ServerId, int]] = dict
@@ -94,9 +99,35 @@
         standing = await stub.ReportLoad(report, timeout=ANSWER_TIMEOUT_SECONDS)
         if not standing.HasField("majority_age_ms"):
             return
+        self._sample()
         age = standing.majority_age_ms / 1000.0
         self._answered_by, self._keeper_age = place.address, age
         self._lease.record_answer(asked_at, age, Revision(standing.revision), self._view.revision())
+        self._sample()
+
+    async def sample(self) -> None:
+        """Record the age at intervals until cancelled; log when it passes the bound or returns."""
+        while True:
+            self._sample()
+            await asyncio.sleep(SAMPLE_SECONDS)
+
+    def _sample(self) -> None:
+        was_late = self.ages.spell is not None
+        self.ages.record(self._find_age(), self._answered_by, self._clock.monotonic())
+        if self.ages.spell is not None and not was_late:
+            logger.warning("configuration-late", **self._describe(self.ages.spell))
+        ended = self.ages.pop_ended()
+        if ended is not None:
+            logger.warning("configuration-current", **self._describe(ended))
+
+    def _describe(self, spell: LateSpell) -> dict[str, Any]:
+        return {
+            "seconds": round(self._clock.monotonic() - spell.began_at, 3),
+            "oldest_age": round(bound_age(spell.oldest_age), 3),
+            "told_by": spell.keeper,
+            "revision": self._view.revision(),
+            "attempts": self.ages.list_attempts(),
+        }
 
     def _find_age(self) -> float:
         return self._lease.find_age(self._clock.monotonic())
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -96,6 +96,7 @@
         self.lease = FollowLease(settings, view, channels, clock, random)
         self._records: list[Record] = []
         self._task: asyncio.Task[None] | None = None
+        self._sampling: asyncio.Task[None] | None = None
         self._place: KeeperPlace | None = None
         """The keeper that sends updates; None while no keeper does."""
         self._peers = PeerNotices(settings.listen.peers, channels)
@@ -112,12 +113,14 @@
     def start(self) -> None:
         """Start to follow a keeper in the background."""
         self._task = start_coroutine(self._run())
+        self._sampling = start_coroutine(self.lease.sample())
 
     def stop(self) -> None:
         """End the stream and the attempts to follow."""
-        if self._task is not None:
-            self._task.cancel()
-            self._task = None
+        for task in (self._task, self._sampling):
+            if task is not None:
+                task.cancel()
+        self._task = self._sampling = None
 
     def report(self, notices: Sequence[Notice]) -> None:
         """Send notices to the other entries, without waiting.
@@ -179,6 +182,7 @@
                     await self._ask_keepers(place)
                     continue
             except BetterKeeperError:
+                self._log_left(place)
                 self._place = None
                 continue
             except StaleKeeperError as error:
@@ -194,6 +198,15 @@
             self._place = None
             await self._pause()
 
+    def _log_left(self, place: KeeperPlace) -> None:
+        logger.info(
+            "keeper-left",
+            keeper=place.address,
+            revision=self._view.revision(),
+            **describe_freshness(self.find_freshness()),
+        )
+        self.lease.ages.record_attempt(place.address, "left for a better one")
+
     def _mark_lost(self, place: KeeperPlace, error: Exception, avoid_seconds: float) -> None:
         logger.info(
             "keeper-lost",
@@ -202,6 +215,7 @@
             revision=self._view.revision(),
             **describe_freshness(self.find_freshness()),
         )
+        self.lease.ages.record_attempt(place.address, str(error) or type(error).__name__)
         self._place = None
         self._choice.avoid_until(place.address, self._clock.monotonic() + avoid_seconds)
 
@@ -264,6 +278,7 @@
     def _apply_update(self, place: KeeperPlace, update: control_pb2.FollowUpdate) -> None:
         if self._place is None:
             logger.info("keeper-followed", keeper=place.address, revision=self._view.revision())
+            self.lease.ages.record_attempt(place.address, "followed")
         self._place = place
         part = unpack_part(update)
         if part is not None:
--- a/packages/node/tests/test_metrics.py
+++ b/packages/node/tests/test_metrics.py
@@ -1,10 +1,12 @@
 import unittest
+from dataclasses import replace
 
 from entry_harness import SERVICE, SHED, EntryTestCase, answer
 from structlog.testing import capture_logs
 
 from persimmonusher_decisions.server import ServerState
 from persimmonusher_node.clock import SystemClock
+from persimmonusher_node.configuration_ages import ConfigurationAges
 from persimmonusher_node.metrics import (
     CLASSES_PER_SERVICE,
     InstanceGauges,
@@ -43,6 +45,19 @@
             self.assertIn(line, text)
         self.assertEqual(text, self.render(), "a second scrape must not count twice")
 
+    def test_ages_of_the_configuration_are_sampled_by_keeper(self) -> None:
+        ages = ConfigurationAges(bound_seconds=2.0)
+        for age, keeper in ((float("inf"), ""), (0.6, "k1"), (2.7, "k2"), (0.4, "k2")):
+            ages.record(age, keeper, now=10.0)
+        gauges = replace(GAUGES, configuration_ages=ages)
+        text = RequestMetrics(lambda: gauges).render().decode()
+        for line in (
+            "persimmonusher_configuration_age_sampled_seconds_count 3",
+            'persimmonusher_configuration_age_peak_seconds{keeper="k1"} 0.6',
+            'persimmonusher_configuration_age_peak_seconds{keeper="k2"} 2.7',
+        ):
+            self.assertIn(line, text)
+
     def test_refusals_are_counted_by_reason(self) -> None:
         self.script(*[SHED] * 9)
         self.call("POST", body=b"x")
