Failing tests of entries that are late while a fresh keeper answers

Three faults of the entries, on the code as it is:

- While both keepers of the own failure domain are silent, the entry leaves a fresh keeper elsewhere for them: 2.8 s old, 2.0 s allowed.
- A restarted keeper is avoided for 5 s while all others are stale: 5.3 s old.
- The loop that renews the age outlives its stream: its cancellation meets the closing of the channel, is turned into that error, and is caught. 12 questions in 2.5 s go to keepers that are not followed.

--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -8,6 +8,7 @@
 import time  # noqa: E402
 import unittest  # noqa: E402
 from random import Random  # noqa: E402
+from typing import Any  # noqa: E402
 
 import eventlet  # noqa: E402
 from grpclib.server import Stream  # noqa: E402
@@ -22,6 +23,7 @@
 from persimmonusher_protocol.control_grpc import ControlBase  # noqa: E402
 
 FRESH_MS, STALE_MS = 10, 5_000
+STALE_SECONDS = Settings.model_fields["stale_seconds"].default
 
 
 class ScriptedKeeper(ControlBase):
@@ -35,24 +37,42 @@
         self.revision = 0
         self.delay_seconds = 0.0
         """Delay of each of its messages and answers."""
-        self.peers: list[str] = []
+        self.peers: list[control_pb2.KeeperPlace] = []
+        self.is_silent = False
+        """Whether nothing is sent, as by a keeper that is cut off."""
         self.followers = 0
         self.streams = 0
+        self.questions = 0
+        """Calls that asked for its freshness."""
+        self.start()
+
+    def start(self) -> None:
+        """Start to accept calls, at first or again after a stop."""
         self.listener = GrpcListener(self.address, [self], {"peers": "peer"})
+        self.listener.start()
+
+    def stop(self) -> None:
+        self.listener.stop()
+
+    async def read_call(self, stream: "Stream[Any, Any]") -> None:
+        """Read a call's message; a silent keeper never gets further."""
+        while self.is_silent:
+            await asyncio.sleep(0.1)
+        await stream.recv_message()
 
     async def Follow(  # noqa: N802
         self, stream: "Stream[control_pb2.FollowRequest, control_pb2.FollowUpdate]"
     ) -> None:
-        await stream.recv_message()
+        await self.read_call(stream)
         self.followers += 1
         self.streams += 1
         try:
             while True:
-                places = [control_pb2.KeeperPlace(address=peer) for peer in self.peers]
                 update = control_pb2.FollowUpdate(
-                    majority_age_ms=self.age_ms, entries=1, keepers=places
+                    majority_age_ms=self.age_ms, entries=1, keepers=self.peers
                 )
-                loop.start_coroutine(self.deliver(stream, update))
+                if not self.is_silent:
+                    loop.start_coroutine(self.deliver(stream, update))
                 await asyncio.sleep(0.1)
         finally:
             self.followers -= 1
@@ -69,39 +89,46 @@
     async def ListKeepers(  # noqa: N802
         self, stream: "Stream[control_pb2.KeeperListRequest, control_pb2.KeeperList]"
     ) -> None:
-        await stream.recv_message()
-        keepers = [control_pb2.KeeperPlace(address=peer) for peer in self.peers]
-        await stream.send_message(control_pb2.KeeperList(keepers=keepers))
+        await self.read_call(stream)
+        await stream.send_message(control_pb2.KeeperList(keepers=self.peers))
 
     async def Report(  # noqa: N802
         self, stream: "Stream[control_pb2.NoticeBatch, keeper_pb2.Ack]"
     ) -> None:
-        await stream.recv_message()
+        await self.read_call(stream)
         await stream.send_message(keeper_pb2.Ack())
 
     async def ReportLoad(  # noqa: N802
         self, stream: "Stream[control_pb2.LoadReport, control_pb2.Standing]"
     ) -> None:
-        await stream.recv_message()
+        self.questions += 1
+        await self.read_call(stream)
         standing = control_pb2.Standing(majority_age_ms=self.age_ms, revision=self.revision)
         await asyncio.sleep(self.delay_seconds)
         await stream.send_message(standing)
 
 
-class FollowerTest(unittest.TestCase):
-    def setUp(self) -> None:
-        self.keepers = [ScriptedKeeper() for _ in range(3)]
-        addresses = [keeper.address for keeper in self.keepers]
+class FollowerCase(unittest.TestCase):
+    """A follower in the failure domain "north", and the keepers that it follows."""
+
+    def start_keepers(self, *domains: str) -> None:
+        """Start a keeper in each failure domain; each lists all of them."""
+        self.keepers = [ScriptedKeeper() for _ in domains]
+        places = [
+            control_pb2.KeeperPlace(address=keeper.address, failure_domain=domain)
+            for keeper, domain in zip(self.keepers, domains, strict=True)
+        ]
         for keeper in self.keepers:
-            keeper.peers = addresses
-            keeper.listener.start()
-            self.addCleanup(keeper.listener.stop)
+            keeper.peers = places
+            self.addCleanup(keeper.stop)
+
+    def start_follower(self, *seeds: str) -> None:
         settings = Settings(
             instance_id="e1",
             failure_domain="north",
             role=Role.ENTRY,
             listen=Listeners(),
-            seeds=tuple(addresses),
+            seeds=seeds,
             peer_token="peers",
         )
         channels = ChannelPool("peers")
@@ -123,6 +150,21 @@
             self.assertLess(time.monotonic(), deadline, "condition not met in time")
             eventlet.sleep(0.02)
 
+    def find_oldest_age(self, seconds: float) -> float:
+        """Return the largest age of the configuration during the next seconds."""
+        deadline = time.monotonic() + seconds
+        oldest = 0.0
+        while time.monotonic() < deadline:
+            oldest = max(oldest, self.follower.find_freshness().age)
+            eventlet.sleep(0.02)
+        return oldest
+
+
+class FollowerTest(FollowerCase):
+    def setUp(self) -> None:
+        self.start_keepers("", "", "")
+        self.start_follower(*(keeper.address for keeper in self.keepers))
+
     def test_an_entry_finds_the_side_of_a_cut_that_leads(self) -> None:
         """A cut splits the keepers. At first none has a majority, and the entry tries them all.
 
@@ -144,8 +186,7 @@
     # Guards against transit time that grows gradually and isn't counted as age.
     def test_what_was_long_on_its_way_is_not_taken_for_fresh(self) -> None:
         self.wait_until_current(3.0)
-        bound = Settings.model_fields["stale_seconds"].default
-        while self.keepers[0].delay_seconds < bound + 1.0:
+        while self.keepers[0].delay_seconds < STALE_SECONDS + 1.0:
             for keeper in self.keepers:
                 keeper.delay_seconds += 0.03
             eventlet.sleep(0.1)
@@ -168,7 +209,7 @@
         self.wait_until_current(3.0)
         for keeper in self.keepers:
             keeper.revision = 1
-        eventlet.sleep(Settings.model_fields["stale_seconds"].default + 1.0)
+        eventlet.sleep(STALE_SECONDS + 1.0)
         self.assertFalse(self.follower.is_current())
 
     def test_without_any_leader_the_keepers_are_not_flooded(self) -> None:
@@ -179,3 +220,42 @@
         tried = sum(keeper.streams for keeper in self.keepers) - before
         self.assertLess(tried, 16)
         self.assertEqual(sum(keeper.followers for keeper in self.keepers), 1)
+
+
+class LostKeepersTest(FollowerCase):
+    # Guards against leaving a fresh keeper for nearer ones that are cut off and never answer.
+    def test_a_fresh_keeper_is_kept_while_nearer_ones_are_cut_off(self) -> None:
+        self.start_keepers("north", "north", "south")
+        for keeper in self.keepers[:2]:
+            keeper.is_silent = True
+        self.start_follower(self.keepers[2].address)
+        self.wait_until_current(5.0)
+        self.assertLess(self.find_oldest_age(12.0), STALE_SECONDS)
+
+    # Guards against avoiding a restarted keeper for longer than a change may take to be in force.
+    def test_a_restarted_keeper_is_followed_while_all_others_are_stale(self) -> None:
+        self.start_keepers("north", "north", "south")
+        self.set_ages(STALE_MS, STALE_MS, FRESH_MS)
+        self.start_follower(self.keepers[2].address)
+        self.wait_until_current(3.0)
+        self.keepers[2].stop()
+        eventlet.sleep(0.5)
+        self.keepers[2].start()
+        self.assertLess(self.find_oldest_age(7.0), STALE_SECONDS)
+
+    # Guards against going on to ask a keeper that was lost, once more for each loss.
+    def test_only_the_followed_keeper_is_asked_after_others_were_lost(self) -> None:
+        self.start_keepers("", "", "")
+        self.start_follower(self.keepers[0].address)
+        self.wait_until_current(3.0)
+        for _ in range(4):
+            followed = next(keeper for keeper in self.keepers if keeper.followers)
+            followed.is_silent = True
+            eventlet.sleep(3.3)
+            followed.is_silent = False
+        before = [keeper.questions for keeper in self.keepers]
+        eventlet.sleep(2.5)
+        asked = [
+            keeper.questions - count for keeper, count in zip(self.keepers, before, strict=True)
+        ]
+        self.assertLessEqual(sorted(asked)[-2], 1, "more than a single question to another keeper")
