End the questions to a keeper with its stream

What was seen: after an entry lost a keeper, it went on asking it how fresh it is, once more for each loss. Requests in progress were reported to keepers that are not followed, which add them up, and calls grew with an entry's life.

Cause: the loop was cancelled together with its stream. When the cancellation arrives while the call is ending by another error, here the closing of the channel of a silent keeper, or its own timeout, it comes out of the call as that error, is caught, and the loop goes on. Class: an end that is told by an exception alone.

The loop now looks at its own end. Looked at elsewhere: the follower's own loop and the keepers' loops are cancelled at the end of the process only.

--- a/packages/node/src/persimmonusher_node/tiers/follow_lease.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_lease.py
@@ -57,6 +57,7 @@
         self.ages = ConfigurationAges(settings.stale_seconds)
         self._answered_by = ""
         self._keeper_age = 0.0
+        self._renewals = 0
         self.list_loads: Callable[[], Mapping[ServerId, int]] = dict
         """Returns this entry's requests in progress by server; set by the daemon."""
 
@@ -77,8 +78,13 @@
         return Freshness(self._find_age(), self._answered_by, self._keeper_age, self.is_late())
 
     async def renew(self, place: KeeperPlace) -> None:
-        """Ask a keeper for its freshness at intervals, until cancelled."""
-        while True:
+        """Ask a keeper for its freshness at intervals, until `end_renewal`.
+
+        The loop looks at its own end, as a cancellation alone may get lost: one that arrives while
+        a call is ending by another error comes out of the call as that error.
+        """
+        number = self._renewals
+        while number == self._renewals:
             try:
                 await self._ask(place)
             except CALL_ERRORS as error:
@@ -88,6 +94,10 @@
                 logger.exception("freshness-loop-failed", keeper=place.address)
             await asyncio.sleep(ASK_INTERVAL_SECONDS * self._random.uniform(0.9, 1.1))
 
+    def end_renewal(self) -> None:
+        """End the loop of `renew` that runs."""
+        self._renewals += 1
+
     async def _ask(self, place: KeeperPlace) -> None:
         loads = self.list_loads()
         report = control_pb2.LoadReport(
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -253,6 +253,7 @@
                 )
                 await self._receive_updates(place, stream)
         finally:
+            self.lease.end_renewal()
             renewal.cancel()
 
     async def _receive_updates(
