Ask keepers before following them, and follow the next before leaving one

What callers saw: requests were run by the service of an old route over 2 s after the change was acknowledged, at entries with a good way to the keepers.

Cause: an entry decided by time which keeper to try, and left the one that it had before the next had said anything. Class: a preference that ends by time, while nobody asks. - Every 5 s it left a fresh keeper elsewhere for those of its own domain. While these were silent, nothing arrived for 1.2 s for each of them. - It avoided a lost keeper for 5 s, and counted it as no alternative to a stale one, also long after it was back. - Silent keepers were waited for one after the other.

Now keepers are asked how fresh they are in the order of preference, the next after 0.15 s of silence; the first that is fresh is followed, and the former stream is closed only once the new one has brought an update. The age of the followed keeper is judged by a timer, not with its updates. While none is fresh the stream stays, and all are asked about twice a second. Calls to keepers go through a port. The renewal of the age is part of a stream now.

--- a/packages/agreement/src/persimmonusher_agreement/keeper_choice.py
+++ b/packages/agreement/src/persimmonusher_agreement/keeper_choice.py
@@ -41,12 +41,16 @@
 
     def choose(self, places: Sequence[KeeperPlace], now: float) -> KeeperPlace:
         """Return the keeper to follow next; an avoided one only if all are avoided."""
+        return self.order(places, now)[0]
+
+    def order(self, places: Sequence[KeeperPlace], now: float) -> list[KeeperPlace]:
+        """Return the keepers in the order in which to ask them, the avoided ones last."""
 
         def rank(place: KeeperPlace) -> tuple[float, int, float]:
             avoided = max(0.0, self._avoid_until.get(place.address, now) - now)
             return (avoided, *self._prefer(place))
 
-        return min(places, key=rank)
+        return sorted(places, key=rank)
 
     def find_better(
         self, followed: KeeperPlace, places: Sequence[KeeperPlace], now: float
--- a/packages/node/src/persimmonusher_node/configuration_ages.py
+++ b/packages/node/src/persimmonusher_node/configuration_ages.py
@@ -6,6 +6,8 @@
 
 from aioprometheus.histogram import Histogram as Buckets
 
+from persimmonusher_node.ages import MAX_REPORTED_AGE_SECONDS
+
 AGE_BUCKETS: Final = (0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 1.75, 2.0, 2.5, 3.0, 4.0, 6.0, 10.0)
 """Seconds. Dense around the time within which a change must usually be in force."""
 PEAK_SECONDS: Final = 60.0
@@ -51,8 +53,11 @@
         self._attempts: deque[str] = deque(maxlen=MAX_ATTEMPTS)
 
     def record(self, age: float, keeper: str, now: float) -> None:
-        """Record the age at a moment; `keeper` is the one that answered last."""
-        if age == float("inf"):
+        """Record the age at a moment; `keeper` is the one that answered last.
+
+        An entry that just started, before its first fresh answer, isn't late: it has nothing yet.
+        """
+        if age >= MAX_REPORTED_AGE_SECONDS:
             return
         self.buckets.observe(age)
         self._record_peak(age, keeper, now)
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -34,8 +34,9 @@
     RegisteredDirectory,
 )
 from persimmonusher_node.tiers.follower import KeeperFollower
+from persimmonusher_node.tiers.grpc_keepers import GrpcKeepers
 from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas
-from persimmonusher_node.tiers.peer_notices import PeerNoticeService
+from persimmonusher_node.tiers.peer_notices import PeerNotices, PeerNoticeService
 
 _log = get_logger(__name__)
 
@@ -73,7 +74,7 @@
             edge.codec, parse_profile(settings.default_profile)
         )
         view = FollowedConfiguration(settings, channels, clock, random, document=document)
-        self.follower = KeeperFollower(settings, view, channels, clock, random)
+        self.follower = make_follower(settings, view, channels, clock, random)
         view.follower = self.follower
         own = Instance(
             InstanceId(settings.instance_id), FailureDomain(settings.failure_domain), "", ("entry",)
@@ -89,7 +90,7 @@
         self.plane = DataPlane(settings, parts, observer, clock, random, edge.dialect)
         self.plane.forwarder.set_publisher(self.follower.report)
         self.follower.on_notice = self._apply_notice
-        self.follower.lease.list_loads = self._list_loads
+        self.follower.read_loads = self._list_loads
         self.plane.configuration_ages = self.follower.lease.ages
         self.follower.on_loads = self._apply_loads
 
@@ -146,6 +147,19 @@
         return whole
 
 
+def make_follower(
+    settings: Settings,
+    view: ConfigurationClient,
+    channels: ChannelPool,
+    clock: Clock,
+    random: Random,
+) -> KeeperFollower:
+    """Make a follower that calls the keepers over gRPC."""
+    keepers = GrpcKeepers(settings, channels, clock)
+    peers = PeerNotices(settings.listen.peers, channels)
+    return KeeperFollower(settings, view, keepers, peers, clock, random)
+
+
 def apply_caller_limits(own: ListenerLimits, document: CallerLimits) -> ListenerLimits:
     """Return the stricter of the listener's and the document's limits, each by itself."""
     return replace(
--- a/packages/node/src/persimmonusher_node/tiers/follow_service.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_service.py
@@ -124,11 +124,15 @@
     async def ReportLoad(  # noqa: N802
         self, stream: "Stream[control_pb2.LoadReport, control_pb2.Standing]"
     ) -> None:
-        """Record an entry's requests in progress; answer with this keeper's freshness."""
+        """Record an entry's requests in progress; answer with this keeper's freshness.
+
+        A report without an instance only asks.
+        """
         report = await stream.recv_message()
         assert report is not None
-        loads = {load.server: load.in_progress for load in report.loads}
-        self._loads.record(report.instance, loads, self._clock.monotonic())
+        if report.instance:
+            loads = {load.server: load.in_progress for load in report.loads}
+            self._loads.record(report.instance, loads, self._clock.monotonic())
         with refuse_as_unavailable():
             standing = self._feed.make_standing()
         await stream.send_message(standing)
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -1,60 +1,55 @@
-"""An entry's stream from one keeper: configuration, backend servers, loads and notices."""
+"""An entry's choice of the keeper that it follows, and what that keeper sends."""
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 import structlog
-from grpclib.client import Stream
 
-from persimmonusher_agreement.configuration_objects import Batch, Record
+from persimmonusher_agreement.configuration_objects import Batch
 from persimmonusher_agreement.keeper_choice import KeeperChoice, KeeperPlace
 from persimmonusher_decisions.notices import Notice
 from persimmonusher_model.clock import Clock
-from persimmonusher_model.identifiers import Revision, ServerId
+from persimmonusher_model.identifiers import ServerId
 from persimmonusher_node.component import Component
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.keeper_calls import CALL_ERRORS
-from persimmonusher_node.keeper_wire import decode_record
 from persimmonusher_node.logs import describe_freshness
 from persimmonusher_node.loop import start_coroutine
-from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.ports import Freshness
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.tiers.follow_lease import FollowLease
-from persimmonusher_node.tiers.notice_wire import decode_notice, encode_notice
-from persimmonusher_node.tiers.packed_parts import unpack_part
+from persimmonusher_node.tiers.keeper_port import KeeperAnswer, KeeperPort
+from persimmonusher_node.tiers.keeper_search import KeeperQuestions, KeeperReply
+from persimmonusher_node.tiers.keeper_stream import STALE_FRACTION, KeeperStream, StreamOwner
+from persimmonusher_node.tiers.notice_wire import decode_notice
 from persimmonusher_node.tiers.peer_notices import PeerNotices
-from persimmonusher_protocol import control_pb2, keeper_pb2
-from persimmonusher_protocol.control_grpc import ControlStub
+from persimmonusher_protocol import control_pb2
 
 logger = structlog.get_logger(__name__)
 
-SILENCE_TIMEOUT_SECONDS: Final = 1.2
-"""A keeper that sends nothing for longer is considered lost: two of its updates are missing, and
-half of the time in which a change is to be in force is left for the next keeper."""
-STALE_FRACTION: Final = 0.6
-"""Part of `stale_seconds` for which a keeper may be out of contact with a majority before the entry
-switches to another one: a single lost heartbeat is no reason to switch."""
-GRACE_FRACTION: Final = 0.25
-"""Part of `stale_seconds` during which a newly followed keeper isn't judged by the configuration's
-age at this entry, which may still be due to the previous keeper."""
+FIRST_UPDATE_SECONDS: Final = 1.2
+"""Longest wait for a new stream's first update while no other stream is open."""
+SWITCH_SECONDS: Final = 0.5
+"""The same while another stream is open: the new one then brings only what changed."""
 LOST_AVOID_SECONDS: Final = 5.0
-"""Time for which a lost keeper is tried only after all others."""
+"""Time for which a lost keeper is asked only after all others."""
 STALE_AVOID_SECONDS: Final = 0.6
-"""The same for a keeper that was only stale. A leader may be elected on its side of a network cut
-at any time, and this entry must learn of it within the time in which a change is to be in force:
-with five keepers, each is asked again about once in this time."""
-RETRY_PAUSE_SECONDS: Final = 0.1
-"""Mean pause before the next keeper is asked, so that keepers aren't flooded when all refuse."""
-REPORT_TIMEOUT_SECONDS: Final = 0.5
-"""A notice that takes longer to arrive has lost most of its value."""
+"""The same for a keeper that was only stale."""
+RETRY_PAUSE_SECONDS: Final = 0.3
+"""Mean pause before keepers are asked again while none is followed."""
+STALE_PAUSE_SECONDS: Final = 0.5
+"""The same while a stale one is followed. A leader may be elected at any time, and this entry must
+find its side within the time in which a change is to be in force; but if none is, all entries ask
+all keepers at this interval."""
+BETTER_KEEPER_CHECK_SECONDS: Final = 5.0
+"""Time between two looks for a better keeper than the one that is followed."""
+MAX_WAIT_SECONDS: Final = 1.0
+"""Longest time between two looks at the followed keeper."""
 MAX_QUEUED_NOTICES: Final = 256
 """Notices queued while a call is in flight. Beyond this limit the oldest are dropped."""
-BETTER_KEEPER_CHECK_SECONDS: Final = 5.0
-"""Time for which an entry follows a keeper before it looks for a better one."""
 
 
 def ignore_notice(notice: Notice) -> None:
@@ -65,43 +60,42 @@
     """Do nothing; the handler until there is a data plane."""
 
 
-class StaleKeeperError(Exception):
-    """The keeper had no contact with a majority for too long, or its answers arrive too late."""
-
-
-class BetterKeeperError(Exception):
-    """There is a better keeper to follow, such as one in the own failure domain."""
-
+class KeeperFollower(Component, StreamOwner):
+    """Follows one keeper at a time, preferably one in the own failure domain.
 
-class KeeperFollower(Component):
-    """Follows one keeper at a time, preferably one in the own failure domain."""
+    No keeper is followed before it has answered that it is fresh, as long as any is, and none is
+    left before the next one has sent its first update. So a keeper that is silent, slow or stale
+    never costs this entry the updates of one that isn't.
+    """
 
     def __init__(
         self,
         settings: Settings,
         view: ConfigurationClient,
-        channels: ChannelPool,
+        keepers: KeeperPort,
+        peers: PeerNotices,
         clock: Clock,
         random: Random,
     ) -> None:
-        self._settings = settings
+        self._stale_seconds = settings.stale_seconds
+        self._failure_domain = settings.failure_domain
         self._view = view
-        self._channels = channels
+        self._keepers = keepers
+        self._peers = peers
         self._clock = clock
         self._random = random
-        self._places = tuple(KeeperPlace(seed) for seed in settings.seed_peers)
-        self._knows_keepers = False
-        """Whether a keeper has listed the keepers; until then only seeds are known."""
+        self._seeds = tuple(KeeperPlace(seed) for seed in settings.seed_peers)
+        self._places: tuple[KeeperPlace, ...] = ()
+        """The keepers that a keeper listed last; empty until one did."""
         self._choice = KeeperChoice(settings.failure_domain, random)
-        self.lease = FollowLease(settings, view, channels, clock, random)
-        self._records: list[Record] = []
-        self._task: asyncio.Task[None] | None = None
-        self._sampling: asyncio.Task[None] | None = None
-        self._place: KeeperPlace | None = None
-        """The keeper that sends updates; None while no keeper does."""
-        self._peers = PeerNotices(settings.listen.peers, channels)
+        self.lease = FollowLease(settings.stale_seconds, view, clock)
+        self._tasks: tuple[asyncio.Task[None], ...] = ()
+        self._stream: KeeperStream | None = None
+        self._better_check_at = float("-inf")
         self._reports: deque[Notice] = deque(maxlen=MAX_QUEUED_NOTICES)
         self._reporting: asyncio.Task[None] | None = None
+        self.read_loads: Callable[[], Mapping[ServerId, int]] = dict
+        """Returns this entry's requests in progress by server; set by the daemon."""
         self.on_notice: Callable[[Notice], None] = ignore_notice
         """Is called with each notice of another entry."""
         self.on_loads: Callable[[Mapping[ServerId, int]], None] = ignore_loads
@@ -112,15 +106,15 @@
 
     def start(self) -> None:
         """Start to follow a keeper in the background."""
-        self._task = start_coroutine(self._run())
-        self._sampling = start_coroutine(self.lease.sample())
+        self._tasks = (start_coroutine(self._run()), start_coroutine(self.lease.sample()))
 
     def stop(self) -> None:
         """End the stream and the attempts to follow."""
-        for task in (self._task, self._sampling):
-            if task is not None:
-                task.cancel()
-        self._task = self._sampling = None
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = ()
+        if self._stream is not None:
+            self._stream.close()
 
     def report(self, notices: Sequence[Notice]) -> None:
         """Send notices to the other entries, without waiting.
@@ -128,7 +122,7 @@
         The followed keeper relays them to all. While no keeper is followed, they go directly to
         entries that followed the same keeper.
         """
-        if self._place is None:
+        if self.followed is None:
             self._peers.send(notices)
             return
         self._reports.extend(notices)
@@ -145,69 +139,213 @@
 
     def list_keepers(self) -> Sequence[str]:
         """List the known keepers' addresses: the followed one, then those in the own domain."""
-        followed = None if self._place is None else self._place.address
-        domain = self._settings.failure_domain
+        followed = self.followed
 
         def rank(place: KeeperPlace) -> tuple[bool, bool]:
-            return (place.address != followed, place.failure_domain != domain)
+            return (place != followed, place.failure_domain != self._failure_domain)
 
-        return [place.address for place in sorted(self._places, key=rank)]
+        return [place.address for place in sorted(self._list_places(), key=rank)]
 
     def replace_seeds(self, seeds: Sequence[str]) -> None:
-        """Add seeds from reloaded settings to the known keepers."""
-        known = {place.address for place in self._places}
-        new = tuple(KeeperPlace(seed) for seed in seeds if seed not in known)
-        self._places = (*self._places, *new)
+        """Take the seeds of reloaded settings."""
+        self._seeds = tuple(map(KeeperPlace, seeds))
+
+    def _list_places(self) -> list[KeeperPlace]:
+        """List the keepers that were listed, and the seeds that are not among them."""
+        listed = {place.address for place in self._places}
+        return [*self._places, *(seed for seed in self._seeds if seed.address not in listed)]
+
+    @property
+    def followed(self) -> KeeperPlace | None:
+        """Return the keeper that sends updates, or None while no keeper does."""
+        stream = self._stream
+        return stream.place if stream is not None and stream.is_open else None
 
     async def _send_reports(self) -> None:
         while self._reports:
-            place = self._place
-            batch = control_pb2.NoticeBatch(notices=map(encode_notice, self._reports))
+            place = self.followed
+            batch = tuple(self._reports)
             self._reports.clear()
             if place is None:
                 return
             try:
-                stub = ControlStub(self._channels.get(place.address))
-                await stub.Report(batch, timeout=REPORT_TIMEOUT_SECONDS)
+                await self._keepers.report(place, batch)
             except CALL_ERRORS as error:
                 logger.debug("notices-not-sent", keeper=place.address, error=repr(error))
 
+    # Called by the streams
+
+    def list_loads(self) -> Mapping[ServerId, int]:
+        """Return this entry's requests in progress by server."""
+        return self.read_loads()
+
+    def apply_batch(self, batch: Batch) -> None:
+        """Put a whole batch of changes in force."""
+        self._view.apply_batch(batch)
+        self.lease.record_revision(self._view.revision())
+
+    def apply_update(self, place: KeeperPlace, update: control_pb2.FollowUpdate) -> None:
+        """Apply the keepers, loads and notices of an update."""
+        if update.has_loads:
+            self.on_loads({ServerId(load.server): load.in_progress for load in update.loads})
+        for notice in update.notices:
+            self.on_notice(decode_notice(notice))
+        if update.keepers:
+            self._peers.replace_peers(update.peers)
+            self._places = tuple(
+                KeeperPlace(one.address, one.failure_domain) for one in update.keepers
+            )
+        if update.HasField("majority_age_ms"):
+            self.entries = update.entries
+
+    def record_answer(self, answer: KeeperAnswer) -> None:
+        """Record a keeper's answer how fresh it is."""
+        self.lease.record_answer(answer)
+
+    # Choice of the keeper
+
     async def _run(self) -> None:
         while True:
-            place = self._choice.choose(self._places, self._clock.monotonic())
             try:
-                if self._knows_keepers:
-                    await self._follow(place)
-                else:
-                    await self._ask_keepers(place)
-                    continue
-            except BetterKeeperError:
-                self._log_left(place)
-                self._place = None
-                continue
-            except StaleKeeperError as error:
-                self._mark_lost(place, error, STALE_AVOID_SECONDS)
-                continue
-            except CALL_ERRORS as error:
-                self._mark_lost(place, error, LOST_AVOID_SECONDS)
-                if isinstance(error, TimeoutError):
-                    self._channels.forget(place.address)
+                await self._take_step()
             except Exception:
                 # If this loop ended, the entry would keep an old configuration for ever.
-                logger.exception("following-failed", keeper=place.address)
-            self._place = None
-            await self._pause()
+                logger.exception("following-failed")
+                await self._pause(RETRY_PAUSE_SECONDS)
 
-    def _log_left(self, place: KeeperPlace) -> None:
+    async def _take_step(self) -> None:
+        """Look for a keeper if none is followed or the followed one isn't well, else wait."""
+        self._drop_ended_stream()
+        now = self._clock.monotonic()
+        stream = self._stream
+        if not self._places:
+            await self._ask_seeds()
+        elif stream is None:
+            await self._find_first_keeper()
+        elif now >= stream.find_unwell_at(self._stale_seconds):
+            await self._find_fresh_keeper(stream)
+        elif now >= self._better_check_at:
+            await self._check_better_keeper(stream, now)
+        else:
+            left = min(stream.find_unwell_at(self._stale_seconds), self._better_check_at) - now
+            await stream.wait_for_change(min(MAX_WAIT_SECONDS, left))
+
+    def _drop_ended_stream(self) -> None:
+        stream = self._stream
+        if stream is not None and not stream.is_open:
+            self._stream = None
+            self._mark_lost(stream.place, stream.error)
+
+    async def _ask_seeds(self) -> None:
+        """Ask the seeds for the keepers, before one is followed.
+
+        A new follower is sent the whole configuration. If an entry followed a seed in another
+        failure domain first and then switched to a keeper in its own, the configuration would cross
+        domains at each start of an entry.
+        """
+        questions = KeeperQuestions(self._keepers.list_keepers, bool)
+        order = self._choice.order(self._seeds, self._clock.monotonic())
+        listed = await questions.run(order)
+        self._record_failures(questions.replies)
+        if listed is None:
+            await self._pause(RETRY_PAUSE_SECONDS)
+        else:
+            self._places = tuple(listed)
+
+    async def _find_first_keeper(self) -> None:
+        """Follow a fresh keeper, or if there is none the least stale one.
+
+        What a stale keeper holds is better than nothing.
+        """
+        answers = await self._ask_keepers(self._list_places())
+        found = max(answers, key=lambda answer: answer.known_at, default=None)
+        if found is None or not await self._switch(found):
+            await self._pause(RETRY_PAUSE_SECONDS)
+
+    async def _find_fresh_keeper(self, stream: KeeperStream) -> None:
+        """Follow a fresh keeper instead of the stream's; keep the stream if there is none."""
+        others = [place for place in self._list_places() if place != stream.place]
+        for answer in await self._ask_keepers(others):
+            if self._is_fresh(answer) and await self._switch(answer):
+                return
+        await self._pause(STALE_PAUSE_SECONDS)
+
+    async def _check_better_keeper(self, stream: KeeperStream, now: float) -> None:
+        """Follow a better keeper than the stream's if there is one and it is fresh."""
+        self._better_check_at = now + BETTER_KEEPER_CHECK_SECONDS
+        better = self._choice.find_better(stream.place, self._places, now)
+        if better is None:
+            return
+        for answer in await self._ask_keepers([better]):
+            if self._is_fresh(answer):
+                await self._switch(answer)
+
+    async def _ask_keepers(self, places: Sequence[KeeperPlace]) -> list[KeeperAnswer]:
+        """Ask keepers how fresh they are until one is fresh; return the answers."""
+        questions = KeeperQuestions(self._ask_freshness, self._is_fresh)
+        await questions.run(self._choice.order(places, self._clock.monotonic()))
+        self._record_failures(questions.replies)
+        answers = [reply.answer for reply in questions.replies if reply.answer is not None]
+        for answer in answers:
+            self.lease.record_answer(answer)
+            if not self._is_fresh(answer):
+                self._avoid(answer.place, STALE_AVOID_SECONDS)
+                self.lease.ages.record_attempt(answer.place.address, f"stale, {answer.age:.1f} s")
+        return answers
+
+    async def _ask_freshness(self, place: KeeperPlace) -> KeeperAnswer:
+        answer = await self._keepers.ask_freshness(place, None)
+        if answer is None:
+            raise ConnectionError(f"the log of {place.address} isn't open")
+        return answer
+
+    def _is_fresh(self, answer: KeeperAnswer) -> bool:
+        age = self._clock.monotonic() - answer.known_at
+        return age <= self._stale_seconds * STALE_FRACTION
+
+    async def _switch(self, found: KeeperAnswer) -> bool:
+        """Follow a keeper, and leave the former one once an update came; return whether one did."""
+        former = self._stream if self._stream is not None and self._stream.is_open else None
+        stream = KeeperStream(found, self._keepers, self, self._clock, self._random)
+        stream.start(self._view.revision())
+        try:
+            await stream.wait_for_change(SWITCH_SECONDS if former else FIRST_UPDATE_SECONDS)
+        finally:
+            if not stream.has_updates:
+                stream.close()
+        if not stream.has_updates:
+            self._mark_lost(stream.place, stream.error or TimeoutError("no update"))
+            return False
+        self._stream = stream
+        self._better_check_at = self._clock.monotonic() + BETTER_KEEPER_CHECK_SECONDS
+        logger.info("keeper-followed", keeper=found.place.address, revision=self._view.revision())
+        self.lease.ages.record_attempt(found.place.address, "followed")
+        if former is not None:
+            self._leave(former)
+        return True
+
+    def _leave(self, stream: KeeperStream) -> None:
+        """Close a stream that another one has replaced."""
+        now = self._clock.monotonic()
+        stream.close()
+        if now < stream.find_unwell_at(self._stale_seconds):
+            self._log_left("keeper-left", stream.place)
+        elif stream.is_overdue(now):
+            self._mark_lost(stream.place, TimeoutError("no answer"))
+        else:
+            self._log_left("keeper-stale", stream.place)
+            self._avoid(stream.place, STALE_AVOID_SECONDS)
+
+    def _log_left(self, event: str, place: KeeperPlace) -> None:
         logger.info(
-            "keeper-left",
+            event,
             keeper=place.address,
             revision=self._view.revision(),
             **describe_freshness(self.find_freshness()),
         )
-        self.lease.ages.record_attempt(place.address, "left for a better one")
+        self.lease.ages.record_attempt(place.address, event)
 
-    def _mark_lost(self, place: KeeperPlace, error: Exception, avoid_seconds: float) -> None:
+    def _mark_lost(self, place: KeeperPlace, error: BaseException | None) -> None:
         logger.info(
             "keeper-lost",
             keeper=place.address,
@@ -215,127 +353,21 @@
             revision=self._view.revision(),
             **describe_freshness(self.find_freshness()),
         )
-        self.lease.ages.record_attempt(place.address, str(error) or type(error).__name__)
-        self._place = None
-        self._choice.avoid_until(place.address, self._clock.monotonic() + avoid_seconds)
-
-    async def _pause(self) -> None:
-        await asyncio.sleep(RETRY_PAUSE_SECONDS * self._random.uniform(0.5, 1.5))
-
-    async def _ask_keepers(self, seed: KeeperPlace) -> None:
-        """Ask a seed for the keepers, before one is followed.
-
-        A new follower is sent the whole configuration. If an entry followed a seed in another
-        failure domain first and then switched to a keeper in its own, the configuration would cross
-        domains at each start of an entry.
-        """
-        stub = ControlStub(self._channels.get(seed.address))
-        request = control_pb2.KeeperListRequest()
-        reply = await stub.ListKeepers(request, timeout=SILENCE_TIMEOUT_SECONDS)
-        if not reply.keepers:
-            raise ConnectionError(f"{seed.address} listed no keepers")
-        self._replace_keepers(reply.keepers)
-
-    async def _follow(self, place: KeeperPlace) -> None:
-        stub = ControlStub(self._channels.get(place.address))
-        request = control_pb2.FollowRequest(
-            instance=self._settings.instance_id,
-            since=self._view.revision(),
-            address=self._settings.listen.peers,
-            failure_domain=self._settings.failure_domain,
-        )
-        self._records = []
-        renewal = start_coroutine(self.lease.renew(place))
-        try:
-            async with stub.Follow.open() as stream:
-                await asyncio.wait_for(
-                    stream.send_message(request, end=True), SILENCE_TIMEOUT_SECONDS
-                )
-                await self._receive_updates(place, stream)
-        finally:
-            self.lease.end_renewal()
-            renewal.cancel()
-
-    async def _receive_updates(
-        self,
-        place: KeeperPlace,
-        stream: "Stream[control_pb2.FollowRequest, control_pb2.FollowUpdate]",
-    ) -> None:
-        followed = self._clock.monotonic()
-        while True:
-            update = await asyncio.wait_for(stream.recv_message(), SILENCE_TIMEOUT_SECONDS)
-            if update is None:
-                raise ConnectionError(f"{place.address} ended the stream")
-            try:
-                self._apply_update(place, update)
-                self._check_lease(place, followed)
-            except StaleKeeperError:
-                # The stream stays open during the pause, so that the keepers go on counting this
-                # entry: the live entries share the retry budget by that count.
-                await self._pause()
-                raise
-            self._check_better_keeper(place, followed)
-
-    def _apply_update(self, place: KeeperPlace, update: control_pb2.FollowUpdate) -> None:
-        if self._place is None:
-            logger.info("keeper-followed", keeper=place.address, revision=self._view.revision())
-            self.lease.ages.record_attempt(place.address, "followed")
-        self._place = place
-        part = unpack_part(update)
-        if part is not None:
-            self._apply_part(part)
-        if update.has_loads:
-            self.on_loads({ServerId(load.server): load.in_progress for load in update.loads})
-        for notice in update.notices:
-            self.on_notice(decode_notice(notice))
-        if update.keepers:
-            self._peers.replace_peers(update.peers)
-            self._replace_keepers(update.keepers)
-        if update.HasField("majority_age_ms"):
-            self.entries = update.entries
-            self._check_age(place, update.majority_age_ms / 1000.0)
-
-    def _replace_keepers(self, keepers: Iterable[control_pb2.KeeperPlace]) -> None:
-        self._places = tuple(KeeperPlace(one.address, one.failure_domain) for one in keepers)
-        self._knows_keepers = True
+        self._record_failure(place, error)
 
-    def _check_age(self, place: KeeperPlace, age: float) -> None:
-        """Raise StaleKeeperError for a keeper that reports a stale majority contact."""
-        is_stale = age > self._settings.stale_seconds * STALE_FRACTION
-        if is_stale and self._has_alternative(place, self._clock.monotonic()):
-            message = f"{place.address} had no contact with a majority for {age:.1f} s"
-            raise StaleKeeperError(message)
+    def _record_failures(self, replies: Sequence[KeeperReply[Any]]) -> None:
+        for reply in replies:
+            if reply.answer is None:
+                self._record_failure(reply.place, reply.error)
 
-    def _check_lease(self, place: KeeperPlace, followed: float) -> None:
-        """Raise StaleKeeperError if what arrives from a keeper is old, whatever age it reports."""
-        now = self._clock.monotonic()
-        if now - followed < self._settings.stale_seconds * GRACE_FRACTION:
-            return
-        if self.lease.is_late() and self._has_alternative(place, now):
-            age = self.find_freshness().age
-            raise StaleKeeperError(
-                f"the configuration from {place.address} is {age:.1f} s old here"
-            )
-
-    def _has_alternative(self, place: KeeperPlace, now: float) -> bool:
-        """Return whether there is another keeper that wasn't found lost or stale recently."""
-        return any(
-            other.address != place.address and not self._choice.is_avoided(other.address, now)
-            for other in self._places
-        )
+    def _record_failure(self, place: KeeperPlace, error: BaseException | None) -> None:
+        self.lease.ages.record_attempt(place.address, str(error) or type(error).__name__)
+        self._avoid(place, LOST_AVOID_SECONDS)
+        if isinstance(error, TimeoutError):
+            self._keepers.reconnect(place)
 
-    def _apply_part(self, part: keeper_pb2.PullPart) -> None:
-        self._records.extend(map(decode_record, part.records))
-        if part.last:
-            records, self._records = tuple(self._records), []
-            since, revision = Revision(part.since), Revision(part.revision)
-            self._view.apply_batch(Batch(part.lineage, since, revision, records, part.whole))
-            self.lease.record_revision(self._view.revision())
+    def _avoid(self, place: KeeperPlace, seconds: float) -> None:
+        self._choice.avoid_until(place.address, self._clock.monotonic() + seconds)
 
-    def _check_better_keeper(self, place: KeeperPlace, followed: float) -> None:
-        """After a minimum time with a keeper, raise BetterKeeperError if there is a better one."""
-        now = self._clock.monotonic()
-        if now - followed < BETTER_KEEPER_CHECK_SECONDS:
-            return
-        if self._choice.find_better(place, self._places, now) is not None:
-            raise BetterKeeperError
+    async def _pause(self, seconds: float) -> None:
+        await asyncio.sleep(seconds * self._random.uniform(0.5, 1.5))
--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -18,7 +18,7 @@
 from persimmonusher_node.grpc_listener import GrpcListener  # noqa: E402
 from persimmonusher_node.peers import ChannelPool  # noqa: E402
 from persimmonusher_node.settings import Listeners, Role, Settings  # noqa: E402
-from persimmonusher_node.tiers.follower import KeeperFollower  # noqa: E402
+from persimmonusher_node.tiers.entry_daemon import make_follower  # noqa: E402
 from persimmonusher_protocol import control_pb2, keeper_pb2  # noqa: E402
 from persimmonusher_protocol.control_grpc import ControlBase  # noqa: E402
 
@@ -136,7 +136,7 @@
         self.addCleanup(channels.__exit__, None, None, None)
         clock = SystemClock()
         view = ConfigurationClient(settings, channels, clock, Random(1))
-        self.follower = KeeperFollower(settings, view, channels, clock, Random(1))
+        self.follower = make_follower(settings, view, channels, clock, Random(1))
         self.follower.start()
         self.addCleanup(self.follower.stop)
 
--- a/packages/node/tests/test_tiers.py
+++ b/packages/node/tests/test_tiers.py
@@ -45,10 +45,12 @@
 from persimmonusher_node.peers import ChannelPool  # noqa: E402
 from persimmonusher_node.ports import QuotaVerdict  # noqa: E402
 from persimmonusher_node.settings import Listeners, Role, Settings  # noqa: E402
-from persimmonusher_node.tiers.entry_daemon import FollowedConfiguration  # noqa: E402
+from persimmonusher_node.tiers.entry_daemon import (  # noqa: E402
+    FollowedConfiguration,
+    make_follower,
+)
 from persimmonusher_node.tiers.entry_ports import RegisteredDirectory  # noqa: E402
 from persimmonusher_node.tiers.follow_service import FollowService  # noqa: E402
-from persimmonusher_node.tiers.follower import KeeperFollower  # noqa: E402
 from persimmonusher_node.tiers.keeper_control import KeeperControl  # noqa: E402
 from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas  # noqa: E402
 from persimmonusher_node.tiers.leader import LeaderCalls  # noqa: E402
@@ -141,7 +143,7 @@
         self.view = FollowedConfiguration(
             settings, channels, clock, Random(number), document=document
         )
-        self.follower = KeeperFollower(settings, self.view, channels, clock, Random(number))
+        self.follower = make_follower(settings, self.view, channels, clock, Random(number))
         self.view.follower = self.follower
         self.quotas = KeeperQuotas(f"e{number}", self.follower.list_keepers, channels, clock)
         self.directory = RegisteredDirectory(self.view)
@@ -290,7 +292,7 @@
         self.wait_for(lambda: len(first.follower._peers._peers) == 1)
         for keeper in self.keepers:
             keeper.stack.close()
-        self.wait_for(lambda: first.follower._place is None)
+        self.wait_for(lambda: first.follower.followed is None)
         notice = Notice(NoticeKind.FAILED, SERVICE, ServerId("s1"), 1)
         first.follower.report([notice])
         self.wait_for(lambda: notice in second.heard)
@@ -304,11 +306,11 @@
         heard: list[dict[ServerId, int]] = []
         first, second = (entry.follower for entry in self.entries)
         self.wait_for(lambda: all(entry.view.is_current() for entry in self.entries))
-        first.lease.list_loads = lambda: {ServerId("s1"): 2}
-        second.lease.list_loads = lambda: {ServerId("s1"): 3, ServerId("s2"): 1}
+        first.read_loads = lambda: {ServerId("s1"): 2}
+        second.read_loads = lambda: {ServerId("s1"): 3, ServerId("s2"): 1}
         second.on_loads = lambda loads: heard.append(dict(loads))
         self.wait_for(lambda: {"s1": 5, "s2": 1} in heard)
-        first.lease.list_loads = second.lease.list_loads = dict
+        first.read_loads = second.read_loads = dict
         heard.clear()
         self.wait_for(lambda: {} in heard)
 
