Count a keeper as found only once its stream brings updates

Now the first update of the stream is part of the question to a keeper, so that the next one is asked meanwhile; and a followed keeper is unwell too when changes are due and its updates are overdue. At the start, while the whole configuration is due, the next keeper is asked later.

--- a/packages/agreement/src/persimmonusher_agreement/freshness.py
+++ b/packages/agreement/src/persimmonusher_agreement/freshness.py
@@ -85,7 +85,8 @@
     """
 
     def __init__(self) -> None:
-        self._known_at = float("-inf")
+        self.known_at = float("-inf")
+        """Every change acknowledged before this reading of the own clock is in force here."""
         self._grants: deque[Grant] = deque()
 
     def record_answer(
@@ -98,7 +99,7 @@
         """
         known_at = asked_at - age
         if revision <= held:
-            self._known_at = max(self._known_at, known_at)
+            self.known_at = max(self.known_at, known_at)
         elif len(self._grants) < MAX_WAITING_GRANTS:
             self._grants.append(Grant(known_at, revision))
 
@@ -106,9 +107,9 @@
         """Record that all changes up to a revision are in force here."""
         due = [grant for grant in self._grants if grant.revision <= revision]
         for grant in due:
-            self._known_at = max(self._known_at, grant.known_at)
+            self.known_at = max(self.known_at, grant.known_at)
             self._grants.remove(grant)
 
     def find_age(self, now: float) -> float:
         """Return the age: all changes acknowledged longer ago, in seconds, are in force here."""
-        return now - self._known_at
+        return now - self.known_at
--- a/packages/node/src/persimmonusher_node/tiers/follow_lease.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_lease.py
@@ -35,6 +35,11 @@
         self._answered_by = ""
         self._keeper_age = 0.0
 
+    @property
+    def known_at(self) -> float:
+        """Return a reading of the clock; all changes acknowledged before are in force here."""
+        return self._lease.known_at
+
     def record_revision(self, revision: Revision) -> None:
         """Record that every change up to a revision is in force here."""
         self._lease.record_revision(revision)
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 from random import Random
 from typing import Any, Final
 
@@ -22,7 +23,7 @@
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.tiers.follow_lease import FollowLease
 from persimmonusher_node.tiers.keeper_port import KeeperAnswer, KeeperPort
-from persimmonusher_node.tiers.keeper_search import KeeperQuestions, KeeperReply
+from persimmonusher_node.tiers.keeper_search import QUICK_PACE, KeeperQuestions, KeeperReply, Pace
 from persimmonusher_node.tiers.keeper_stream import STALE_FRACTION, KeeperStream, StreamOwner
 from persimmonusher_node.tiers.notice_wire import decode_notice
 from persimmonusher_node.tiers.peer_notices import PeerNotices
@@ -31,9 +32,10 @@
 logger = structlog.get_logger(__name__)
 
 FIRST_UPDATE_SECONDS: Final = 1.2
-"""Longest wait for a new stream's first update while no other stream is open."""
-SWITCH_SECONDS: Final = 0.5
-"""The same while another stream is open: the new one then brings only what changed."""
+"""Longest wait for a new stream's first update."""
+WHOLE_PACE: Final = Pace(head_start=0.6, last_wait=1.2)
+"""While the whole configuration is due: it must not cross failure domains twice for a keeper that
+is only slow."""
 LOST_AVOID_SECONDS: Final = 5.0
 """Time for which a lost keeper is asked only after all others."""
 STALE_AVOID_SECONDS: Final = 0.6
@@ -46,12 +48,25 @@
 all keepers at this interval."""
 BETTER_KEEPER_CHECK_SECONDS: Final = 5.0
 """Time between two looks for a better keeper than the one that is followed."""
+MIN_WAIT_SECONDS: Final = 0.01
 MAX_WAIT_SECONDS: Final = 1.0
-"""Longest time between two looks at the followed keeper."""
+"""Bounds of the time between two looks at the followed keeper."""
 MAX_QUEUED_NOTICES: Final = 256
 """Notices queued while a call is in flight. Beyond this limit the oldest are dropped."""
 
 
+@dataclass(frozen=True)
+class OpenedKeeper:
+    """A keeper's answer, and the stream that was opened because it is fresh."""
+
+    answer: KeeperAnswer
+    stream: KeeperStream | None
+
+    def has_stream(self) -> bool:
+        """Return whether the keeper is fresh and its stream works."""
+        return self.stream is not None
+
+
 def ignore_notice(notice: Notice) -> None:
     """Do nothing; the handler until there is a data plane."""
 
@@ -222,13 +237,16 @@
             await self._ask_seeds()
         elif stream is None:
             await self._find_first_keeper()
-        elif now >= stream.find_unwell_at(self._stale_seconds):
+        elif now >= self._find_unwell_at(stream):
             await self._find_fresh_keeper(stream)
         elif now >= self._better_check_at:
             await self._check_better_keeper(stream, now)
         else:
-            left = min(stream.find_unwell_at(self._stale_seconds), self._better_check_at) - now
-            await stream.wait_for_change(min(MAX_WAIT_SECONDS, left))
+            left = min(self._find_unwell_at(stream), self._better_check_at) - now
+            await stream.wait_for_change(min(MAX_WAIT_SECONDS, max(MIN_WAIT_SECONDS, left)))
+
+    def _find_unwell_at(self, stream: KeeperStream) -> float:
+        return stream.find_unwell_at(self._stale_seconds, self.lease.known_at)
 
     def _drop_ended_stream(self) -> None:
         stream = self._stream
@@ -257,41 +275,75 @@
 
         What a stale keeper holds is better than nothing.
         """
-        answers = await self._ask_keepers(self._list_places())
-        found = max(answers, key=lambda answer: answer.known_at, default=None)
-        if found is None or not await self._switch(found):
+        stream, answers = await self._open_fresh(self._list_places())
+        if stream is None and answers:
+            stream = await self._open_least_stale(answers)
+        if stream is None:
             await self._pause(RETRY_PAUSE_SECONDS)
+        else:
+            self._switch(stream)
+
+    async def _find_fresh_keeper(self, followed: KeeperStream) -> None:
+        """Follow a fresh keeper instead of the followed one; keep that one if there is none."""
+        others = [place for place in self._list_places() if place != followed.place]
+        stream, _ = await self._open_fresh(others)
+        if stream is None:
+            await self._pause(STALE_PAUSE_SECONDS)
+        else:
+            self._switch(stream)
 
-    async def _find_fresh_keeper(self, stream: KeeperStream) -> None:
-        """Follow a fresh keeper instead of the stream's; keep the stream if there is none."""
-        others = [place for place in self._list_places() if place != stream.place]
-        for answer in await self._ask_keepers(others):
-            if self._is_fresh(answer) and await self._switch(answer):
-                return
-        await self._pause(STALE_PAUSE_SECONDS)
-
-    async def _check_better_keeper(self, stream: KeeperStream, now: float) -> None:
-        """Follow a better keeper than the stream's if there is one and it is fresh."""
+    async def _check_better_keeper(self, followed: KeeperStream, now: float) -> None:
+        """Follow a better keeper than the followed one if there is one and it is fresh."""
         self._better_check_at = now + BETTER_KEEPER_CHECK_SECONDS
-        better = self._choice.find_better(stream.place, self._places, now)
+        better = self._choice.find_better(followed.place, self._places, now)
         if better is None:
             return
-        for answer in await self._ask_keepers([better]):
-            if self._is_fresh(answer):
-                await self._switch(answer)
-
-    async def _ask_keepers(self, places: Sequence[KeeperPlace]) -> list[KeeperAnswer]:
-        """Ask keepers how fresh they are until one is fresh; return the answers."""
-        questions = KeeperQuestions(self._ask_freshness, self._is_fresh)
-        await questions.run(self._choice.order(places, self._clock.monotonic()))
+        stream, _ = await self._open_fresh([better])
+        if stream is not None:
+            self._switch(stream)
+
+    async def _open_fresh(
+        self, places: Sequence[KeeperPlace]
+    ) -> tuple[KeeperStream | None, Sequence[KeeperAnswer]]:
+        """Open a stream from the first keeper that is fresh; return it, and all answers."""
+        pace = QUICK_PACE if self._view.is_configured() else WHOLE_PACE
+        questions = KeeperQuestions(self._open_if_fresh, OpenedKeeper.has_stream, pace)
+        chosen = await questions.run(self._choice.order(places, self._clock.monotonic()))
         self._record_failures(questions.replies)
-        answers = [reply.answer for reply in questions.replies if reply.answer is not None]
-        for answer in answers:
-            self.lease.record_answer(answer)
-            if not self._is_fresh(answer):
-                self._avoid(answer.place, STALE_AVOID_SECONDS)
-                self.lease.ages.record_attempt(answer.place.address, f"stale, {answer.age:.1f} s")
-        return answers
+        opened = [reply.answer for reply in questions.replies if reply.answer is not None]
+        for one in opened:
+            if one.stream is None:
+                self._record_stale(one.answer)
+            elif one is not chosen:
+                one.stream.close()
+        return None if chosen is None else chosen.stream, [one.answer for one in opened]
+
+    async def _open_if_fresh(self, place: KeeperPlace) -> OpenedKeeper:
+        answer = await self._ask_freshness(place)
+        self.lease.record_answer(answer)
+        is_fresh = self._clock.monotonic() - answer.known_at <= self._stale_seconds * STALE_FRACTION
+        return OpenedKeeper(answer, await self._open(answer) if is_fresh else None)
+
+    async def _open_least_stale(self, answers: Sequence[KeeperAnswer]) -> KeeperStream | None:
+        best = max(answers, key=lambda answer: answer.known_at)
+        try:
+            return await self._open(best)
+        except CALL_ERRORS as error:
+            self._mark_lost(best.place, error)
+            return None
+
+    async def _open(self, answer: KeeperAnswer) -> KeeperStream:
+        """Return a stream that has brought its first update; raise what ended it otherwise."""
+        stream = KeeperStream(answer, self._keepers, self, self._clock, self._random)
+        stream.start(self._view.revision())
+        try:
+            await stream.wait_for_change(FIRST_UPDATE_SECONDS)
+            if not stream.has_updates:
+                raise stream.error or TimeoutError("no update")
+            return stream
+        finally:
+            if not stream.has_updates:
+                stream.close()
 
     async def _ask_freshness(self, place: KeeperPlace) -> KeeperAnswer:
         answer = await self._keepers.ask_freshness(place, None)
@@ -299,36 +351,21 @@
             raise ConnectionError(f"the log of {place.address} isn't open")
         return answer
 
-    def _is_fresh(self, answer: KeeperAnswer) -> bool:
-        age = self._clock.monotonic() - answer.known_at
-        return age <= self._stale_seconds * STALE_FRACTION
-
-    async def _switch(self, found: KeeperAnswer) -> bool:
-        """Follow a keeper, and leave the former one once an update came; return whether one did."""
-        former = self._stream if self._stream is not None and self._stream.is_open else None
-        stream = KeeperStream(found, self._keepers, self, self._clock, self._random)
-        stream.start(self._view.revision())
-        try:
-            await stream.wait_for_change(SWITCH_SECONDS if former else FIRST_UPDATE_SECONDS)
-        finally:
-            if not stream.has_updates:
-                stream.close()
-        if not stream.has_updates:
-            self._mark_lost(stream.place, stream.error or TimeoutError("no update"))
-            return False
-        self._stream = stream
+    def _switch(self, stream: KeeperStream) -> None:
+        """Follow the keeper of a new stream, and leave the former one."""
+        self._drop_ended_stream()
+        former, self._stream = self._stream, stream
         self._better_check_at = self._clock.monotonic() + BETTER_KEEPER_CHECK_SECONDS
-        logger.info("keeper-followed", keeper=found.place.address, revision=self._view.revision())
-        self.lease.ages.record_attempt(found.place.address, "followed")
+        logger.info("keeper-followed", keeper=stream.place.address, revision=self._view.revision())
+        self.lease.ages.record_attempt(stream.place.address, "followed")
         if former is not None:
             self._leave(former)
-        return True
 
     def _leave(self, stream: KeeperStream) -> None:
         """Close a stream that another one has replaced."""
         now = self._clock.monotonic()
         stream.close()
-        if now < stream.find_unwell_at(self._stale_seconds):
+        if now < self._find_unwell_at(stream):
             self._log_left("keeper-left", stream.place)
         elif stream.is_overdue(now):
             self._mark_lost(stream.place, TimeoutError("no answer"))
@@ -366,6 +403,10 @@
         if isinstance(error, TimeoutError):
             self._keepers.reconnect(place)
 
+    def _record_stale(self, answer: KeeperAnswer) -> None:
+        self.lease.ages.record_attempt(answer.place.address, f"stale, {answer.age:.1f} s")
+        self._avoid(answer.place, STALE_AVOID_SECONDS)
+
     def _avoid(self, place: KeeperPlace, seconds: float) -> None:
         self._choice.avoid_until(place.address, self._clock.monotonic() + seconds)
 
--- a/packages/node/src/persimmonusher_node/tiers/keeper_search.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_search.py
@@ -11,11 +11,20 @@
 
 T = TypeVar("T")
 
-HEAD_START_SECONDS: Final = 0.15
-"""Time that a keeper has to answer before the next one is asked too: many round trips, and so short
-that silent keepers don't use up the time in which a change must be in force."""
-LAST_WAIT_SECONDS: Final = 0.4
-"""Wait for the answers that are missing once all keepers were asked."""
+
+@dataclass(frozen=True)
+class Pace:
+    """How long keepers are waited for, in seconds."""
+
+    head_start: float
+    """Time that a keeper has before the next one is asked too."""
+    last_wait: float
+    """Wait for the answers that are missing once all keepers were asked."""
+
+
+QUICK_PACE: Final = Pace(head_start=0.15, last_wait=0.5)
+"""Many round trips, and so short that silent keepers don't use up the time in which a change must
+be in force."""
 
 
 @dataclass(frozen=True)
@@ -37,10 +46,14 @@
     """
 
     def __init__(
-        self, ask: Callable[[KeeperPlace], Awaitable[T]], is_enough: Callable[[T], bool]
+        self,
+        ask: Callable[[KeeperPlace], Awaitable[T]],
+        is_enough: Callable[[T], bool],
+        pace: Pace = QUICK_PACE,
     ) -> None:
         self._ask = ask
         self._is_enough = is_enough
+        self._pace = pace
         self.replies: list[KeeperReply[T]] = []
         """In the order in which they came; those of silent keepers come last."""
         self._open: dict[asyncio.Task[KeeperReply[T]], tuple[KeeperPlace, float]] = {}
@@ -52,7 +65,7 @@
             while waiting or self._open:
                 if waiting:
                     self._start(waiting.pop(0))
-                patience = HEAD_START_SECONDS if waiting else LAST_WAIT_SECONDS
+                patience = self._pace.head_start if waiting else self._pace.last_wait
                 done, _ = await asyncio.wait(
                     self._open, timeout=patience, return_when=asyncio.FIRST_COMPLETED
                 )
@@ -86,10 +99,16 @@
         return found
 
     def _close(self) -> None:
-        """Cancel the open questions, and count those that had a head start as silent."""
+        """Cancel the open questions, and count those that had a head start as silent.
+
+        A reply that has just come is kept: its answer may hold something to be closed.
+        """
         now = asyncio.get_event_loop().time()
         for task, (place, asked_at) in self._open.items():
+            if task.done() and not task.cancelled():
+                self.replies.append(task.result())
+                continue
             task.cancel()
-            if now - asked_at >= HEAD_START_SECONDS:
+            if now - asked_at >= self._pace.head_start:
                 self.replies.append(KeeperReply(place, None, TimeoutError("no answer")))
         self._open.clear()
--- a/packages/node/src/persimmonusher_node/tiers/keeper_stream.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_stream.py
@@ -25,8 +25,8 @@
 ASK_INTERVAL_SECONDS: Final = 0.4
 """Mean time between questions: about the time that one request takes."""
 OVERDUE_SECONDS: Final = 0.75
-"""Time without an answer after which a keeper counts as silent: a question's interval, and long for
-the way there and back."""
+"""Time without an answer or an update after which one is overdue: the longest time between two, and
+long for the way there and back."""
 STALE_FRACTION: Final = 0.6
 """Part of `stale_seconds` for which a keeper may be out of contact with a majority before the entry
 looks for another one: a single lost heartbeat is no reason to switch."""
@@ -72,6 +72,7 @@
         self._random = random
         self._answer = found
         self._answered_at = clock.monotonic()
+        self._updated_at = self._answered_at
         self.has_updates = False
         self.is_open = True
         self.error: BaseException | None = None
@@ -98,18 +99,20 @@
         if self.is_open:
             self._changed.clear()
 
-    def find_unwell_at(self, stale_seconds: float) -> float:
-        """Return when to look for another keeper, unless a further answer comes before.
+    def find_unwell_at(self, stale_seconds: float, in_force_at: float) -> float:
+        """Return when to look for another keeper, unless something arrives before.
 
-        Between two answers the age grows by itself. That alone is no reason, until the next answer
-        is overdue.
+        `in_force_at` is the reading of the clock before which every acknowledged change is in force
+        here. Between two answers the ages grow by themselves. That alone is no reason, until the
+        next answer or, if changes are due, the next update is overdue.
         """
         known_at, answered_at = self._answer.known_at, self._answered_at
-        stale_at = known_at + stale_seconds * STALE_FRACTION
-        if answered_at > stale_at:
+        stale_age = stale_seconds * STALE_FRACTION
+        if answered_at > known_at + stale_age:
             return answered_at
-        old_at = known_at + stale_seconds * OLD_FRACTION
-        return min(old_at, max(stale_at, answered_at + OVERDUE_SECONDS))
+        silent_at = max(known_at + stale_age, answered_at + OVERDUE_SECONDS)
+        mute_at = max(in_force_at + stale_age, self._updated_at + OVERDUE_SECONDS)
+        return min(known_at + stale_seconds * OLD_FRACTION, silent_at, mute_at)
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the keeper owes an answer for longer than an undisturbed call takes."""
@@ -132,7 +135,7 @@
             self._end(error)
         except Exception as error:
             logger.exception("following-failed", keeper=self.place.address)
-            self._end(error)
+            self._end(ConnectionError(f"an update from {self.place.address} failed: {error!r}"))
 
     def _apply(self, update: control_pb2.FollowUpdate) -> None:
         """Apply the changes before the rest, as the rest may refer to them."""
@@ -143,6 +146,7 @@
                 records, self._records = tuple(self._records), []
                 since, revision = Revision(part.since), Revision(part.revision)
                 self._owner.apply_batch(Batch(part.lineage, since, revision, records, part.whole))
+        self._updated_at = self._clock.monotonic()
         self._owner.apply_update(self.place, update)
         if not self.has_updates:
             self.has_updates = True
