Ask all members at once to admit a keeper

A keeper with an empty disk asked the members in turn to admit it, 1 s for each that was silent, so that the leader heard of it only after that, and its copy of the log came back as much later.

--- a/packages/node/src/persimmonusher_node/keeper_joining.py
+++ b/packages/node/src/persimmonusher_node/keeper_joining.py
@@ -96,6 +96,7 @@
             self._role.form_log(formation.members)
 
     async def _ask_to_join(self, addresses: Sequence[str]) -> None:
+        """Ask all members together, since any of them may lead and any may be silent."""
         request = pb.IntroduceRequest(
             keeper=self._role.identity,
             address=self._settings.listen.peers,
@@ -103,12 +104,14 @@
             promote=True,
             failure_domain=self._settings.failure_domain,
         )
-        for address in addresses:
-            try:
-                stub = KeeperStub(self._channels.get(address))
-                await stub.Introduce(request, timeout=JOIN_TIMEOUT_SECONDS)
-            except CALL_ERRORS as error:
-                logger.debug("join-call-failed", address=address, error=repr(error))
+        await asyncio.gather(*(self._ask_member(address, request) for address in addresses))
+
+    async def _ask_member(self, address: str, request: pb.IntroduceRequest) -> None:
+        try:
+            stub = KeeperStub(self._channels.get(address))
+            await stub.Introduce(request, timeout=JOIN_TIMEOUT_SECONDS)
+        except CALL_ERRORS as error:
+            logger.debug("join-call-failed", address=address, error=repr(error))
 
 
 def is_empty(keeper: ConfigurationKeeper) -> bool:
