--- a/packages/node/src/persimmonusher_node/tiers/keeper_search.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_search.py
@@ -22,7 +22,7 @@
     """Wait for the answers that are missing once all keepers were asked."""
 
 
-QUICK_PACE: Final = Pace(head_start=0.15, last_wait=0.5)
+QUICK_PACE: Final = Pace(head_start=0.1, last_wait=0.5)
 """Many round trips, and so short that silent keepers don't use up the time in which a change must
 be in force."""
 
