--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -3,14 +3,13 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from random import Random
-from typing import Any, Final
+from typing import Final
 
 import structlog
 
 from persimmonusher_agreement.configuration_objects import Batch
-from persimmonusher_agreement.keeper_choice import KeeperChoice, KeeperPlace
+from persimmonusher_agreement.keeper_choice import KeeperPlace
 from persimmonusher_decisions.notices import Notice
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import ServerId
@@ -22,24 +21,15 @@
 from persimmonusher_node.ports import Freshness
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.tiers.follow_lease import FollowLease
+from persimmonusher_node.tiers.keeper_finder import KeeperFinder
 from persimmonusher_node.tiers.keeper_port import KeeperAnswer, KeeperPort
-from persimmonusher_node.tiers.keeper_search import QUICK_PACE, KeeperQuestions, KeeperReply, Pace
-from persimmonusher_node.tiers.keeper_stream import STALE_FRACTION, KeeperStream, StreamOwner
+from persimmonusher_node.tiers.keeper_stream import KeeperStream, StreamOwner
 from persimmonusher_node.tiers.notice_wire import decode_notice
 from persimmonusher_node.tiers.peer_notices import PeerNotices
 from persimmonusher_protocol import control_pb2
 
 logger = structlog.get_logger(__name__)
 
-FIRST_UPDATE_SECONDS: Final = 1.2
-"""Longest wait for a new stream's first update."""
-WHOLE_PACE: Final = Pace(head_start=0.6, last_wait=1.2)
-"""While the whole configuration is due: it must not cross failure domains twice for a keeper that
-is only slow."""
-LOST_AVOID_SECONDS: Final = 5.0
-"""Time for which a lost keeper is asked only after all others."""
-STALE_AVOID_SECONDS: Final = 0.6
-"""The same for a keeper that was only stale."""
 RETRY_PAUSE_SECONDS: Final = 0.3
 """Mean pause before keepers are asked again while none is followed."""
 STALE_PAUSE_SECONDS: Final = 0.5
@@ -55,18 +45,6 @@
 """Notices queued while a call is in flight. Beyond this limit the oldest are dropped."""
 
 
-@dataclass(frozen=True)
-class OpenedKeeper:
-    """A keeper's answer, and the stream that was opened because it is fresh."""
-
-    answer: KeeperAnswer
-    stream: KeeperStream | None
-
-    def has_stream(self) -> bool:
-        """Return whether the keeper is fresh and its stream works."""
-        return self.stream is not None
-
-
 def ignore_notice(notice: Notice) -> None:
     """Do nothing; the handler until there is a data plane."""
 
@@ -102,8 +80,8 @@
         self._seeds = tuple(KeeperPlace(seed) for seed in settings.seed_peers)
         self._places: tuple[KeeperPlace, ...] = ()
         """The keepers that a keeper listed last; empty until one did."""
-        self._choice = KeeperChoice(settings.failure_domain, random)
         self.lease = FollowLease(settings.stale_seconds, view, clock)
+        self._finder = KeeperFinder(settings, view, keepers, self, self.lease, clock, random)
         self._tasks: tuple[asyncio.Task[None], ...] = ()
         self._stream: KeeperStream | None = None
         self._better_check_at = float("-inf")
@@ -261,10 +239,7 @@
         failure domain first and then switched to a keeper in its own, the configuration would cross
         domains at each start of an entry.
         """
-        questions = KeeperQuestions(self._keepers.list_keepers, bool)
-        order = self._choice.order(self._seeds, self._clock.monotonic())
-        listed = await questions.run(order)
-        self._record_failures(questions.replies)
+        listed = await self._finder.list_keepers(self._seeds)
         if listed is None:
             await self._pause(RETRY_PAUSE_SECONDS)
         else:
@@ -275,9 +250,9 @@
 
         What a stale keeper holds is better than nothing.
         """
-        stream, answers = await self._open_fresh(self._list_places())
+        stream, answers = await self._finder.open_fresh(self._list_places())
         if stream is None and answers:
-            stream = await self._open_least_stale(answers)
+            stream = await self._finder.open_least_stale(answers)
         if stream is None:
             await self._pause(RETRY_PAUSE_SECONDS)
         else:
@@ -286,7 +261,7 @@
     async def _find_fresh_keeper(self, followed: KeeperStream) -> None:
         """Follow a fresh keeper instead of the followed one; keep that one if there is none."""
         others = [place for place in self._list_places() if place != followed.place]
-        stream, _ = await self._open_fresh(others)
+        stream, _ = await self._finder.open_fresh(others)
         if stream is None:
             await self._pause(STALE_PAUSE_SECONDS)
         else:
@@ -295,62 +270,13 @@
     async def _check_better_keeper(self, followed: KeeperStream, now: float) -> None:
         """Follow a better keeper than the followed one if there is one and it is fresh."""
         self._better_check_at = now + BETTER_KEEPER_CHECK_SECONDS
-        better = self._choice.find_better(followed.place, self._places, now)
+        better = self._finder.find_better(followed.place, self._places)
         if better is None:
             return
-        stream, _ = await self._open_fresh([better])
+        stream, _ = await self._finder.open_fresh([better])
         if stream is not None:
             self._switch(stream)
 
-    async def _open_fresh(
-        self, places: Sequence[KeeperPlace]
-    ) -> tuple[KeeperStream | None, Sequence[KeeperAnswer]]:
-        """Open a stream from the first keeper that is fresh; return it, and all answers."""
-        pace = QUICK_PACE if self._view.is_configured() else WHOLE_PACE
-        questions = KeeperQuestions(self._open_if_fresh, OpenedKeeper.has_stream, pace)
-        chosen = await questions.run(self._choice.order(places, self._clock.monotonic()))
-        self._record_failures(questions.replies)
-        opened = [reply.answer for reply in questions.replies if reply.answer is not None]
-        for one in opened:
-            if one.stream is None:
-                self._record_stale(one.answer)
-            elif one is not chosen:
-                one.stream.close()
-        return None if chosen is None else chosen.stream, [one.answer for one in opened]
-
-    async def _open_if_fresh(self, place: KeeperPlace) -> OpenedKeeper:
-        answer = await self._ask_freshness(place)
-        self.lease.record_answer(answer)
-        is_fresh = self._clock.monotonic() - answer.known_at <= self._stale_seconds * STALE_FRACTION
-        return OpenedKeeper(answer, await self._open(answer) if is_fresh else None)
-
-    async def _open_least_stale(self, answers: Sequence[KeeperAnswer]) -> KeeperStream | None:
-        best = max(answers, key=lambda answer: answer.known_at)
-        try:
-            return await self._open(best)
-        except CALL_ERRORS as error:
-            self._mark_lost(best.place, error)
-            return None
-
-    async def _open(self, answer: KeeperAnswer) -> KeeperStream:
-        """Return a stream that has brought its first update; raise what ended it otherwise."""
-        stream = KeeperStream(answer, self._keepers, self, self._clock, self._random)
-        stream.start(self._view.revision())
-        try:
-            await stream.wait_for_change(FIRST_UPDATE_SECONDS)
-            if not stream.has_updates:
-                raise stream.error or TimeoutError("no update")
-            return stream
-        finally:
-            if not stream.has_updates:
-                stream.close()
-
-    async def _ask_freshness(self, place: KeeperPlace) -> KeeperAnswer:
-        answer = await self._keepers.ask_freshness(place, None)
-        if answer is None:
-            raise ConnectionError(f"the log of {place.address} isn't open")
-        return answer
-
     def _switch(self, stream: KeeperStream) -> None:
         """Follow the keeper of a new stream, and leave the former one."""
         self._drop_ended_stream()
@@ -371,7 +297,7 @@
             self._mark_lost(stream.place, TimeoutError("no answer"))
         else:
             self._log_left("keeper-stale", stream.place)
-            self._avoid(stream.place, STALE_AVOID_SECONDS)
+            self._finder.record_stale(stream.place)
 
     def _log_left(self, event: str, place: KeeperPlace) -> None:
         logger.info(
@@ -390,25 +316,7 @@
             revision=self._view.revision(),
             **describe_freshness(self.find_freshness()),
         )
-        self._record_failure(place, error)
-
-    def _record_failures(self, replies: Sequence[KeeperReply[Any]]) -> None:
-        for reply in replies:
-            if reply.answer is None:
-                self._record_failure(reply.place, reply.error)
-
-    def _record_failure(self, place: KeeperPlace, error: BaseException | None) -> None:
-        self.lease.ages.record_attempt(place.address, str(error) or type(error).__name__)
-        self._avoid(place, LOST_AVOID_SECONDS)
-        if isinstance(error, TimeoutError):
-            self._keepers.reconnect(place)
-
-    def _record_stale(self, answer: KeeperAnswer) -> None:
-        self.lease.ages.record_attempt(answer.place.address, f"stale, {answer.age:.1f} s")
-        self._avoid(answer.place, STALE_AVOID_SECONDS)
-
-    def _avoid(self, place: KeeperPlace, seconds: float) -> None:
-        self._choice.avoid_until(place.address, self._clock.monotonic() + seconds)
+        self._finder.record_failure(place, error)
 
     async def _pause(self, seconds: float) -> None:
         await asyncio.sleep(seconds * self._random.uniform(0.5, 1.5))
