--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -215,16 +215,16 @@
             await self._ask_seeds()
         elif stream is None:
             await self._find_first_keeper()
-        elif now >= self._find_unwell_at(stream):
+        elif now >= self._find_unhealthy_at(stream):
             await self._find_fresh_keeper(stream)
         elif now >= self._better_check_at:
             await self._check_better_keeper(stream, now)
         else:
-            left = min(self._find_unwell_at(stream), self._better_check_at) - now
+            left = min(self._find_unhealthy_at(stream), self._better_check_at) - now
             await stream.wait_for_change(min(MAX_WAIT_SECONDS, max(MIN_WAIT_SECONDS, left)))
 
-    def _find_unwell_at(self, stream: KeeperStream) -> float:
-        return stream.find_unwell_at(self._stale_seconds, self.lease.known_at)
+    def _find_unhealthy_at(self, stream: KeeperStream) -> float:
+        return stream.find_unhealthy_at(self._stale_seconds, self.lease.known_at)
 
     def _drop_ended_stream(self) -> None:
         stream = self._stream
@@ -291,7 +291,7 @@
         """Close a stream that another one has replaced."""
         now = self._clock.monotonic()
         stream.close()
-        if now < self._find_unwell_at(stream):
+        if now < self._find_unhealthy_at(stream):
             self._log_left("keeper-left", stream.place)
         elif stream.is_overdue(now):
             self._mark_lost(stream.place, TimeoutError("no answer"))
--- a/packages/node/src/persimmonusher_node/tiers/keeper_stream.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_stream.py
@@ -99,7 +99,7 @@
         if self.is_open:
             self._changed.clear()
 
-    def find_unwell_at(self, stale_seconds: float, in_force_at: float) -> float:
+    def find_unhealthy_at(self, stale_seconds: float, in_force_at: float) -> float:
         """Return when to look for another keeper, unless something arrives before.
 
         `in_force_at` is the reading of the clock before which every acknowledged change is in force
