Keep a keeper while its whole configuration arrives slowly

Updates overdue while changes are due were a reason to look for another keeper also at the start, where parts of the whole configuration may come slower than that over a narrow link: the transfer would begin anew elsewhere. The test gave the same time in both cases before.

--- a/packages/node/src/persimmonusher_node/tiers/keeper_stream.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_stream.py
@@ -103,16 +103,20 @@
         """Return when to look for another keeper, unless something arrives before.
 
         `in_force_at` is the reading of the clock before which every acknowledged change is in force
-        here. Between two answers the ages grow by themselves. That alone is no reason, until the
-        next answer or, if changes are due, the next update is overdue.
+        here, or minus infinity while the whole configuration is due. Between two answers the ages
+        grow by themselves. That alone is no reason, until the next answer or, if changes are due,
+        the next update is overdue.
         """
         known_at, answered_at = self._answer.known_at, self._answered_at
         stale_age = stale_seconds * STALE_FRACTION
         if answered_at > known_at + stale_age:
             return answered_at
+        old_at = known_at + stale_seconds * OLD_FRACTION
         silent_at = max(known_at + stale_age, answered_at + OVERDUE_SECONDS)
+        if in_force_at == float("-inf"):
+            return min(old_at, silent_at)
         mute_at = max(in_force_at + stale_age, self._updated_at + OVERDUE_SECONDS)
-        return min(known_at + stale_seconds * OLD_FRACTION, silent_at, mute_at)
+        return min(old_at, silent_at, mute_at)
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the keeper owes an answer for longer than an undisturbed call takes."""
--- a/packages/node/tests/test_keeper_search.py
+++ b/packages/node/tests/test_keeper_search.py
@@ -8,15 +8,20 @@
 import unittest
 from dataclasses import dataclass, field
 from random import Random
-from typing import Final
+from typing import Any, Final, cast
 
 from virtual_keepers import Fault, FaultSpan, VirtualKeepers, draw_faults, find_lag
 from virtual_loop import LoopClock, VirtualLoop
 
+from persimmonusher_agreement.keeper_choice import KeeperPlace
+from persimmonusher_model.clock import ManualClock
+from persimmonusher_model.identifiers import Revision
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.settings import Listeners, Role, Settings
 from persimmonusher_node.tiers.follower import KeeperFollower
+from persimmonusher_node.tiers.keeper_port import KeeperAnswer
+from persimmonusher_node.tiers.keeper_stream import OVERDUE_SECONDS, KeeperStream
 from persimmonusher_node.tiers.peer_notices import PeerNotices
 
 SEEDS = range(*map(int, os.environ.get("KEEPER_SEARCH_SEEDS", "0 40").split()))
@@ -100,6 +105,15 @@
         series = run_series(FLEETS[0], faults, seed=1)
         self.assertLess(series.calls / SERIES_SECONDS / len(FLEETS[0]), 3.0)
 
+    # Guards against leaving a keeper, and starting anew, in the middle of the whole configuration.
+    def test_a_keeper_is_kept_while_the_whole_configuration_arrives_slowly(self) -> None:
+        answer = KeeperAnswer(KeeperPlace("10.0.0.1:1"), 0.0, 0.4, Revision(5))
+        unused = cast("Any", None)
+        stream = KeeperStream(answer, unused, unused, ManualClock(), Random(1))
+        nothing_yet, long_ago = float("-inf"), -STALE_SECONDS
+        self.assertEqual(stream.find_unhealthy_at(STALE_SECONDS, long_ago), OVERDUE_SECONDS)
+        self.assertGreater(stream.find_unhealthy_at(STALE_SECONDS, nothing_yet), OVERDUE_SECONDS)
+
 
 if __name__ == "__main__":
     unittest.main()
