--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -132,10 +132,10 @@
 
     def list_keepers(self) -> Sequence[str]:
         """List the known keepers' addresses: the followed one, then those in the own domain."""
-        followed = self.followed
+        followed = None if self.followed is None else self.followed.address
 
         def rank(place: KeeperPlace) -> tuple[bool, bool]:
-            return (place != followed, place.failure_domain != self._failure_domain)
+            return (place.address != followed, place.failure_domain != self._failure_domain)
 
         return [place.address for place in sorted(self._list_places(), key=rank)]
 
@@ -260,7 +260,8 @@
 
     async def _find_fresh_keeper(self, followed: KeeperStream) -> None:
         """Follow a fresh keeper instead of the followed one; keep that one if there is none."""
-        others = [place for place in self._list_places() if place != followed.place]
+        address = followed.place.address
+        others = [place for place in self._list_places() if place.address != address]
         stream, _ = await self._finder.open_fresh(others)
         if stream is None:
             await self._pause(STALE_PAUSE_SECONDS)
