--- a/packages/node/tests/test_metrics.py
+++ b/packages/node/tests/test_metrics.py
@@ -6,7 +6,7 @@
 
 from persimmonusher_decisions.server import ServerState
 from persimmonusher_node.clock import SystemClock
-from persimmonusher_node.configuration_ages import ConfigurationAges
+from persimmonusher_node.configuration_ages import ConfigurationAges, LateSpell
 from persimmonusher_node.metrics import (
     CLASSES_PER_SERVICE,
     InstanceGauges,
@@ -58,6 +58,17 @@
         ):
             self.assertIn(line, text)
 
+    def test_a_late_spell_ends_with_its_begin_and_its_oldest_age(self) -> None:
+        ages = ConfigurationAges(bound_seconds=2.0)
+        ages.record(1.5, "k1", now=10.0)
+        self.assertIsNone(ages.spell)
+        ages.record(2.5, "k1", now=11.0)
+        ages.record(3.0, "k2", now=11.5)
+        self.assertIsNone(ages.pop_ended())
+        ages.record(0.5, "k2", now=11.6)
+        self.assertEqual(ages.pop_ended(), LateSpell(10.5, 3.0, "k1"))
+        self.assertIsNone(ages.pop_ended())
+
     def test_refusals_are_counted_by_reason(self) -> None:
         self.script(*[SHED] * 9)
         self.call("POST", body=b"x")
