--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -177,7 +177,7 @@
         self._view.apply_batch(batch)
         self.lease.record_revision(self._view.revision())
 
-    def apply_update(self, place: KeeperPlace, update: control_pb2.FollowUpdate) -> None:
+    def apply_update(self, update: control_pb2.FollowUpdate) -> None:
         """Apply the keepers, loads and notices of an update."""
         if update.has_loads:
             self.on_loads({ServerId(load.server): load.in_progress for load in update.loads})
@@ -207,7 +207,7 @@
                 await self._pause(RETRY_PAUSE_SECONDS)
 
     async def _take_step(self) -> None:
-        """Look for a keeper if none is followed or the followed one isn't well, else wait."""
+        """Look for a keeper if none is followed or the followed one is unhealthy, else wait."""
         self._drop_ended_stream()
         now = self._clock.monotonic()
         stream = self._stream
--- a/packages/node/src/persimmonusher_node/tiers/keeper_finder.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_finder.py
@@ -96,12 +96,6 @@
                 one.stream.close()
         return None if chosen is None else chosen.stream, [one.answer for one in opened]
 
-    async def _open_if_fresh(self, place: KeeperPlace) -> OpenedKeeper:
-        answer = await self._ask_freshness(place)
-        self._lease.record_answer(answer)
-        is_fresh = self._clock.monotonic() - answer.known_at <= self._stale_seconds * STALE_FRACTION
-        return OpenedKeeper(answer, await self._open(answer) if is_fresh else None)
-
     async def open_least_stale(self, answers: Sequence[KeeperAnswer]) -> KeeperStream | None:
         """Open a stream from the keeper with the freshest answer; return None if it fails."""
         best = max(answers, key=lambda answer: answer.known_at)
@@ -111,6 +105,23 @@
             self.record_failure(best.place, error)
             return None
 
+    def record_failure(self, place: KeeperPlace, error: BaseException | None) -> None:
+        """Ask a keeper after the others for some time, and on a new connection if it is silent."""
+        self._lease.ages.record_attempt(place.address, str(error) or type(error).__name__)
+        self._avoid(place, LOST_AVOID_SECONDS)
+        if isinstance(error, TimeoutError):
+            self._keepers.reconnect(place)
+
+    def record_stale(self, place: KeeperPlace) -> None:
+        """Ask a keeper after the others for a short time, as it answered that it is stale."""
+        self._avoid(place, STALE_AVOID_SECONDS)
+
+    async def _open_if_fresh(self, place: KeeperPlace) -> OpenedKeeper:
+        answer = await self._ask_freshness(place)
+        self._lease.record_answer(answer)
+        is_fresh = self._clock.monotonic() - answer.known_at <= self._stale_seconds * STALE_FRACTION
+        return OpenedKeeper(answer, await self._open(answer) if is_fresh else None)
+
     async def _open(self, answer: KeeperAnswer) -> KeeperStream:
         """Return a stream that has brought its first update; raise what ended it otherwise."""
         stream = KeeperStream(answer, self._keepers, self._owner, self._clock, self._random)
@@ -135,16 +146,5 @@
             if reply.answer is None:
                 self.record_failure(reply.place, reply.error)
 
-    def record_failure(self, place: KeeperPlace, error: BaseException | None) -> None:
-        """Ask a keeper after the others for some time, and on a new connection if it is silent."""
-        self._lease.ages.record_attempt(place.address, str(error) or type(error).__name__)
-        self._avoid(place, LOST_AVOID_SECONDS)
-        if isinstance(error, TimeoutError):
-            self._keepers.reconnect(place)
-
-    def record_stale(self, place: KeeperPlace) -> None:
-        """Ask a keeper after the others for a short time, as it answered that it is stale."""
-        self._avoid(place, STALE_AVOID_SECONDS)
-
     def _avoid(self, place: KeeperPlace, seconds: float) -> None:
         self._choice.avoid_until(place.address, self._clock.monotonic() + seconds)
--- a/packages/node/src/persimmonusher_node/tiers/keeper_stream.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_stream.py
@@ -10,7 +10,6 @@
 import structlog
 
 from persimmonusher_agreement.configuration_objects import Batch, Record
-from persimmonusher_agreement.keeper_choice import KeeperPlace
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import Revision, ServerId
 from persimmonusher_node.keeper_calls import CALL_ERRORS
@@ -46,7 +45,7 @@
         """Put a whole batch of changes in force."""
 
     @abstractmethod
-    def apply_update(self, place: KeeperPlace, update: control_pb2.FollowUpdate) -> None:
+    def apply_update(self, update: control_pb2.FollowUpdate) -> None:
         """Apply everything of an update but its changes."""
 
     @abstractmethod
@@ -151,7 +150,7 @@
                 since, revision = Revision(part.since), Revision(part.revision)
                 self._owner.apply_batch(Batch(part.lineage, since, revision, records, part.whole))
         self._updated_at = self._clock.monotonic()
-        self._owner.apply_update(self.place, update)
+        self._owner.apply_update(update)
         if not self.has_updates:
             self.has_updates = True
             self._changed.set()
--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -11,13 +11,14 @@
 from typing import Any  # noqa: E402
 
 import eventlet  # noqa: E402
+from entry_settings import make_entry_settings  # noqa: E402
 from grpclib.server import Stream  # noqa: E402
 
 from persimmonusher_node.clock import SystemClock  # noqa: E402
 from persimmonusher_node.configuration_client import ConfigurationClient  # noqa: E402
 from persimmonusher_node.grpc_listener import GrpcListener  # noqa: E402
 from persimmonusher_node.peers import ChannelPool  # noqa: E402
-from persimmonusher_node.settings import Listeners, Role, Settings  # noqa: E402
+from persimmonusher_node.settings import Settings  # noqa: E402
 from persimmonusher_node.tiers.entry_daemon import make_follower  # noqa: E402
 from persimmonusher_protocol import control_pb2, keeper_pb2  # noqa: E402
 from persimmonusher_protocol.control_grpc import ControlBase  # noqa: E402
@@ -123,14 +124,7 @@
             self.addCleanup(keeper.stop)
 
     def start_follower(self, *seeds: str) -> None:
-        settings = Settings(
-            instance_id="e1",
-            failure_domain="north",
-            role=Role.ENTRY,
-            listen=Listeners(),
-            seeds=seeds,
-            peer_token="peers",
-        )
+        settings = make_entry_settings(*seeds)
         channels = ChannelPool("peers")
         channels.__enter__()
         self.addCleanup(channels.__exit__, None, None, None)
--- a/packages/node/tests/test_keeper_joining.py
+++ b/packages/node/tests/test_keeper_joining.py
@@ -9,13 +9,13 @@
 from typing import Any, cast  # noqa: E402
 
 import eventlet  # noqa: E402
+from entry_settings import make_entry_settings  # noqa: E402
 from grpclib.server import Stream  # noqa: E402
 
 from persimmonusher_node.clock import SystemClock  # noqa: E402
 from persimmonusher_node.grpc_listener import GrpcListener  # noqa: E402
 from persimmonusher_node.keeper_joining import KeeperJoining  # noqa: E402
 from persimmonusher_node.peers import ChannelPool  # noqa: E402
-from persimmonusher_node.settings import Listeners, Role, Settings  # noqa: E402
 from persimmonusher_protocol import keeper_pb2 as pb  # noqa: E402
 from persimmonusher_protocol.keeper_grpc import KeeperBase  # noqa: E402
 
@@ -54,14 +54,7 @@
             listener.start()
             stack.callback(listener.stop)
             channels = stack.enter_context(ChannelPool("peers"))
-            settings = Settings(
-                instance_id="k9",
-                failure_domain="north",
-                role=Role.ENTRY,
-                listen=Listeners(),
-                seeds=(address,),
-                peer_token="peers",
-            )
+            settings = make_entry_settings(address)
             role = cast("Any", SimpleNamespace(identity="k9#1"))
             unused = cast("Any", None)
             joining = KeeperJoining(role, settings, channels, SystemClock(), unused, unused)
--- a/packages/node/tests/test_keeper_search.py
+++ b/packages/node/tests/test_keeper_search.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Any, Final, cast
 
+from entry_settings import make_entry_settings
 from virtual_keepers import Fault, FaultSpan, VirtualKeepers, draw_faults, find_lag
 from virtual_loop import LoopClock, VirtualLoop
 
@@ -18,7 +19,7 @@
 from persimmonusher_model.identifiers import Revision
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.peers import ChannelPool
-from persimmonusher_node.settings import Listeners, Role, Settings
+from persimmonusher_node.settings import Settings
 from persimmonusher_node.tiers.follower import KeeperFollower
 from persimmonusher_node.tiers.keeper_port import KeeperAnswer
 from persimmonusher_node.tiers.keeper_stream import OVERDUE_SECONDS, KeeperStream
@@ -28,20 +29,20 @@
 SERIES_SECONDS: Final = 45.0
 SAMPLE_SECONDS: Final = 0.1
 IN_TOUCH_SECONDS: Final = 3.0
-"""Time for which a keeper must be well before an entry has to be current."""
+"""Time for which a keeper must be healthy before an entry has to be current."""
 STALE_SECONDS: Final = Settings.model_fields["stale_seconds"].default
 FLEETS: Final = (
     ("north", "north", "south", "east", "west"),
     ("south", "south", "east", "east", "west"),
-    ("", "", "", "", ""),
     ("north", "south", "east"),
+    ("south", "east", "west"),
 )
 """Failure domains of the keepers; the entry is in "north"."""
 
 
 @dataclass
 class Series:
-    """What one series showed while some keeper had been well for long enough."""
+    """What one series showed while some keeper had been healthy for long enough."""
 
     ages: list[float] = field(default_factory=list)
     lags: list[float] = field(default_factory=list)
@@ -54,14 +55,7 @@
     clock = LoopClock(loop)
     keepers = VirtualKeepers(domains, faults, clock)
     seeds = tuple(place.address for place in keepers.places[:3])
-    settings = Settings(
-        instance_id="e1",
-        failure_domain="north",
-        role=Role.ENTRY,
-        listen=Listeners(),
-        seeds=seeds,
-        peer_token="peers",
-    )
+    settings = make_entry_settings(*seeds)
     channels = ChannelPool("peers")
     view = ConfigurationClient(settings, channels, clock, Random(seed))
     peers = PeerNotices("", channels)
@@ -72,7 +66,7 @@
         follower.start()
         while clock.monotonic() < SERIES_SECONDS:
             await asyncio.sleep(SAMPLE_SECONDS)
-            if clock.monotonic() > IN_TOUCH_SECONDS and keepers.is_well(IN_TOUCH_SECONDS):
+            if clock.monotonic() > IN_TOUCH_SECONDS and keepers.has_healthy(IN_TOUCH_SECONDS):
                 series.ages.append(follower.find_freshness().age)
                 series.lags.append(find_lag(view.revision(), clock.monotonic()))
         follower.stop()
@@ -93,8 +87,8 @@
                     self.assertLessEqual(max(series.ages, default=0.0), STALE_SECONDS)
                     self.assertLessEqual(max(series.lags, default=0.0), STALE_SECONDS)
 
-    # Guards against questions to all keepers while the followed one is well.
-    def test_an_entry_asks_little_while_its_keeper_is_well(self) -> None:
+    # Guards against questions to all keepers while the followed one is healthy.
+    def test_an_entry_asks_little_while_its_keeper_is_healthy(self) -> None:
         series = run_series(FLEETS[0], [], seed=1)
         self.assertLess(series.calls / SERIES_SECONDS, 3.0)
 
--- a/packages/node/tests/virtual_keepers.py
+++ b/packages/node/tests/virtual_keepers.py
@@ -20,7 +20,10 @@
 """Time between two acknowledged changes."""
 HEARTBEAT_SECONDS: Final = 0.4
 """A keeper's age without faults is one to two of these."""
+WAY_SECONDS: Final = 0.002
+SLOW_WAY_SECONDS: Final = 0.35
 STATUS_SECONDS: Final = 0.5
+"""Longest time between two updates of a stream."""
 POLL_SECONDS: Final = 0.05
 REJOIN_SECONDS: Final = 0.8
 """Time after a restart in which a keeper knows of no majority."""
@@ -33,7 +36,7 @@
     SILENT = "silent"
     """Calls hang, and streams bring nothing."""
     SLOW = "slow"
-    """Each answer and update takes most of a second."""
+    """Each way there or back takes `SLOW_WAY_SECONDS`."""
     STALE = "stale"
     """It has no way to a majority, and serves what it holds."""
     DOWN = "down"
@@ -77,7 +80,7 @@
         self.calls = 0
         """Questions and opened streams so far."""
 
-    def is_well(self, seconds: float) -> bool:
+    def has_healthy(self, seconds: float) -> bool:
         """Return whether some keeper had no fault in the last seconds."""
         now = self._clock.monotonic()
         return any(
@@ -157,7 +160,7 @@
         if self._has(number, Fault.SILENT):
             await asyncio.sleep(timeout)
             raise TimeoutError
-        await asyncio.sleep(0.35 if self._has(number, Fault.SLOW) else 0.002)
+        await asyncio.sleep(SLOW_WAY_SECONDS if self._has(number, Fault.SLOW) else WAY_SECONDS)
 
     def _find_known_at(self, number: int, now: float) -> float:
         if self._find_span(number, Fault.DOWN, REJOIN_SECONDS) is not None:
