--- a/packages/node/tests/test_keeper_search.py
+++ b/packages/node/tests/test_keeper_search.py
@@ -25,7 +25,7 @@
 from persimmonusher_node.tiers.keeper_stream import OVERDUE_SECONDS, KeeperStream
 from persimmonusher_node.tiers.peer_notices import PeerNotices
 
-SEEDS = range(*map(int, os.environ.get("KEEPER_SEARCH_SEEDS", "0 40").split()))
+SEEDS = range(*map(int, os.environ.get("KEEPER_SEARCH_SEEDS", "0 62").split()))
 SERIES_SECONDS: Final = 45.0
 SAMPLE_SECONDS: Final = 0.1
 IN_TOUCH_SECONDS: Final = 3.0
