Log and measure peers that leave calls unanswered, and times without a leader

The record of the incident can't tell a keeper whose peers are silent from one that hears them and has no leader: both write leader-changed with null, and refuse with no-quorum. peer-silent and peer-heard name the peer, the seconds and the connections that were tried; leader-changed says how long there was no leader; both are histograms too.

--- a/packages/node/src/persimmonusher_node/keeper.py
+++ b/packages/node/src/persimmonusher_node/keeper.py
@@ -46,6 +46,7 @@
     ListedFormation,
 )
 from persimmonusher_node.keeper_joining import KeeperJoining, is_empty
+from persimmonusher_node.keeper_leaderless import LeaderlessSpells
 from persimmonusher_node.keeper_message_wire import decode_message
 from persimmonusher_node.keeper_sender import KeeperSender
 from persimmonusher_node.keeper_service import KeeperService
@@ -123,6 +124,7 @@
         self._main: list[asyncio.Task[None]] = []
         self._leader: KeeperId | None = None
         """The leader named by the last log line."""
+        self.leaderless = LeaderlessSpells(clock.monotonic())
 
     # Called by the daemon
 
@@ -336,8 +338,12 @@
         if status.leader == self._leader:
             return
         self._leader = status.leader
-        age = keeper.replica.find_majority_age(self._clock.monotonic())
-        logger.info("leader-changed", **describe_leader(status, age))
+        now = self._clock.monotonic()
+        seconds = self.leaderless.record_leader(status.leader is not None, now)
+        age = keeper.replica.find_majority_age(now)
+        logger.info(
+            "leader-changed", **describe_leader(status, age), without_leader=round(seconds, 3)
+        )
 
     async def _run_snapshots(self) -> None:
         while True:
--- a/packages/node/src/persimmonusher_node/peers.py
+++ b/packages/node/src/persimmonusher_node/peers.py
@@ -11,10 +11,21 @@
 from grpclib.client import Channel
 from grpclib.config import Configuration
 from grpclib.const import Status
-from grpclib.events import RecvRequest, SendRequest, listen
+from grpclib.events import (
+    RecvInitialMetadata,
+    RecvMessage,
+    RecvRequest,
+    RecvTrailingMetadata,
+    SendRequest,
+    listen,
+)
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
+from persimmonusher_model.clock import Clock
+from persimmonusher_node.clock import SystemClock
+from persimmonusher_node.peer_silence import PeerSilences
+
 KEEPALIVE_SECONDS: Final = 5.0
 """Interval of pings on a channel with calls in progress, and the timeout of each ping.
 
@@ -33,8 +44,15 @@
     ...     stub = KeeperStub(pool.get("127.0.0.1:7003"))
     """
 
-    def __init__(self, token: str, keepalive_seconds: float = KEEPALIVE_SECONDS) -> None:
+    def __init__(
+        self,
+        token: str,
+        keepalive_seconds: float = KEEPALIVE_SECONDS,
+        clock: Clock = SystemClock(),  # noqa: B008 - without state
+    ) -> None:
         self._token = token
+        self._clock = clock
+        self.silences = PeerSilences()
         self._configuration = Configuration(
             _keepalive_time=keepalive_seconds,
             _keepalive_timeout=keepalive_seconds,
@@ -43,21 +61,33 @@
         self._channels: dict[str, Channel] = {}
 
     def get(self, address: str) -> Channel:
-        """Return the channel to an `ip:port`; it connects on the first call."""
+        """Return the channel for one call to an `ip:port`; it connects on the first one."""
+        self.silences.record_call(address, self._clock.monotonic())
         channel = self._channels.get(address)
         if channel is None:
-            host, _, port = address.rpartition(":")
-            channel = Channel(host, int(port), config=self._configuration)
-            listen(channel, SendRequest, self._add_token)
-            self._channels[address] = channel
+            channel = self._channels[address] = self._open(address)
         return channel
 
     def forget(self, address: str) -> None:
         """Close the channel to an address; the next `get` opens a new one."""
         channel = self._channels.pop(address, None)
         if channel is not None:
+            self.silences.record_connection(address)
             channel.close()
 
+    def _open(self, address: str) -> Channel:
+        host, _, port = address.rpartition(":")
+        channel = Channel(host, int(port), config=self._configuration)
+
+        async def record_answer(event: object) -> None:
+            self.silences.record_answer(address, self._clock.monotonic())
+
+        listen(channel, SendRequest, self._add_token)
+        listen(channel, RecvInitialMetadata, record_answer)
+        listen(channel, RecvMessage, record_answer)
+        listen(channel, RecvTrailingMetadata, record_answer)
+        return channel
+
     async def _add_token(self, event: SendRequest) -> None:
         event.metadata[TOKEN_HEADER] = self._token
 
--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -70,7 +70,9 @@
         control = KeeperControl(settings, self._role, self._view, leader, edge.codec)
         self._control = edge.make_control(control)
         self._clock = clock
-        self._metrics = KeeperMetrics(self._read_gauges)
+        self._metrics = KeeperMetrics(
+            self._read_gauges, self._role.leaderless.buckets, channels.silences.buckets
+        )
         self._follow = FollowService(
             settings.failure_domain, self._role, self._view, channels, clock
         )
--- a/packages/node/src/persimmonusher_node/tiers/keeper_metrics.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_metrics.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from aioprometheus.collectors import Counter, Gauge, Registry
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.histogram import Histogram as Buckets
 from aioprometheus.renderer import render
 
 from persimmonusher_node.metrics import MetricsSource
@@ -40,13 +41,22 @@
 class KeeperMetrics(MetricsSource):
     """Renders a keeper's gauges, and counts the scrapes while it has none."""
 
-    def __init__(self, read_gauges: Callable[[], KeeperGauges | None]) -> None:
+    def __init__(
+        self, read_gauges: Callable[[], KeeperGauges | None], leaderless: Buckets, silences: Buckets
+    ) -> None:
         self._read_gauges = read_gauges
         self._registry = Registry()
         self._gauges = {
             name: Gauge(f"persimmonusher_{name}", text, registry=self._registry)
             for name, text in GAUGES.items()
         }
+        histograms = {
+            "keeper_leaderless_seconds": ("Times without a leader that are over.", leaderless),
+            "peer_silence_seconds": ("Times without an answer of a peer.", silences),
+        }
+        for name, (text, buckets) in histograms.items():
+            histogram = Histogram(f"persimmonusher_{name}", text, registry=self._registry)
+            histogram.set_value({}, buckets)
         self._failed = Counter(
             "persimmonusher_keeper_failed_scrapes_total",
             "Scrapes while the disk had failed; the gauges are those of before.",
--- a/packages/node/src/persimmonusher_node/tiers/process.py
+++ b/packages/node/src/persimmonusher_node/tiers/process.py
@@ -30,7 +30,7 @@
     clock = SystemClock()
     stop = StopSignal()
     stop.install()
-    with ChannelPool(settings.peer_token) as channels:
+    with ChannelPool(settings.peer_token, clock=clock) as channels:
         daemon = make_daemon(settings, edge, channels, clock, SystemRandom())
         configure_collector()
         with SettingsWatch(path, settings, daemon.reload):
--- a/packages/node/tests/test_reference_pages.py
+++ b/packages/node/tests/test_reference_pages.py
@@ -7,6 +7,7 @@
 import unittest
 from pathlib import Path
 
+from aioprometheus.histogram import Histogram as Buckets
 from pydantic import BaseModel
 
 from persimmonusher_model.errors import ErrorCode
@@ -70,7 +71,10 @@
         self.assertEqual(read_first_cells("metrics.md") - {"metric", "---"}, names)
 
     def test_every_metric_of_a_keeper_is_listed(self) -> None:
-        text = KeeperMetrics(lambda: KeeperGauges(1, 3, 1, 1, 1, 0.1, 2, 2, 2)).render().decode()
+        metrics = KeeperMetrics(
+            lambda: KeeperGauges(1, 3, 1, 1, 1, 0.1, 2, 2, 2), Buckets(1.0), Buckets(1.0)
+        )
+        text = metrics.render().decode()
         names = set(re.findall(r"^# HELP (\S+)", text, re.MULTILINE))
         listed = read_first_cells("keeper-metrics.md") - {"metric", "---"}
         self.assertEqual(listed, names)
