Repeat pre-votes while there is no leader, and believe a leader that leads no more

Besides connections, elections waited: a keeper without a leader asked for pre-votes once in 1.2 to 2.4 s; a leader that stepped down waited as long though its log was often the longest, so that nobody else could win; a keeper that adopted a term began its wait anew; and keepers refused the pre-votes of the very leader that they still believed in.

--- a/packages/agreement/src/persimmonusher_agreement/election_clock.py
+++ b/packages/agreement/src/persimmonusher_agreement/election_clock.py
@@ -42,6 +42,10 @@
         self._split_votes = 0
         self.draw_election_time()
 
+    def forget_leader(self) -> None:
+        """Let elections begin although a leader was heard lately, as it leads no more."""
+        self._leader_heard_at = float("-inf")
+
     def has_recent_leader(self) -> bool:
         """Return whether a message from a leader arrived within the last election timeout."""
         return self.now - self._leader_heard_at < self._timing.election_timeout_seconds
--- a/packages/agreement/src/persimmonusher_agreement/log_replica.py
+++ b/packages/agreement/src/persimmonusher_agreement/log_replica.py
@@ -103,7 +103,7 @@
     def _handle(self, message: LogMessage) -> None:
         match message:
             case PreVoteRequest():
-                self._candidacy.answer_pre_vote(message, self._has_live_leader())
+                self._on_pre_vote_request(message)
             case PreVoteReply():
                 self._on_pre_vote_reply(message)
             case VoteRequest():
@@ -123,7 +123,9 @@
         if self._leadership is not None:
             self._advance_leader(self._leadership)
         elif self._clock.is_election_due():
-            self._clock.draw_election_time()
+            # Pre-votes depose nobody, so they are repeated sooner than elections: keepers that had
+            # no majority may reach each other again at any time.
+            self._clock.draw_election_time(self._timing.heartbeat_seconds)
             if self.keeper in self.log.members.list_voters():
                 self._start_pre_vote()
 
@@ -223,9 +225,17 @@
 
     def _start_election(self) -> None:
         self.role = ReplicaRole.CANDIDATE
+        self._clock.draw_election_time()
         if self._candidacy.ask_votes():
             self._lead()
 
+    def _on_pre_vote_request(self, message: PreVoteRequest) -> None:
+        if message.source == self.leader and message.term > self.term:
+            # It asks after it has led this term, so it leads no more, whatever is still under way.
+            self.leader = None
+            self._clock.forget_leader()
+        self._candidacy.answer_pre_vote(message, self._has_live_leader())
+
     def _on_pre_vote_reply(self, message: PreVoteReply) -> None:
         if not message.granted:
             self._follow_higher_term(message.term)
@@ -271,7 +281,10 @@
 
     def _follow_higher_term(self, term: int) -> None:
         if term > self.term:
+            has_leader = self._has_live_leader()
             self._follow(term, None)
+            if not has_leader:
+                self._clock.draw_election_time(self._timing.heartbeat_seconds)
 
     # Leading
 
@@ -284,6 +297,8 @@
         """
         if leadership.has_lost_quorum(self._clock.now):
             self._follow(self.term, None)
+            # Its log may be the longest, so that nobody else can be elected by those that return.
+            self._clock.draw_election_time(self._timing.heartbeat_seconds)
         else:
             leadership.advance(self.commit)
 
