Let a leader's delayed message delay no election

What a leader had sent before a cut arrived when its connections came back, after it had stepped down. It counted as a sign of life from its arrival: for 1.2 s its receiver refused all votes, and drew its own election time anew. Traced on real processes (three keepers, cut for 2.6 s, a change after 3.17 s; and for 1.1 s, 2.01 s, where the message came in the 35 ms between a granted pre-vote and the vote).

A leader's message names the receiver's answer that arrived last, so that it can't have been sent before. One that may be older than an election timeout is answered but delays nothing; the answer makes the next message fresh, also after a pause of the receiver. test_log_reunion: the delayed message failed before; a paused keeper follows its leader again.

--- a/packages/agreement/src/persimmonusher_agreement/freshness.py
+++ b/packages/agreement/src/persimmonusher_agreement/freshness.py
@@ -48,6 +48,11 @@
         self._answered_at.pop(self._last_answer - MAX_ANSWERS, None)
         return self._last_answer
 
+    def find_answer_age(self, answer: int | None, reading: float) -> float:
+        """Return how long ago an answer was made, in seconds; 0 if that isn't known."""
+        answered_at = None if answer is None else self._answered_at.get(answer)
+        return 0.0 if answered_at is None else reading - answered_at
+
     def record_contact(self, contact: MajorityContact) -> None:
         """Record a contact from the leader's message; it counts from the next `mark_applied` on."""
         answered_at = self._answered_at.get(contact.answer)
--- a/packages/agreement/src/persimmonusher_agreement/log_replica.py
+++ b/packages/agreement/src/persimmonusher_agreement/log_replica.py
@@ -339,7 +339,8 @@
     # Following
 
     def _on_append_request(self, message: AppendRequest) -> None:
-        if not self._accept_leader(message.source, message.term, message.round):
+        is_delayed = self._is_delayed(message)
+        if not self._accept_leader(message.source, message.term, message.round, is_delayed):
             return
         previous = message.previous_index
         beyond_base = previous >= self.log.base_index
@@ -367,10 +368,29 @@
         self.commit = self._applied = snapshot.index
         self._installed = snapshot
 
-    def _accept_leader(self, leader: KeeperId, term: int, round: int) -> bool:
+    def _is_delayed(self, message: AppendRequest) -> bool:
+        """Return whether a leader's message may have been sent over an election timeout ago.
+
+        It was sent after the answer that it names was made.
+        """
+        answer = None if message.contact is None else message.contact.answer
+        age = self._freshness.find_answer_age(answer, self._clock.reading)
+        return age > self._timing.election_timeout_seconds
+
+    def _accept_leader(
+        self, leader: KeeperId, term: int, round: int, is_delayed: bool = False
+    ) -> bool:
+        """Follow the leader of this term or a later one; refuse that of an earlier term.
+
+        A message that was held up in the network doesn't show that its sender still leads. It is
+        answered, but delays no election.
+        """
         if term < self.term:
             self._reply_append(leader, False, self.log.last_index, round)
             return False
+        if is_delayed:
+            self._follow_higher_term(term)
+            return True
         if term > self.term or self.leader != leader or self.role is not ReplicaRole.FOLLOWER:
             self._follow(term, leader)
         self._clock.record_leader_contact()
--- a/packages/agreement/tests/test_log_reunion.py
+++ b/packages/agreement/tests/test_log_reunion.py
@@ -5,6 +5,7 @@
 
 from persimmonusher_agreement.configuration_keeper import ConfigurationKeeper, LossTolerance
 from persimmonusher_agreement.log_messages import (
+    AppendRequest,
     LogMessage,
     PreVoteReply,
     PreVoteRequest,
@@ -124,6 +125,31 @@
         self.assertTrue(self.ask_pre_vote(self.leader))
         self.assertTrue(self.ask_pre_vote(self.candidate))
 
+    # Guards against elections that are put off by what a former leader sent before a cut.
+    def test_a_delayed_message_of_a_leader_is_no_sign_of_life(self) -> None:
+        lost = self.advance({self.leader}, 0.5)
+        held = [
+            one
+            for one in lost
+            if isinstance(one, AppendRequest) and find_instance(one.target) == self.voter
+        ]
+        self.advance({self.voter}, TIMING.election_timeout_seconds * 2)
+        self.assertTrue(self.ask_pre_vote(self.candidate))
+        self.assertTrue(self.deliver(held[0]), "a delayed message is answered all the same")
+        self.assertTrue(self.ask_pre_vote(self.candidate))
+
+    # Guards against a keeper that was paused and takes its live leader for gone.
+    def test_a_paused_keeper_follows_its_leader_again(self) -> None:
+        others = self.names - {self.voter}
+        lost = self.advance(others, TIMING.election_timeout_seconds * 2)
+        for message in lost[:4]:
+            self.deliver(message)
+        self.advance(self.names, 2 * TIMING.heartbeat_seconds)
+        paused = self.cluster.keepers[self.voter].running
+        assert paused is not None and paused.replica.leader is not None
+        self.assertEqual(find_instance(paused.replica.leader), self.leader)
+        self.assertFalse(self.ask_pre_vote(self.candidate))
+
 
 if __name__ == "__main__":
     unittest.main()
