Replace a connection to a peer that owes an answer, and reset it

Class: something waits on a silent connection though the network works again. The log's messages gave a connection up after three timeouts of 1 s; calls to the leader, notices between entries and quotas never did, until a ping failed after 5 to 10 s; and a connection that was closed still delivered what it held, as the kernel goes on sending.

Now each call asks whether the connection has left one unanswered for 1 s (0.5 s between keepers, 0.3 s in the first minute of a silence) and opens a new one if so; a keeper that is heard is answered on a new one; and what is given up is reset, so that nothing of it arrives late. A keeper that is gone for hours costs one try a second.

--- a/packages/lab/src/persimmonusher_lab/links.py
+++ b/packages/lab/src/persimmonusher_lab/links.py
@@ -129,6 +129,9 @@
         while True:
             chunk = await reader.read(CHUNK_BYTES)
             await self._wait_while_cut({link}, RETRANSMISSION_SECONDS)
+            if error := reader.exception():
+                # The sender has reset the connection, so its kernel sends nothing again.
+                raise error
             if not chunk:
                 writer.write_eof()
                 return
--- a/packages/node/src/persimmonusher_node/keeper_sender.py
+++ b/packages/node/src/persimmonusher_node/keeper_sender.py
@@ -18,9 +18,15 @@
 """Limit per keeper: messages to one that hangs would otherwise pile up without bound. Further ones
 are dropped, and the log resends them."""
 
-TIMEOUTS_TO_RECONNECT: Final = 3
-"""Consecutive timeouts before reconnecting. A single one can be a pause of the other's event loop,
-and other calls use the connection too."""
+PATIENCE_SECONDS: Final = 0.5
+"""Time without an answer after which the connection to a keeper is replaced: more than a heartbeat
+interval, and a fraction of an election timeout."""
+RETRY_PATIENCE_SECONDS: Final = 0.3
+"""The same for further connections in the first minute of a silence, so that each message of an
+election is sent on a new one until the keeper is reached."""
+QUICK_RETRY_SECONDS: Final = 60.0
+LONG_PATIENCE_SECONDS: Final = 1.0
+"""The same later on: a keeper that is gone for hours costs one try a second at most."""
 
 MAX_ADDRESSES: Final = 64
 """Keepers that aren't members here and whose addresses are kept from their messages; more than this
@@ -35,14 +41,14 @@
         self._own_address = own_address
         self._addresses: dict[KeeperId, str] = {}
         self._in_flight: dict[str, int] = {}
-        self._timeouts: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def learn_address(self, keeper: KeeperId, address: str) -> None:
-        """Remember the address at which a keeper says that it listens."""
+        """Remember the address at which a keeper that was heard says that it listens."""
         if keeper not in self._addresses and len(self._addresses) >= MAX_ADDRESSES:
             self._addresses.pop(next(iter(self._addresses)))
         self._addresses[keeper] = address
+        self._channels.hear(address, PATIENCE_SECONDS)
 
     def send(self, message: LogMessage, members: Members, followers: int = 0) -> None:
         """Send a message without waiting.
@@ -66,26 +72,18 @@
 
     async def _call(self, address: str, wire: pb.LogMessage, timeout: float) -> None:
         try:
-            await KeeperStub(self._channels.get(address)).Step(wire, timeout=timeout)
-            self._timeouts.pop(address, None)
-        except TimeoutError:
-            self._count_timeout(address)
+            channel = self._channels.get(address, self._find_patience(address))
+            await KeeperStub(channel).Step(wire, timeout=timeout)
         except CALL_ERRORS:
             return
         finally:
             self._in_flight[address] -= 1
 
-    def _count_timeout(self, address: str) -> None:
-        """Close a connection after several consecutive timeouts.
-
-        Guards against a network cut that heals: TCP backs off its retransmissions to as much as two
-        minutes, so a keeper would stay unreachable that long after the network works again. A new
-        connection is tried at once.
-        """
-        count = self._timeouts.get(address, 0) + 1
-        self._timeouts[address] = count % TIMEOUTS_TO_RECONNECT
-        if count == TIMEOUTS_TO_RECONNECT:
-            self._channels.forget(address)
+    def _find_patience(self, address: str) -> float:
+        silence = self._channels.find_silence(address)
+        if silence > QUICK_RETRY_SECONDS:
+            return LONG_PATIENCE_SECONDS
+        return RETRY_PATIENCE_SECONDS if silence > 2 * PATIENCE_SECONDS else PATIENCE_SECONDS
 
     def stop(self) -> None:
         """Cancel all calls in flight."""
--- a/packages/node/src/persimmonusher_node/peer_silence.py
+++ b/packages/node/src/persimmonusher_node/peer_silence.py
@@ -20,6 +20,8 @@
 
     silent_since: float | None = None
     """When the first call was made that it hasn't answered; None while it owes no answer."""
+    called_at: float | None = None
+    """When the first of them was made on the present connection."""
     connections: int = 1
     """Connections that were opened to it since then, the present one included."""
     is_logged: bool = False
@@ -46,6 +48,8 @@
     def record_call(self, address: str, now: float) -> None:
         """Record that a call to a peer is about to be made."""
         contact = self._contacts.setdefault(address, PeerContact())
+        if contact.called_at is None:
+            contact.called_at = now
         if contact.silent_since is None:
             contact.silent_since = now
         elif not contact.is_logged and now - contact.silent_since > SILENT_SECONDS:
@@ -55,7 +59,8 @@
     def record_connection(self, address: str) -> None:
         """Record that the connection to a peer was given up, so that the next call opens one."""
         contact = self._contacts.get(address)
-        if contact is not None and contact.silent_since is not None:
+        if contact is not None and contact.called_at is not None:
+            contact.called_at = None
             contact.connections += 1
 
     def record_answer(self, address: str, now: float) -> None:
@@ -75,6 +80,13 @@
             )
         self._contacts[address] = PeerContact()
 
+    def find_wait(self, address: str, now: float) -> float:
+        """Return for how long the present connection to a peer has brought no answer."""
+        contact = self._contacts.get(address)
+        if contact is None or contact.called_at is None:
+            return 0.0
+        return now - contact.called_at
+
     def find_silence(self, address: str, now: float) -> float:
         """Return for how long a peer has owed an answer, in seconds."""
         contact = self._contacts.get(address)
--- a/packages/node/src/persimmonusher_node/peers.py
+++ b/packages/node/src/persimmonusher_node/peers.py
@@ -4,6 +4,10 @@
 that is gone fails only by its own timeout, so every call needs one.
 """
 
+import asyncio
+import contextlib
+import socket
+import struct
 from collections.abc import Mapping
 from types import TracebackType
 from typing import Final, Self
@@ -20,6 +24,7 @@
     listen,
 )
 from grpclib.exceptions import GRPCError
+from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
 from persimmonusher_model.clock import Clock
@@ -34,9 +39,43 @@
 ping without an answer closes the connection, and the next call opens a new one. 10 s after the
 partition began is soon enough: until then, calls have their own, shorter timeouts.
 """
+PATIENCE_SECONDS: Final = 1.0
+"""Time without an answer after which a channel is replaced. TCP sends what was lost again after
+0.2 s, 0.4 s and so on, so a connection that has been silent for longer comes back long after the
+network; a new one comes back with it."""
+MIN_OPENING_SECONDS: Final = 0.25
+"""Time that a new connection gets, far above the latency between instances."""
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+"""The value of SO_LINGER with which a close discards what isn't sent and resets the connection."""
 TOKEN_HEADER: Final = "persimmonusher-token"
 
 
+class PeerChannel(Channel):
+    """A channel that can be closed at once, so that nothing of it arrives any more."""
+
+    _transport: asyncio.Transport | None = None
+
+    async def _create_connection(self) -> H2Protocol:
+        protocol = await super()._create_connection()
+        self._transport = protocol.connection._transport  # noqa: SLF001 - no public access
+        return protocol
+
+    def abort(self) -> None:
+        """Reset the connection and fail its calls.
+
+        After an ordinary close the kernel would go on sending what is held up, and a peer that is
+        reached again would receive messages of long ago.
+        """
+        transport = self._transport
+        self.close()
+        if transport is None:
+            return
+        connection = transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        transport.abort()
+
+
 class ChannelPool:
     """Opens and keeps one channel for each peer address.
 
@@ -58,26 +97,47 @@
             _keepalive_timeout=keepalive_seconds,
             _http2_max_pings_without_data=0,
         )
-        self._channels: dict[str, Channel] = {}
+        self._channels: dict[str, PeerChannel] = {}
 
-    def get(self, address: str) -> Channel:
-        """Return the channel for one call to an `ip:port`; it connects on the first one."""
-        self.silences.record_call(address, self._clock.monotonic())
+    def get(self, address: str, patience: float = PATIENCE_SECONDS) -> Channel:
+        """Return the channel for one call to an `ip:port`; it connects on the first one.
+
+        A channel that has brought nothing for longer than `patience` seconds, though it owes an
+        answer, is closed and replaced.
+        """
+        now = self._clock.monotonic()
+        if self.silences.find_wait(address, now) > patience:
+            self.forget(address)
+        self.silences.record_call(address, now)
         channel = self._channels.get(address)
         if channel is None:
             channel = self._channels[address] = self._open(address)
         return channel
 
+    def hear(self, address: str, patience: float = PATIENCE_SECONDS) -> None:
+        """Note that a peer has sent something over a connection of its own, so the network works.
+
+        If the channel to it has been silent, the next call opens a new one, instead of waiting for
+        the old one to recover or for a new one whose opening may have been lost.
+        """
+        wait = self.silences.find_wait(address, self._clock.monotonic())
+        if self.find_silence(address) > patience and wait > MIN_OPENING_SECONDS:
+            self.forget(address)
+
+    def find_silence(self, address: str) -> float:
+        """Return for how long a peer has owed an answer, over all connections, in seconds."""
+        return self.silences.find_silence(address, self._clock.monotonic())
+
     def forget(self, address: str) -> None:
-        """Close the channel to an address; the next `get` opens a new one."""
+        """Reset the connection to an address; the next `get` opens a new one."""
         channel = self._channels.pop(address, None)
         if channel is not None:
             self.silences.record_connection(address)
-            channel.close()
+            channel.abort()
 
-    def _open(self, address: str) -> Channel:
+    def _open(self, address: str) -> PeerChannel:
         host, _, port = address.rpartition(":")
-        channel = Channel(host, int(port), config=self._configuration)
+        channel = PeerChannel(host, int(port), config=self._configuration)
 
         async def record_answer(event: object) -> None:
             self.silences.record_answer(address, self._clock.monotonic())
@@ -100,8 +160,9 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        for address in list(self._channels):
-            self.forget(address)
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
 
 
 def require_token(server: Server, names_by_token: Mapping[str, str]) -> None:
--- a/packages/node/tests/test_peers.py
+++ b/packages/node/tests/test_peers.py
@@ -2,6 +2,8 @@
 
 loop.install()
 
+import os  # noqa: E402
+import select  # noqa: E402
 import socket  # noqa: E402
 import unittest  # noqa: E402
 
@@ -16,8 +18,16 @@
 from persimmonusher_node.claims_link import ClaimsLink  # noqa: E402
 from persimmonusher_node.clock import SystemClock  # noqa: E402
 from persimmonusher_node.grpc_listener import GrpcListener  # noqa: E402
-from persimmonusher_node.peers import ChannelPool  # noqa: E402
+from persimmonusher_node.keeper_calls import CALL_ERRORS  # noqa: E402
+from persimmonusher_node.peers import (  # noqa: E402
+    MIN_OPENING_SECONDS,
+    PATIENCE_SECONDS,
+    ChannelPool,
+)
+from persimmonusher_node.tiers.peer_notices import PeerNoticeService  # noqa: E402
 from persimmonusher_protocol.claims_grpc import ClaimsStub  # noqa: E402
+from persimmonusher_protocol.control_grpc import PeersStub  # noqa: E402
+from persimmonusher_protocol.control_pb2 import NoticeBatch  # noqa: E402
 
 PEER = InstanceId("i1")
 
@@ -37,6 +47,12 @@
     def go_silent(self) -> None:
         self._silent.update(self._open)
 
+    def stop_reading(self) -> socket.socket:
+        """Leave all connections to the kernel; return the end that faces the first caller."""
+        for thread in self._copies:
+            thread.kill()
+        return self._open[0]
+
     def stop(self) -> None:
         for thread in (self._thread, *self._copies):
             thread.kill()
@@ -107,5 +123,66 @@
         self.assertLess(SystemClock().monotonic() - started, 2.0)
 
 
+class SilentChannelTest(unittest.TestCase):
+    def setUp(self) -> None:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        service = PeerNoticeService(lambda notice: None)
+        listener = GrpcListener(f"127.0.0.1:{port}", [service], {"peers": "peer"})
+        listener.start()
+        self.addCleanup(listener.stop)
+        self.relay = SilentRelay(("127.0.0.1", port))
+        self.addCleanup(self.relay.stop)
+        self.pool = self.enterContext(ChannelPool("peers", keepalive_seconds=60.0))
+        self.assertTrue(self.call())
+
+    def call(self) -> bool:
+        """Make one short call; return whether it was answered."""
+        stub = PeersStub(self.pool.get(self.relay.address))
+        try:
+            loop.run_coroutine(stub.Tell(NoticeBatch(), timeout=0.2))
+        except CALL_ERRORS:
+            return False
+        return True
+
+    # Guards against calls that wait for TCP on a connection from before a network cut.
+    def test_a_connection_that_owes_an_answer_is_replaced_by_the_next_call(self) -> None:
+        self.relay.go_silent()
+        self.assertFalse(self.call())
+        self.assertFalse(self.call())
+        eventlet.sleep(PATIENCE_SECONDS)
+        self.assertTrue(self.call())
+
+    # Guards against a wait for an answer on a connection to a peer that has called meanwhile.
+    def test_a_peer_that_is_heard_is_called_on_a_new_connection(self) -> None:
+        self.relay.go_silent()
+        self.assertFalse(self.call())
+        eventlet.sleep(MIN_OPENING_SECONDS)
+        self.pool.hear(self.relay.address, patience=0.2)
+        self.assertTrue(self.call())
+
+    # Guards against messages that the kernel sends again long after they were given up.
+    def test_a_connection_that_is_given_up_is_reset(self) -> None:
+        near = self.relay.stop_reading()
+        self.pool.forget(self.relay.address)
+        eventlet.sleep(0.1)
+        poll = eventlet.patcher.original("select").poll()
+        poll.register(near.fileno(), select.POLLIN)
+        self.assertTrue(poll.poll(0)[0][1] & select.POLLERR)
+
+    # Guards against connections that pile up to a peer that is silent for long.
+    def test_connections_that_are_given_up_are_closed(self) -> None:
+        before = len(os.listdir("/proc/self/fd"))
+        for _ in range(10):
+            self.relay.go_silent()
+            self.assertFalse(self.call())
+            self.pool.forget(self.relay.address)
+            self.assertTrue(self.call())
+        eventlet.sleep(0.1)
+        others = 3 * 10  # Each connection's sockets in the relay and at the server stay open.
+        self.assertLess(len(os.listdir("/proc/self/fd")) - before - others, 3)
+
+
 if __name__ == "__main__":
     unittest.main()
