Leave a silent connection with claims too; one test for each kind of long connection

The links of claims held one stream, opened once, and stayed on it until a ping failed, up to 10 s after the network worked again: keyed requests were refused meanwhile, as their registers didn't answer. Each claim asks for the channel now, which replaces one that owes an answer for a second.

--- a/packages/lab/src/persimmonusher_lab/slopes_calls.py
+++ b/packages/lab/src/persimmonusher_lab/slopes_calls.py
@@ -31,7 +31,7 @@
     try:
         with ChannelPool(TOKEN) as channels:
             stub = ClaimsStub(channels.get(address))
-            link = ClaimsLink(lambda: stub)
+            link = ClaimsLink(lambda: channels.get(address))
             unary = _measure(lambda numbers: _describe(stub, numbers))
             alone = _measure(lambda numbers: _claim(link, numbers, 1))
             together = _measure(lambda numbers: _claim(link, numbers, CONCURRENT_CLAIMS))
--- a/packages/node/src/persimmonusher_node/claims.py
+++ b/packages/node/src/persimmonusher_node/claims.py
@@ -310,7 +310,7 @@
     def _find_link(self, address: str) -> ClaimsLink:
         link = self._links.get(address)
         if link is None:
-            link = ClaimsLink(lambda: ClaimsStub(self._channels.get(address)))
+            link = ClaimsLink(lambda: self._channels.get(address))
             self._links[address] = link
         return link
 
--- a/packages/node/src/persimmonusher_node/claims_link.py
+++ b/packages/node/src/persimmonusher_node/claims_link.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from grpclib.client import Stream
+from grpclib.client import Channel, Stream
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from persimmonusher_agreement.claims import ClaimRequest, Settlement, Vote
@@ -28,10 +28,12 @@
     """Calls one peer's register.
 
     A broken stream fails the calls that wait for answers; the next call opens a new stream.
+    `get_channel` returns the channel for one call, and replaces one that has been silent for long:
+    each claim counts as a call, so that the stream doesn't stay on a silent connection.
     """
 
-    def __init__(self, open_stub: Callable[[], ClaimsStub]) -> None:
-        self._open_stub = open_stub
+    def __init__(self, get_channel: Callable[[], Channel]) -> None:
+        self._get_channel = get_channel
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Vote | bool | None]] = {}
         self._unsent = pb.Asked()
@@ -63,6 +65,7 @@
         event_loop = asyncio.get_running_loop()
         answer: asyncio.Future[Vote | bool | None] = event_loop.create_future()
         self._waiting[number] = answer
+        self._get_channel()
         timer = event_loop.call_later(timeout, self._answer, number, None)
         self._wake.set()
         if self._task is None or self._task.done():
@@ -80,7 +83,7 @@
 
     async def _run(self) -> None:
         try:
-            async with self._open_stub().Exchange.open() as stream:
+            async with ClaimsStub(self._get_channel()).Exchange.open() as stream:
                 await stream.send_request()
                 receiver = start_coroutine(self._receive(stream))
                 try:
--- a/packages/node/tests/test_peers.py
+++ b/packages/node/tests/test_peers.py
@@ -9,11 +9,20 @@
 
 import eventlet  # noqa: E402
 from eventlet.greenthread import GreenThread  # noqa: E402
+from grpclib.server import Stream  # noqa: E402
 
 from persimmonusher_agreement.claims import ClaimRequest, Vote, VoteKind  # noqa: E402
 from persimmonusher_agreement.register import Register  # noqa: E402
 from persimmonusher_agreement.roster import Member, Roster  # noqa: E402
-from persimmonusher_model.identifiers import FailureDomain, InstanceId  # noqa: E402
+from persimmonusher_decisions.notices import Notice, NoticeKind  # noqa: E402
+from persimmonusher_model.identifiers import (  # noqa: E402
+    CallerId,
+    FailureDomain,
+    InstanceId,
+    ServerId,
+    ServiceName,
+)
+from persimmonusher_model.organisations import Organisation  # noqa: E402
 from persimmonusher_node.claims import RegisterService  # noqa: E402
 from persimmonusher_node.claims_link import ClaimsLink  # noqa: E402
 from persimmonusher_node.clock import SystemClock  # noqa: E402
@@ -24,10 +33,11 @@
     PATIENCE_SECONDS,
     ChannelPool,
 )
-from persimmonusher_node.tiers.peer_notices import PeerNoticeService  # noqa: E402
-from persimmonusher_protocol.claims_grpc import ClaimsStub  # noqa: E402
-from persimmonusher_protocol.control_grpc import PeersStub  # noqa: E402
-from persimmonusher_protocol.control_pb2 import NoticeBatch  # noqa: E402
+from persimmonusher_node.ports import QuotaVerdict  # noqa: E402
+from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas  # noqa: E402
+from persimmonusher_node.tiers.peer_notices import PeerNotices, PeerNoticeService  # noqa: E402
+from persimmonusher_protocol import control_pb2  # noqa: E402
+from persimmonusher_protocol.control_grpc import PeersStub, QuotasBase  # noqa: E402
 
 PEER = InstanceId("i1")
 
@@ -93,7 +103,7 @@
     def make_link(self, keepalive_seconds: float) -> ClaimsLink:
         pool = ChannelPool("peers", keepalive_seconds)
         self.addCleanup(pool.__exit__, None, None, None)
-        link = ClaimsLink(lambda: ClaimsStub(pool.get(self.relay.address)))
+        link = ClaimsLink(lambda: pool.get(self.relay.address))
         self.addCleanup(link.close)
         return link
 
@@ -115,6 +125,16 @@
             while self.claim(link, "t2") is None:
                 eventlet.sleep(0.05)
 
+    # Guards against keyed requests that are refused until a ping fails, long after the network
+    # works again.
+    def test_claims_leave_a_silent_connection(self) -> None:
+        link = self.make_link(keepalive_seconds=60.0)
+        self.assertIsNotNone(self.claim(link, "t0"))
+        self.relay.go_silent()
+        with eventlet.Timeout(PATIENCE_SECONDS + 1.0):
+            while self.claim(link, "t1") is None:
+                eventlet.sleep(0.05)
+
     def test_a_peer_that_is_gone_counts_as_silent_at_once(self) -> None:
         link = self.make_link(keepalive_seconds=5.0)
         self.relay.stop()
@@ -123,13 +143,29 @@
         self.assertLess(SystemClock().monotonic() - started, 2.0)
 
 
+class GrantingQuotas(QuotasBase):
+    """Grants every request."""
+
+    async def Take(  # noqa: N802
+        self, stream: "Stream[control_pb2.QuotaRequest, control_pb2.QuotaReply]"
+    ) -> None:
+        await stream.recv_message()
+        await stream.send_message(control_pb2.QuotaReply(granted=True))
+
+    async def Lend(  # noqa: N802
+        self, stream: "Stream[control_pb2.LendRequest, control_pb2.LendReply]"
+    ) -> None:
+        raise NotImplementedError
+
+
 class SilentChannelTest(unittest.TestCase):
     def setUp(self) -> None:
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
-        service = PeerNoticeService(lambda notice: None)
-        listener = GrpcListener(f"127.0.0.1:{port}", [service], {"peers": "peer"})
+        self.noticed: list[Notice] = []
+        services = [PeerNoticeService(self.noticed.append), GrantingQuotas()]
+        listener = GrpcListener(f"127.0.0.1:{port}", services, {"peers": "peer"})
         listener.start()
         self.addCleanup(listener.stop)
         self.relay = SilentRelay(("127.0.0.1", port))
@@ -141,7 +177,7 @@
         """Make one short call; return whether it was answered."""
         stub = PeersStub(self.pool.get(self.relay.address))
         try:
-            loop.run_coroutine(stub.Tell(NoticeBatch(), timeout=0.2))
+            loop.run_coroutine(stub.Tell(control_pb2.NoticeBatch(), timeout=0.2))
         except CALL_ERRORS:
             return False
         return True
@@ -154,6 +190,27 @@
         eventlet.sleep(PATIENCE_SECONDS)
         self.assertTrue(self.call())
 
+    # Guards against entries that learn of no failing server while keepers are away.
+    def test_notices_leave_a_silent_connection(self) -> None:
+        notices = PeerNotices("127.0.0.1:1", self.pool)
+        notices.replace_peers([self.relay.address])
+        self.relay.go_silent()
+        notice = Notice(NoticeKind.FAILED, ServiceName("v1"), ServerId("s1"), 1)
+        with eventlet.Timeout(PATIENCE_SECONDS + 1.0):
+            while not self.noticed:
+                notices.send([notice])
+                eventlet.sleep(0.1)
+
+    # Guards against requests that are refused for want of a keeper's grant.
+    def test_quotas_leave_a_silent_connection(self) -> None:
+        clock = SystemClock()
+        quotas = KeeperQuotas("e1", lambda: [self.relay.address], self.pool, clock)
+        organisation = Organisation(CallerId("acme"), ())
+        self.relay.go_silent()
+        with eventlet.Timeout(PATIENCE_SECONDS + 1.0):
+            while quotas.acquire(organisation) is not QuotaVerdict.GRANTED:
+                eventlet.sleep(0.05)
+
     # Guards against a wait for an answer on a connection to a peer that has called meanwhile.
     def test_a_peer_that_is_heard_is_called_on_a_new_connection(self) -> None:
         self.relay.go_silent()
