--- a/packages/node/tests/test_peers.py
+++ b/packages/node/tests/test_peers.py
@@ -126,8 +126,7 @@
             while self.claim(link, "t2") is None:
                 eventlet.sleep(0.05)
 
-    # Guards against keyed requests that are refused until a ping fails, long after the network
-    # works again.
+    # Guards against keyed requests that are refused until a ping fails.
     def test_claims_leave_a_silent_connection(self) -> None:
         link = self.make_link(keepalive_seconds=60.0)
         self.assertIsNotNone(self.claim(link, "t0"))
