--- a/packages/lab/src/persimmonusher_lab/links.py
+++ b/packages/lab/src/persimmonusher_lab/links.py
@@ -17,6 +17,8 @@
 """The same for the packet that opens a connection."""
 CHUNK_BYTES: Final = 65_536
 CALL_TIMEOUT_SECONDS: Final = 5.0
+BACKLOG: Final = 4096
+"""Connections that wait to be accepted: with fewer, the kernel would drop some of its own."""
 OPENED: Final = b"+"
 """Sent to the source once the target has accepted the connection."""
 
@@ -75,7 +77,7 @@
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(CALL_TIMEOUT_SECONDS)
 
     async def _start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, self._host, 0)
+        self._server = await asyncio.start_server(self._serve, self._host, 0, backlog=BACKLOG)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
