Run the test's proxy between processes as a process of its own

It ran a loop in a thread of the test's process, and another test of that package replaces threads by green ones ('another loop is running'). Run by themselves the tests had passed. A process also isn't held up by the callers and servers of a test.

--- a/packages/lab/src/persimmonusher_lab/links.py
+++ b/packages/lab/src/persimmonusher_lab/links.py
@@ -1,34 +1,47 @@
 """The network between processes: links that can fall silent, seen through TCP.
 
-Processes that run under `linked_process` open every connection to each other through this proxy and
-name both ends, so that each direction of each link can be cut by itself.
+Processes that run under `linked_process` open every connection to each other through a proxy and
+name both ends, so that each direction of each link can be cut by itself. The proxy is a process of
+its own (`python -m persimmonusher_lab.links`), and isn't held up by what a test does meanwhile.
 """
 
 import asyncio
-import threading
-from collections.abc import Coroutine, Iterable
+import json
+import subprocess
+import sys
+from collections.abc import Iterable
 from contextlib import suppress
+from dataclasses import asdict, dataclass
 from types import TracebackType
-from typing import Any, Final, Self, TypeVar
+from typing import Final, Self
 
 RETRANSMISSION_SECONDS: Final = 0.2
 """TCP's shortest wait before data is sent again; it doubles with each try."""
 OPENING_SECONDS: Final = 1.0
 """The same for the packet that opens a connection."""
 CHUNK_BYTES: Final = 65_536
-CALL_TIMEOUT_SECONDS: Final = 5.0
+HOST: Final = "127.0.0.1"
+END_TIMEOUT_SECONDS: Final = 5.0
 BACKLOG: Final = 4096
 """Connections that wait to be accepted: with fewer, the kernel would drop some of its own."""
+MAX_COMMAND_BYTES: Final = 1_048_576
 OPENED: Final = b"+"
 """Sent to the source once the target has accepted the connection."""
 
 Link = tuple[str, str]
 """The hosts of a source and a target: one direction between two processes."""
-T = TypeVar("T")
+
+
+@dataclass(frozen=True)
+class Command:
+    """What the proxy is told: the links that are cut from now on, and those to reset once."""
+
+    cut: tuple[Link, ...] = ()
+    reset: tuple[Link, ...] = ()
 
 
 class Links:
-    """Forwards connections, in a thread of its own, and loses what travels on a cut link.
+    """Runs the proxy and tells it which links are cut.
 
     What is lost is sent again at TCP's intervals, so a connection comes back some time after its
     links, and a new one that is opened during the cut hangs as long as TCP's opening does.
@@ -38,28 +51,29 @@
     ...     links.set_cut(())
     """
 
-    def __init__(self, host: str = "127.0.0.1") -> None:
-        self._host = host
+    def __init__(self) -> None:
         self.address = ""
         """Where processes connect, as `ip:port`."""
-        self._cut: frozenset[Link] = frozenset()
-        self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[Any]] = set()
-        self._open: dict[asyncio.StreamWriter, Link] = {}
+        self._cut: tuple[Link, ...] = ()
+        self._proxy: subprocess.Popen[str] | None = None
 
     def set_cut(self, links: Iterable[Link]) -> None:
         """Lose everything on these links, without an error at either end, and on no others."""
-        self._cut = frozenset(links)
+        self._cut = tuple(links)
+        self._tell(Command(self._cut))
 
     def reset(self, links: Iterable[Link]) -> None:
         """Break the open connections between the ends of these links, with an error at both."""
-        self._loop.call_soon_threadsafe(self._abort, frozenset(links))
+        self._tell(Command(self._cut, tuple(links)))
 
     def __enter__(self) -> Self:
-        self._thread.start()
-        self._call(self._start())
+        self._proxy = subprocess.Popen(
+            [sys.executable, "-m", __name__],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.address = self._read_line()
         return self
 
     def __exit__(
@@ -68,44 +82,61 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._call(self._stop())
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join(CALL_TIMEOUT_SECONDS)
-        self._loop.close()
-
-    def _call(self, coroutine: Coroutine[Any, Any, T]) -> T:
-        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(CALL_TIMEOUT_SECONDS)
-
-    async def _start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, self._host, 0, backlog=BACKLOG)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    async def _stop(self) -> None:
-        if self._server is not None:
-            self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _abort(self, links: frozenset[Link]) -> None:
+        assert self._proxy is not None
+        assert self._proxy.stdin is not None and self._proxy.stdout is not None
+        self._proxy.stdin.close()
+        self._proxy.wait(END_TIMEOUT_SECONDS)
+        self._proxy.stdout.close()
+
+    def _tell(self, command: Command) -> None:
+        """Send a command and wait until it is in force."""
+        assert self._proxy is not None and self._proxy.stdin is not None
+        print(json.dumps(asdict(command)), file=self._proxy.stdin, flush=True)
+        self._read_line()
+
+    def _read_line(self) -> str:
+        assert self._proxy is not None and self._proxy.stdout is not None
+        line = self._proxy.stdout.readline()
+        if not line:
+            raise ConnectionError("the proxy has ended")
+        return line.strip()
+
+
+class LinkProxy:
+    """Forwards connections, and loses what travels on a cut link."""
+
+    def __init__(self) -> None:
+        self._cut: frozenset[Link] = frozenset()
+        self._open: dict[asyncio.StreamWriter, Link] = {}
+
+    async def run(self) -> None:
+        """Print the address, and obey the commands on standard input until it ends."""
+        server = await asyncio.start_server(self._serve, HOST, 0, backlog=BACKLOG)
+        host, port = server.sockets[0].getsockname()
+        print(f"{host}:{port}", flush=True)
+        commands = asyncio.StreamReader(limit=MAX_COMMAND_BYTES)
+        loop = asyncio.get_running_loop()
+        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(commands), sys.stdin)
+        while line := await commands.readline():
+            self._obey(json.loads(line))
+            print("done", flush=True)
+
+    def _obey(self, command: dict[str, list[list[str]]]) -> None:
+        self._cut = frozenset((source, target) for source, target in command["cut"])
+        reset = frozenset((source, target) for source, target in command["reset"])
         for writer, (source, target) in self._open.items():
-            if (source, target) in links or (target, source) in links:
+            if (source, target) in reset or (target, source) in reset:
                 writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
         try:
             with suppress(OSError, asyncio.IncompleteReadError):
                 await self._forward(reader, writer)
         except asyncio.CancelledError:
-            # Only `_stop` cancels, and asyncio would log this as a failure of the connection.
+            # The proxy ends, and asyncio would log this as a failure of the connection.
             return
         finally:
             writer.transport.abort()
-            self._tasks.discard(task)
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         source, address = (await reader.readuntil(b"\n")).decode().split()
@@ -146,3 +177,13 @@
         while not self._cut.isdisjoint(links):
             await asyncio.sleep(wait)
             wait *= 2
+
+
+def main() -> None:
+    """Run the proxy; its connections end with the process."""
+    with suppress(KeyboardInterrupt):
+        asyncio.run(LinkProxy().run())
+
+
+if __name__ == "__main__":
+    main()
