Name the longest waits for answers by what they bound; plain terms in comments

Read-through of the diff: patience, owed answers and a leader that 'leads no more' are figures of speech; one constant had no description, and the one on pings contradicted the waits beside it.

--- a/packages/agreement/src/persimmonusher_agreement/log_replica.py
+++ b/packages/agreement/src/persimmonusher_agreement/log_replica.py
@@ -123,7 +123,7 @@
         if self._leadership is not None:
             self._advance_leader(self._leadership)
         elif self._clock.is_election_due():
-            # Pre-votes depose nobody, so they are repeated sooner than elections: keepers that had
+            # A pre-vote raises no term, so it is repeated sooner than an election: keepers that had
             # no majority may reach each other again at any time.
             self._clock.draw_election_time(self._timing.heartbeat_seconds)
             if self.keeper in self.log.members.list_voters():
@@ -231,7 +231,7 @@
 
     def _on_pre_vote_request(self, message: PreVoteRequest) -> None:
         if message.source == self.leader and message.term > self.term:
-            # It asks after it has led this term, so it leads no more, whatever is still under way.
+            # It asks after it has led this term, so it has stepped down since.
             self.leader = None
             self._clock.forget_leader()
         self._candidacy.answer_pre_vote(message, self._has_live_leader())
--- a/packages/agreement/tests/test_log_reunion.py
+++ b/packages/agreement/tests/test_log_reunion.py
@@ -119,14 +119,14 @@
         replies = [one for one in self.deliver(request) if isinstance(one, PreVoteReply)]
         return replies[0].granted
 
-    # Guards against keepers that refuse a leader's own return for as long as they believe in it.
+    # Guards against keepers that refuse the pre-votes of a leader that has stepped down.
     def test_a_leader_that_asks_for_votes_leads_no_more(self) -> None:
         self.assertFalse(self.ask_pre_vote(self.candidate))
         self.assertTrue(self.ask_pre_vote(self.leader))
         self.assertTrue(self.ask_pre_vote(self.candidate))
 
     # Guards against elections that are put off by what a former leader sent before a cut.
-    def test_a_delayed_message_of_a_leader_is_no_sign_of_life(self) -> None:
+    def test_a_delayed_message_does_not_show_that_its_sender_leads(self) -> None:
         lost = self.advance({self.leader}, 0.5)
         held = [
             one
--- a/packages/node/src/persimmonusher_node/keeper_sender.py
+++ b/packages/node/src/persimmonusher_node/keeper_sender.py
@@ -18,9 +18,9 @@
 """Limit per keeper: messages to one that hangs would otherwise pile up without bound. Further ones
 are dropped, and the log resends them."""
 
-PATIENCE_SECONDS: Final = 0.5
-"""Time without an answer after which the connection to a keeper is replaced: more than a heartbeat
-interval, and a fraction of an election timeout."""
+MAX_UNANSWERED_SECONDS: Final = 0.5
+"""Longest time without an answer before the connection to a keeper is replaced: more than a
+heartbeat interval, and a fraction of an election timeout."""
 
 MAX_ADDRESSES: Final = 64
 """Keepers that aren't members here and whose addresses are kept from their messages; more than this
@@ -65,7 +65,7 @@
 
     async def _call(self, address: str, wire: pb.LogMessage, timeout: float) -> None:
         try:
-            channel = self._channels.get(address, PATIENCE_SECONDS)
+            channel = self._channels.get(address, MAX_UNANSWERED_SECONDS)
             await KeeperStub(channel).Step(wire, timeout=timeout)
         except CALL_ERRORS:
             return
--- a/packages/node/src/persimmonusher_node/peer_silence.py
+++ b/packages/node/src/persimmonusher_node/peer_silence.py
@@ -16,10 +16,10 @@
 
 @dataclass
 class PeerContact:
-    """What is owed by one peer; all times are readings of the clock."""
+    """The unanswered calls to one peer; all times are readings of the clock."""
 
     silent_since: float | None = None
-    """When the first call was made that it hasn't answered; None while it owes no answer."""
+    """When the first unanswered call was made; None if there is none."""
     called_at: float | None = None
     """When the first of them was made on the present connection."""
     connections: int = 1
@@ -81,19 +81,19 @@
         self._contacts[address] = PeerContact()
 
     def count_connections(self, address: str) -> int:
-        """Return the connections that were opened to a peer since it owes an answer."""
+        """Return the connections to a peer since the first unanswered call; 1 if there is none."""
         contact = self._contacts.get(address)
         return 1 if contact is None else contact.connections
 
     def find_wait(self, address: str, now: float) -> float:
-        """Return for how long the present connection to a peer has brought no answer."""
+        """Return the age of the first unanswered call on the present connection, in seconds."""
         contact = self._contacts.get(address)
         if contact is None or contact.called_at is None:
             return 0.0
         return now - contact.called_at
 
     def find_silence(self, address: str, now: float) -> float:
-        """Return for how long a peer has owed an answer, in seconds."""
+        """Return the age of the first unanswered call on any connection, in seconds."""
         contact = self._contacts.get(address)
         if contact is None or contact.silent_since is None:
             return 0.0
--- a/packages/node/src/persimmonusher_node/peers.py
+++ b/packages/node/src/persimmonusher_node/peers.py
@@ -36,33 +36,35 @@
 
 Guards against a network partition that drops packets without an error. TCP then retransmits at
 growing intervals of up to minutes, and calls go on failing long after the partition has healed. A
-ping without an answer closes the connection, and the next call opens a new one. 10 s after the
-partition began is soon enough: until then, calls have their own, shorter timeouts.
+ping without an answer closes the connection, and the next call opens a new one. Calls that follow
+one another find a silent connection sooner, by MAX_UNANSWERED_SECONDS; a ping finds it where a
+single call waits.
 """
-PATIENCE_SECONDS: Final = 1.0
-"""Time without an answer after which a channel is replaced. TCP sends what was lost again after
-0.2 s, 0.4 s and so on, so a connection that has been silent for longer comes back long after the
-network; a new one comes back with it."""
-OPENING_SECONDS: Final = 0.3
-"""The same for a connection that is being opened in the first minute of a silence. So it comes back
-soon after the network, and a peer that is gone for hours costs one try a second at most."""
-QUICK_RETRY_SECONDS: Final = 60.0
-LONG_PATIENCE_SECONDS: Final = 2.0
-"""The same for a connection that replaced another and is open. With less, a peer that is slow to
-answer after a silence would be called on new connections for ever."""
+MAX_UNANSWERED_SECONDS: Final = 1.0
+"""Longest time for which a call may have no answer before the next one replaces the connection. TCP
+retransmits after 0.2 s, 0.4 s and so on, so an old connection recovers long after the network."""
+MAX_OPENING_SECONDS: Final = 0.3
+"""The same while a further connection is being opened, in the first `QUICK_OPENING_SECONDS` without
+an answer; later on it is `MAX_UNANSWERED_SECONDS`."""
+QUICK_OPENING_SECONDS: Final = 60.0
+"""Time for which openings are repeated quickly. Later on, a peer that is gone costs one try a
+second at most."""
+MAX_UNANSWERED_REOPENED_SECONDS: Final = 2.0
+"""The same for a further connection that is open: the network works, and a peer that is slow to
+answer needs the time."""
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """The value of SO_LINGER with which a close discards what isn't sent and resets the connection."""
 TOKEN_HEADER: Final = "persimmonusher-token"
 
 
 class PeerChannel(Channel):
-    """A channel that can be closed at once, so that nothing of it arrives any more."""
+    """A channel that can be reset, so that nothing sent on it arrives any more."""
 
     _transport: asyncio.Transport | None = None
 
     @property
     def is_open(self) -> bool:
-        """Return whether the connection was opened, as far as it is known."""
+        """Return whether a connection has been opened since the channel last began to open one."""
         return self._transport is not None
 
     async def _create_connection(self) -> H2Protocol:
@@ -73,8 +75,8 @@
     def abort(self) -> None:
         """Reset the connection and fail its calls.
 
-        After an ordinary close the kernel would go on sending what is held up, and a peer that is
-        reached again would receive messages of long ago.
+        After an ordinary close the kernel would go on retransmitting, and a peer that is reached
+        again would receive messages of long ago.
         """
         transport = self._transport
         self.close()
@@ -109,14 +111,15 @@
         )
         self._channels: dict[str, PeerChannel] = {}
 
-    def get(self, address: str, patience: float = PATIENCE_SECONDS) -> Channel:
+    def get(self, address: str, max_unanswered: float = MAX_UNANSWERED_SECONDS) -> Channel:
         """Return the channel for one call to an `ip:port`; it connects on the first one.
 
-        A channel that has brought nothing for longer than `patience` seconds, though it owes an
-        answer, is closed and replaced.
+        A channel on which a call has been unanswered for longer than `max_unanswered` seconds, and
+        nothing else has arrived since, is reset and replaced.
         """
         now = self._clock.monotonic()
-        if self.silences.find_wait(address, now) > self._find_patience(address, patience, now):
+        longest = self._find_longest_wait(address, max_unanswered, now)
+        if self.silences.find_wait(address, now) > longest:
             self.forget(address)
         self.silences.record_call(address, now)
         channel = self._channels.get(address)
@@ -124,19 +127,19 @@
             channel = self._channels[address] = self._open(address)
         return channel
 
-    def _find_patience(self, address: str, patience: float, now: float) -> float:
-        """Return how long the present connection may owe an answer.
+    def _find_longest_wait(self, address: str, max_unanswered: float, now: float) -> float:
+        """Return for how long a call on the present connection may have no answer.
 
-        One that replaced another is given up sooner while it is being opened, since what opens it
-        may be lost too. Once it is open the network works, and the peer gets time to answer.
+        A further connection that is still being opened is replaced sooner, since the packets that
+        open it may be lost too.
         """
         if self.silences.count_connections(address) == 1:
-            return patience
+            return max_unanswered
         channel = self._channels.get(address)
         if channel is not None and channel.is_open:
-            return LONG_PATIENCE_SECONDS
-        is_recent = self.silences.find_silence(address, now) < QUICK_RETRY_SECONDS
-        return OPENING_SECONDS if is_recent else PATIENCE_SECONDS
+            return MAX_UNANSWERED_REOPENED_SECONDS
+        is_recent = self.silences.find_silence(address, now) < QUICK_OPENING_SECONDS
+        return MAX_OPENING_SECONDS if is_recent else MAX_UNANSWERED_SECONDS
 
     def forget(self, address: str) -> None:
         """Reset the connection to an address; the next `get` opens a new one."""
--- a/packages/node/tests/test_peers.py
+++ b/packages/node/tests/test_peers.py
@@ -30,8 +30,8 @@
 from persimmonusher_node.grpc_listener import GrpcListener  # noqa: E402
 from persimmonusher_node.keeper_calls import CALL_ERRORS  # noqa: E402
 from persimmonusher_node.peers import (  # noqa: E402
-    OPENING_SECONDS,
-    PATIENCE_SECONDS,
+    MAX_OPENING_SECONDS,
+    MAX_UNANSWERED_SECONDS,
     ChannelPool,
 )
 from persimmonusher_node.ports import QuotaVerdict  # noqa: E402
@@ -59,7 +59,7 @@
         self._silent.update(self._open)
 
     def stop_reading(self) -> socket.socket:
-        """Leave all connections to the kernel; return the end that faces the first caller."""
+        """Leave all connections to the kernel; return the relay's socket to the first caller."""
         for thread in self._copies:
             thread.kill()
         return self._open[0]
@@ -131,7 +131,7 @@
         link = self.make_link(keepalive_seconds=60.0)
         self.assertIsNotNone(self.claim(link, "t0"))
         self.relay.go_silent()
-        with eventlet.Timeout(PATIENCE_SECONDS + 1.0):
+        with eventlet.Timeout(MAX_UNANSWERED_SECONDS + 1.0):
             while self.claim(link, "t1") is None:
                 eventlet.sleep(0.05)
 
@@ -196,11 +196,11 @@
         return True
 
     # Guards against calls that wait for TCP on a connection from before a network cut.
-    def test_a_connection_that_owes_an_answer_is_replaced_by_the_next_call(self) -> None:
+    def test_a_connection_without_answers_is_replaced_by_the_next_call(self) -> None:
         self.relay.go_silent()
         self.assertFalse(self.call())
         self.assertFalse(self.call())
-        eventlet.sleep(PATIENCE_SECONDS)
+        eventlet.sleep(MAX_UNANSWERED_SECONDS)
         self.assertTrue(self.call())
 
     # Guards against entries that learn of no failing server while keepers are away.
@@ -209,7 +209,7 @@
         notices.replace_peers([self.relay.address])
         self.relay.go_silent()
         notice = Notice(NoticeKind.FAILED, ServiceName("v1"), ServerId("s1"), 1)
-        with eventlet.Timeout(PATIENCE_SECONDS + 1.0):
+        with eventlet.Timeout(MAX_UNANSWERED_SECONDS + 1.0):
             while not self.noticed:
                 notices.send([notice])
                 eventlet.sleep(0.1)
@@ -220,7 +220,7 @@
         quotas = KeeperQuotas("e1", lambda: [self.relay.address], self.pool, clock)
         organisation = Organisation(CallerId("acme"), ())
         self.relay.go_silent()
-        with eventlet.Timeout(PATIENCE_SECONDS + 1.0):
+        with eventlet.Timeout(MAX_UNANSWERED_SECONDS + 1.0):
             while quotas.acquire(organisation) is not QuotaVerdict.GRANTED:
                 eventlet.sleep(0.05)
 
@@ -228,8 +228,8 @@
     def test_a_slow_peer_is_heard_after_a_silence(self) -> None:
         self.relay.go_silent()
         self.assertFalse(self.call())
-        eventlet.sleep(PATIENCE_SECONDS)
-        self.quotas.delay_seconds = 2 * OPENING_SECONDS
+        eventlet.sleep(MAX_UNANSWERED_SECONDS)
+        self.quotas.delay_seconds = 2 * MAX_OPENING_SECONDS
         takes: list[GreenThread] = []
         with eventlet.Timeout(10.0):
             while not any(take.dead and take.wait() for take in takes):
