Don't count a channel as open while it connects again

A channel whose connection was lost connects again by itself, and went on counting as open with the former transport. Found by reading; the test failed before (True is not false).

--- a/packages/node/src/persimmonusher_node/peers.py
+++ b/packages/node/src/persimmonusher_node/peers.py
@@ -68,6 +68,7 @@
         return self._transport is not None
 
     async def _create_connection(self) -> H2Protocol:
+        self._transport = None
         protocol = await super()._create_connection()
         self._transport = protocol.connection._transport  # noqa: SLF001 - no public access
         return protocol
@@ -111,7 +112,7 @@
         )
         self._channels: dict[str, PeerChannel] = {}
 
-    def get(self, address: str, max_unanswered: float = MAX_UNANSWERED_SECONDS) -> Channel:
+    def get(self, address: str, max_unanswered: float = MAX_UNANSWERED_SECONDS) -> PeerChannel:
         """Return the channel for one call to an `ip:port`; it connects on the first one.
 
         A channel on which a call has been unanswered for longer than `max_unanswered` seconds, and
--- a/packages/node/tests/test_peers.py
+++ b/packages/node/tests/test_peers.py
@@ -236,6 +236,16 @@
                 takes.append(eventlet.spawn(self.take))
                 eventlet.sleep(0.2)
 
+    # Guards against a lost connection that counts as open while it is being opened again.
+    def test_a_channel_is_not_open_while_it_reconnects(self) -> None:
+        channel = self.pool.get(self.relay.address)
+        self.assertTrue(self.call())
+        self.relay.stop()
+        eventlet.sleep(0.1)
+        self.assertFalse(self.call())
+        self.assertIs(self.pool.get(self.relay.address), channel)
+        self.assertFalse(channel.is_open)
+
     # Guards against messages that the kernel sends again long after they were given up.
     def test_a_connection_that_is_given_up_is_reset(self) -> None:
         near = self.relay.stop_reading()
