Count openings of connections to servers by result, and log which aren't reached

A cut way and a server that is down were both 'unreached' in the logs, and only the name of each reporting entry told who was cut off. No decision depends on it.

--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -112,6 +112,7 @@
 
     def __init__(self, address: str, clock: Clock) -> None:
         host, _, port = address.rpartition(":")
+        self.address = address
         self._host = host
         self._port = int(port)
         self._clock = clock
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -51,7 +51,7 @@
             clock,
             random,
         )
-        upstream = Upstream(clock, settings.limits.buffered_answer_bytes, dialect)
+        self._upstream = upstream = Upstream(clock, settings.limits.buffered_answer_bytes, dialect)
         self.forwarder = Forwarder(
             self.services,
             upstream,
@@ -100,6 +100,7 @@
             resting[live.name] = sum(status.rest_seconds > 0.0 for status in statuses)
             standings[live.name] = Counter(status.standing.value for status in statuses)
         freshness = self.services.find_freshness()
+        openings = self._upstream.openings
         return InstanceGauges(
             self.forwarder.in_flight,
             self.application.count_connections(),
@@ -111,5 +112,8 @@
             limited,
             resting,
             standings,
+            openings.count_reached(now),
+            len(openings.list_missed(now)),
+            openings.tally,
             self.configuration_ages,
         )
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -8,7 +8,7 @@
 
 from abc import ABC, abstractmethod
 from collections import Counter as Tally
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -46,6 +46,10 @@
     servers_resting: dict[ServiceName, int] = field(default_factory=dict)
     standings: dict[ServiceName, dict[str, int]] = field(default_factory=dict)
     """Servers by service and standing; a standing without servers may be left out."""
+    servers_reached: int = 0
+    servers_unreached: int = 0
+    openings: Mapping[tuple[str, str], int] = field(default_factory=dict)
+    """Openings of connections to backend servers by way and result."""
     configuration_ages: ConfigurationAges | None = None
     """None where the configuration's age isn't known."""
 
@@ -85,6 +89,11 @@
             "Decisions, and ends of attempts, by reason.",
             registry=registry,
         )
+        self._openings = Counter(
+            "persimmonusher_server_openings_total",
+            "Openings of connections to backend servers, by way and result.",
+            registry=registry,
+        )
         self._gauges = {
             name: Gauge(f"persimmonusher_{name}", text, registry=registry)
             for name, text in _GAUGES.items()
@@ -147,6 +156,10 @@
         self._gauges["caller_connections"].set({}, gauges.caller_connections)
         self._gauges["revision"].set({}, gauges.revision)
         self._gauges["live_instances"].set({}, gauges.live_instances)
+        self._gauges["servers_reached"].set({}, gauges.servers_reached)
+        self._gauges["servers_unreached"].set({}, gauges.servers_unreached)
+        for (way, result), count in gauges.openings.items():
+            self._openings.set({"way": way, "result": result}, count)
         self._gauges["configuration_age_seconds"].set({}, gauges.configuration_age_seconds)
         for name in _SERVER_GAUGES:
             by_service: dict[ServiceName, int] = getattr(gauges, name)
@@ -172,6 +185,8 @@
     "servers_left_out": "Backend servers that get none, such as ejected or draining ones.",
     "servers_limited": "Backend servers that limit the requests that they take.",
     "servers_resting": "Backend servers that asked this instance for rest.",
+    "servers_reached": "Backend servers to which a connection was opened lately.",
+    "servers_unreached": "Backend servers to which none could be opened lately.",
 }
 _SERVER_GAUGES: Final = (
     "servers_taking_work",
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -20,6 +20,11 @@
 from persimmonusher_node.connections import ServerConnection, ServerPool
 from persimmonusher_node.dialect import OWN_DIALECT, Dialect
 from persimmonusher_node.headers import HeaderList
+from persimmonusher_node.server_openings import (
+    OpeningResult,
+    ServerOpenings,
+    classify_opening_error,
+)
 
 STREAM_CHUNK_BYTES: Final = 65_536
 
@@ -72,6 +77,7 @@
         self._dialect = dialect
         self._buffered_bytes = buffered_bytes
         self._pools: dict[str, ServerPool] = {}
+        self.openings = ServerOpenings()
 
     def start_attempt(
         self,
@@ -98,6 +104,7 @@
             self._clock,
             self._buffered_bytes,
             self._dialect,
+            self.openings,
             may_begin,
             may_send,
         )
@@ -126,10 +133,12 @@
         deadline: float,
         clock: Clock,
         buffered_bytes: int,
-        dialect: Dialect = OWN_DIALECT,
+        dialect: Dialect,
+        openings: ServerOpenings,
         may_begin: Callable[[], bool] = always_allow,
         may_send: Callable[[], bool] = always_allow,
     ) -> None:
+        self._openings = openings
         self._pool = pool
         self._may_begin = may_begin
         self._may_send = may_send
@@ -175,9 +184,13 @@
 
     def _connect(self) -> ServerConnection:
         """Open a connection; if the attempt may not begin by then, leave it in the pool."""
+        address, clock = self._pool.address, self._clock
         try:
             connection = self._pool.connect(self._remaining())
+            self._openings.record("direct", address, OpeningResult.OPENED, clock.monotonic())
         except (HTTPError, OSError) as error:
+            result = classify_opening_error(error)
+            self._openings.record("direct", address, result, clock.monotonic())
             message = "no connection to the backend server"
             raise AttemptError(OutcomeKind.UNREACHED, AnswerCode.NO_SERVER, message) from error
         try:
