--- a/packages/lab/src/persimmonusher_lab/links.py
+++ b/packages/lab/src/persimmonusher_lab/links.py
@@ -1,8 +1,9 @@
-"""The network between processes: links that can fall silent, seen through TCP.
+"""The network between processes: links that can fall silent or refuse, seen through TCP.
 
-Processes that run under `linked_process` open every connection to each other through a proxy and
-name both ends, so that each direction of each link can be cut by itself. The proxy is a process of
-its own (`python -m persimmonusher_lab.links`), and isn't held up by what a test does meanwhile.
+Processes that run under `linked_process` open every connection to each other, and to backend
+servers, through a proxy and name both ends, so that each direction of each link can be cut by
+itself. The proxy is a process of its own (`python -m persimmonusher_lab.links`), and isn't held up
+by what a test does meanwhile.
 """
 
 import asyncio
@@ -34,9 +35,10 @@
 
 @dataclass(frozen=True)
 class Command:
-    """What the proxy is told: the links that are cut from now on, and those to reset once."""
+    """What the proxy is told: the links that are cut or refuse from now on, and those to reset."""
 
     cut: tuple[Link, ...] = ()
+    refusing: tuple[Link, ...] = ()
     reset: tuple[Link, ...] = ()
 
 
@@ -55,16 +57,22 @@
         self.address = ""
         """Where processes connect, as `ip:port`."""
         self._cut: tuple[Link, ...] = ()
+        self._refusing: tuple[Link, ...] = ()
         self._proxy: subprocess.Popen[str] | None = None
 
     def set_cut(self, links: Iterable[Link]) -> None:
         """Lose everything on these links, without an error at either end, and on no others."""
         self._cut = tuple(links)
-        self._tell(Command(self._cut))
+        self._tell(Command(self._cut, self._refusing))
+
+    def set_refusing(self, links: Iterable[Link]) -> None:
+        """Refuse new connections on these links, and on no others; open ones live on."""
+        self._refusing = tuple(links)
+        self._tell(Command(self._cut, self._refusing))
 
     def reset(self, links: Iterable[Link]) -> None:
         """Break the open connections between the ends of these links, with an error at both."""
-        self._tell(Command(self._cut, tuple(links)))
+        self._tell(Command(self._cut, self._refusing, tuple(links)))
 
     def __enter__(self) -> Self:
         self._proxy = subprocess.Popen(
@@ -107,6 +115,7 @@
 
     def __init__(self) -> None:
         self._cut: frozenset[Link] = frozenset()
+        self._refusing: frozenset[Link] = frozenset()
         self._open: dict[asyncio.StreamWriter, Link] = {}
 
     async def run(self) -> None:
@@ -122,8 +131,9 @@
             print("done", flush=True)
 
     def _obey(self, command: dict[str, list[list[str]]]) -> None:
-        self._cut = frozenset((source, target) for source, target in command["cut"])
-        reset = frozenset((source, target) for source, target in command["reset"])
+        self._cut = read_links(command["cut"])
+        self._refusing = read_links(command["refusing"])
+        reset = read_links(command["reset"])
         for writer, (source, target) in self._open.items():
             if (source, target) in reset or (target, source) in reset:
                 writer.transport.abort()
@@ -143,7 +153,7 @@
         target, _, port = address.rpartition(":")
         there, back = (source, target), (target, source)
         await self._wait_while_cut({there, back}, OPENING_SECONDS)
-        if reader.at_eof():
+        if reader.at_eof() or there in self._refusing:
             return
         target_reader, target_writer = await asyncio.open_connection(target, int(port))
         self._open |= {writer: there, target_writer: there}
@@ -179,6 +189,11 @@
             wait *= 2
 
 
+def read_links(ends: Iterable[Iterable[str]]) -> frozenset[Link]:
+    """Return the links in a command, which JSON holds as lists."""
+    return frozenset((source, target) for source, target in ends)
+
+
 def main() -> None:
     """Run the proxy; its connections end with the process."""
     with suppress(KeyboardInterrupt):
--- a/packages/lab/tests/test_links.py
+++ b/packages/lab/tests/test_links.py
@@ -78,6 +78,14 @@
             if not client.recv(1):
                 raise ConnectionResetError("closed")
 
+    def test_new_connections_are_refused_while_open_ones_live_on(self) -> None:
+        client = self.open_at_once()
+        self.links.set_refusing({(self.source, self.target)})
+        refused = self.open()
+        self.assertEqual(refused.recv(1), b"")
+        client.sendall(b"x")
+        self.assertEqual(client.recv(1), b"x")
+
 
 if __name__ == "__main__":
     unittest.main()
