Open connections to servers through another entry where the own way is cut

Callers of entries that were cut off from all servers got 503 after 1.26 s: a connection that couldn't be opened counted as a server that fails, and the next attempt took the same way to the next server, five times 0.25 s.

An entry that can't open a connection now asks up to four others for one, by HTTP CONNECT with the peer token, to registered servers only and never through a third. All decisions on the request stay with the entry that took it. What the others show tells a lost way (another one reaches the server) from a server that is down (two reach other servers but not this one); where none can say, nothing is concluded. With two servers lost and none reached since, all requests go through others at once, or are refused at once where nobody helps. Probes find out when the direct way works again, without a caller's request.

Ruled out: not being ready. The balancer uses all entries of a domain again once half of them are out, and open connections stay. Whole requests given to a peer: it would decide anew on attempts, budgets and limits, which count at the entry that took the request.

--- a/packages/decisions/src/persimmonusher_decisions/evidence.py
+++ b/packages/decisions/src/persimmonusher_decisions/evidence.py
@@ -42,7 +42,9 @@
         OutcomeKind.UNREACHED,
     }
 )
-SILENT_KINDS: Final = frozenset({OutcomeKind.CANCELLED, OutcomeKind.DRAINING, OutcomeKind.WITHHELD})
+SILENT_KINDS: Final = frozenset(
+    {OutcomeKind.CANCELLED, OutcomeKind.DRAINING, OutcomeKind.WITHHELD, OutcomeKind.CUT_OFF}
+)
 
 
 class Attempt:
--- a/packages/decisions/src/persimmonusher_decisions/further_attempts.py
+++ b/packages/decisions/src/persimmonusher_decisions/further_attempts.py
@@ -50,7 +50,7 @@
         The calling code has checked that the request may safely be run again.
         """
         request = dispatch.request
-        if outcome.kind in (OutcomeKind.UNREACHED, OutcomeKind.WITHHELD):
+        if outcome.kind in (OutcomeKind.UNREACHED, OutcomeKind.WITHHELD, OutcomeKind.CUT_OFF):
             return self._retry_unsent(dispatch, now)
         allowed = request.max_attempts or profile.max_retries + 1
         spent = dispatch.attempt - dispatch.unreached >= allowed
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -269,7 +269,7 @@
             return ()
         track = attempt.track
         kind = outcome.kind
-        if kind not in (OutcomeKind.CANCELLED, OutcomeKind.WITHHELD):
+        if kind not in (OutcomeKind.CANCELLED, OutcomeKind.WITHHELD, OutcomeKind.CUT_OFF):
             self._admission.record_attempt(kind is OutcomeKind.REFUSED)
         if kind is OutcomeKind.SUCCESS:
             self._learning.learn_from_success(attempt, outcome, now)
--- a/packages/decisions/src/persimmonusher_decisions/work.py
+++ b/packages/decisions/src/persimmonusher_decisions/work.py
@@ -38,6 +38,8 @@
     """Not sent: after it was chosen, the server asked for rest or said that it leaves."""
     UNREACHED = "unreached"
     """No byte of the request was sent: no connection, or one that broke before that."""
+    CUT_OFF = "cut-off"
+    """The same, and it isn't known whether the server or this instance's way to it is down."""
     REFUSED = "refused"
     """The server says, or the transport proves, that the request was not run."""
     DRAINING = "draining"
--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -37,6 +37,7 @@
         OutcomeKind.UNREACHED,
         OutcomeKind.DRAINING,
         OutcomeKind.WITHHELD,
+        OutcomeKind.CUT_OFF,
     }
 )
 """Outcomes that prove that the backend server did not run the request."""
--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -89,6 +89,8 @@
 
     response_class = WholeResponse
     idle_since: float = 0.0
+    is_relayed: bool = False
+    """Whether it leads through another instance, which may stop: it serves one request only."""
     may_have_sent: bool = False
     """Whether a byte of the current request may have been sent."""
 
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -18,6 +18,7 @@
 from persimmonusher_node.observer import RequestObserver
 from persimmonusher_node.parts import Parts
 from persimmonusher_node.records import RecordRing, RequestRecord
+from persimmonusher_node.relays import RelayDialer
 from persimmonusher_node.services import ServiceBook
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.standing_log import StandingLog
@@ -36,6 +37,7 @@
         clock: Clock,
         random: Random,
         dialect: Dialect = OWN_DIALECT,
+        relays: RelayDialer | None = None,
     ) -> None:
         self._parts = parts
         self._clock = clock
@@ -51,7 +53,8 @@
             clock,
             random,
         )
-        self._upstream = upstream = Upstream(clock, settings.limits.buffered_answer_bytes, dialect)
+        upstream = Upstream(clock, settings.limits.buffered_answer_bytes, dialect, relays)
+        self.ways = upstream.ways
         self.forwarder = Forwarder(
             self.services,
             upstream,
@@ -100,7 +103,7 @@
             resting[live.name] = sum(status.rest_seconds > 0.0 for status in statuses)
             standings[live.name] = Counter(status.standing.value for status in statuses)
         freshness = self.services.find_freshness()
-        openings = self._upstream.openings
+        openings = self.ways.openings
         return InstanceGauges(
             self.forwarder.in_flight,
             self.application.count_connections(),
--- a/packages/node/src/persimmonusher_node/registered_servers.py
+++ b/packages/node/src/persimmonusher_node/registered_servers.py
@@ -1,6 +1,7 @@
 """The backend servers registered in the replicated log, by service."""
 
 from collections.abc import Iterable
+from random import Random
 
 from persimmonusher_agreement.configuration_objects import Record
 from persimmonusher_agreement.registration import (
@@ -40,6 +41,18 @@
         """Iterate over a service's servers."""
         return self._by_service.get(service, {}).values()
 
+    def sample_addresses(self, count: int, random: Random) -> list[str]:
+        """Return the addresses of some servers, of random services."""
+        services = [service for service, servers in self._by_service.items() if servers]
+        chosen = random.sample(services, min(count, len(services)))
+        per_service = -(-count // max(1, len(chosen)))
+        addresses: list[str] = []
+        for service in chosen:
+            servers = list(self._by_service[service].values())
+            picked = random.sample(servers, min(per_service, len(servers)))
+            addresses.extend(server.address for server in picked)
+        return addresses[:count]
+
     def is_in_domain(self, server_id: str, failure_domain: str) -> bool:
         """Return whether a server is registered in a failure domain."""
         server = self._by_id.get(server_id)
--- a/packages/node/src/persimmonusher_node/settings.py
+++ b/packages/node/src/persimmonusher_node/settings.py
@@ -46,6 +46,8 @@
     metrics: OptionalAddress = ""
     ready: OptionalAddress = ""
     """Where the load balancer checks whether an entry accepts callers' requests."""
+    relay: OptionalAddress = ""
+    """Where an entry opens connections to backend servers for other entries."""
     control: OptionalAddress = ""
     """Where backend servers and operators reach a keeper by HTTP."""
 
@@ -128,6 +130,9 @@
     or a keeper, those of keepers."""
     seeds_port: int | None = Field(default=None, ge=1, le=65_535)
     """The port of the seeds' peer interface, where `seeds` names another port of the seeds."""
+    relay_port_offset: int | None = Field(default=None, ge=1, le=1_000)
+    """Difference between the ports of `listen.relay`, where that is left out, and `listen.peers`;
+    for a platform that names only the first of a range of ports."""
     bootstrap: bool = False
     """Whether the whole fleet starts for the first time, with empty disks: a new log may be
     formed."""
--- a/packages/node/src/persimmonusher_node/settings_bounds.py
+++ b/packages/node/src/persimmonusher_node/settings_bounds.py
@@ -3,7 +3,7 @@
 from typing import Any, Final
 
 from persimmonusher_decisions.quota_shares import QuotaTerms
-from persimmonusher_node.settings import Bounds, Settings
+from persimmonusher_node.settings import Bounds, Listeners, Settings
 
 EXIT_RESERVE_SECONDS: Final = 0.8
 """Time reserved for the process to exit after the last answer of a stop, so that it ends before
@@ -32,10 +32,19 @@
     derived = {
         name: value for name, value in derived.items() if name not in settings.model_fields_set
     }
+    if settings.relay_port_offset is not None and not settings.listen.relay:
+        derived["listen"] = _add_relay(settings.listen, settings.relay_port_offset)
     derived["default_profile"] = {**_bound_retries(settings), **settings.default_profile}
     return settings.model_copy(update=derived)
 
 
+def _add_relay(listen: Listeners, port_offset: int) -> Listeners:
+    host, _, port = listen.peers.rpartition(":")
+    if not host:
+        return listen
+    return listen.model_copy(update={"relay": f"{host}:{int(port) + port_offset}"})
+
+
 def make_quota_terms(bounds: Bounds) -> QuotaTerms:
     """Return how far quotas may be exceeded; bounds that are not stated allow no excess."""
     stated = {
--- a/packages/node/src/persimmonusher_node/shutdown.py
+++ b/packages/node/src/persimmonusher_node/shutdown.py
@@ -18,6 +18,7 @@
 from persimmonusher_node.callers import MAX_DEADLINE_MS, CallersApplication
 from persimmonusher_node.forwarding import Forwarder
 from persimmonusher_node.listener import HttpListener
+from persimmonusher_node.relay_listener import RelayListener
 from persimmonusher_node.settings import Settings
 
 POLL_SECONDS: Final = 0.05
@@ -70,7 +71,9 @@
         listener: HttpListener,
         forwarder: Forwarder,
         clock: Clock,
+        relay: RelayListener | None = None,
     ) -> None:
+        self._relay = relay
         self._settings = settings
         self._application = application
         self._listener = listener
@@ -83,6 +86,8 @@
         self._signalled_at = self._clock.monotonic()
         self._application.stopping = True
         self._listener.close_after_answers()
+        if self._relay is not None:
+            self._relay.stopping = True
         _log.info("stopping", in_flight=self._forwarder.in_flight)
         eventlet.sleep(self._settings.stop_delay_seconds)
         self._listener.stop_accepting()
@@ -94,6 +99,8 @@
             self._answer_overdue()
             _log.warning("cut off callers that neither sent nor read")
             self._listener.abort()
+        if self._relay is not None:
+            self._relay.wait_until_idle(lambda: self._is_overdue(started))
         return is_idle
 
     def _answer_overdue(self) -> None:
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -4,10 +4,12 @@
 from contextlib import ExitStack
 from dataclasses import replace
 from random import Random
+from typing import Final
 
 from structlog import get_logger
 
 from persimmonusher_decisions.notices import Notice
+from persimmonusher_decisions.relay_choice import RelayChoice
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServerId
 from persimmonusher_model.profile import parse_profile
@@ -25,6 +27,8 @@
 from persimmonusher_node.parts import Parts
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.ports import Freshness, Instance
+from persimmonusher_node.relay_listener import RelayListener
+from persimmonusher_node.relays import RelayDialer
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.shutdown import GracefulStop, StopSignal
 from persimmonusher_node.tiers.edge import Edge
@@ -37,6 +41,10 @@
 from persimmonusher_node.tiers.grpc_keepers import GrpcKeepers
 from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas
 from persimmonusher_node.tiers.peer_notices import PeerNotices, PeerNoticeService
+from persimmonusher_node.tiers.relay_peers import RelayPeers
+
+COMPARED_SERVERS: Final = 2
+"""Other servers that an entry tries before it says that it can't reach one."""
 
 _log = get_logger(__name__)
 
@@ -69,6 +77,7 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
+        self._random = random
         self._lines = LineBudget(clock)
         self._document = document = AppliedDocument(
             edge.codec, parse_profile(settings.default_profile)
@@ -80,14 +89,22 @@
             InstanceId(settings.instance_id), FailureDomain(settings.failure_domain), "", ("entry",)
         )
         quotas = KeeperQuotas(settings.instance_id, self.follower.list_keepers, channels, clock)
+        self._directory = RegisteredDirectory(view)
         parts = Parts(
             view,
-            RegisteredDirectory(view),
+            self._directory,
             FollowedMembership(own, self.follower),
             RefusingClaims(),
             quotas=quotas,
         )
-        self.plane = DataPlane(settings, parts, observer, clock, random, edge.dialect)
+        relays = RelayChoice(own.failure_domain, random)
+        self.relay_peers = RelayPeers(
+            settings.listen.relay, relays, self.follower.list_keepers, channels, random
+        )
+        dialer = None
+        if settings.listen.relay:
+            dialer = RelayDialer(relays, settings.peer_token, clock)
+        self.plane = DataPlane(settings, parts, observer, clock, random, edge.dialect, dialer)
         self.plane.forwarder.set_publisher(self.follower.report)
         self.follower.on_notice = self._apply_notice
         self.follower.read_loads = self._list_loads
@@ -135,17 +152,36 @@
                 stack.callback(peers.stop)
             stack.enter_context(self.follower)
             stack.enter_context(self.plane.watch)
+            relay = self._start_relay(stack)
             start_http(stack, listen.ready, application)
             start_http(stack, listen.metrics, MetricsApplication(self.plane.metrics))
             callers.start()
             _log.info("started", role=settings.role.value, **listen.model_dump())
             stop.wait()
             whole = GracefulStop(
-                settings, application, callers, self.plane.forwarder, self._clock
+                settings, application, callers, self.plane.forwarder, self._clock, relay
             ).run()
         _log.info("stopped", whole=whole)
         return whole
 
+    def _start_relay(self, stack: ExitStack) -> RelayListener | None:
+        """Start to open connections for other entries, if the settings name an address."""
+        settings = self._settings
+        if not settings.listen.relay:
+            return None
+        relay = RelayListener(
+            settings.listen.relay,
+            settings.peer_token,
+            self._directory.is_registered,
+            self.plane.ways.may_reach,
+            lambda address: self._directory.sample_addresses(
+                COMPARED_SERVERS, address, self._random
+            ),
+        )
+        stack.enter_context(relay)
+        stack.enter_context(self.relay_peers)
+        return relay
+
 
 def make_follower(
     settings: Settings,
--- a/packages/node/src/persimmonusher_node/tiers/entry_ports.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_ports.py
@@ -1,6 +1,7 @@
 """The ports of an entry that follows a keeper instead of knowing its peers."""
 
 from collections.abc import Sequence
+from random import Random
 from typing import Final
 
 import structlog
@@ -46,6 +47,15 @@
         """List the service's servers that have not ended."""
         return [_make_server(server) for server in self._view.servers.list_all(service)]
 
+    def is_registered(self, service: str, address: str) -> bool:
+        """Return whether a service has a server at an address that has not ended."""
+        return any(server.address == address for server in self._view.servers.list_all(service))
+
+    def sample_addresses(self, count: int, other_than: str, random: Random) -> list[str]:
+        """Return the addresses of some servers of any services."""
+        addresses = self._view.servers.sample_addresses(count + 1, random)
+        return [address for address in addresses if address != other_than][:count]
+
     def version(self, service: ServiceName) -> int:
         """Return a number that changes whenever `list_servers` would."""
         return self._view.servers.version(service)
--- a/packages/node/src/persimmonusher_node/tiers/follow_service.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_service.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable, Iterator, Sequence
 from contextlib import contextmanager
+from random import Random
 from typing import Final
 
 import structlog
@@ -40,9 +41,10 @@
 class Follower:
     """The state of one entry's stream: its wake-up event and the updates that it is due."""
 
-    def __init__(self, address: str, failure_domain: str) -> None:
+    def __init__(self, address: str, failure_domain: str, relay: str) -> None:
         self.address = address
         self.failure_domain = failure_domain
+        self.relay = relay
         self.wake = asyncio.Event()
         self.notices: list[control_pb2.FollowUpdate] = []
         self.status_due = True
@@ -70,7 +72,9 @@
         view: ConfigurationClient,
         channels: ChannelPool,
         clock: Clock,
+        random: Random,
     ) -> None:
+        self._random = random
         self._role = role
         self._view = view
         self._clock = clock
@@ -91,7 +95,7 @@
         """Send updates until the follower leaves."""
         request = await stream.recv_message()
         assert request is not None
-        follower = Follower(request.address, request.failure_domain)
+        follower = Follower(request.address, request.failure_domain, request.relay)
         self._followers.add(follower)
         self._count_followers()
         if self._ticker is None or self._ticker.done():
@@ -111,6 +115,20 @@
             keepers = self._feed.list_keepers()
         await stream.send_message(control_pb2.KeeperList(keepers=keepers))
 
+    async def ListRelays(  # noqa: N802
+        self, stream: "Stream[control_pb2.RelayListRequest, control_pb2.RelayList]"
+    ) -> None:
+        """Name some of the followers that relay connections."""
+        request = await stream.recv_message()
+        assert request is not None
+        relaying = [follower for follower in self._followers if follower.relay]
+        chosen = self._random.sample(relaying, min(request.count, len(relaying)))
+        relays = [
+            control_pb2.Relay(address=one.relay, failure_domain=one.failure_domain)
+            for one in chosen
+        ]
+        await stream.send_message(control_pb2.RelayList(relays=relays))
+
     async def Report(  # noqa: N802
         self, stream: "Stream[control_pb2.NoticeBatch, keeper_pb2.Ack]"
     ) -> None:
--- a/packages/node/src/persimmonusher_node/tiers/grpc_keepers.py
+++ b/packages/node/src/persimmonusher_node/tiers/grpc_keepers.py
@@ -66,6 +66,7 @@
             since=since,
             address=self._settings.listen.peers,
             failure_domain=self._settings.failure_domain,
+            relay=self._settings.listen.relay,
         )
         async with self._stub(place).Follow.open() as stream:
             async with asyncio.timeout(SILENCE_TIMEOUT_SECONDS):
--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -74,7 +74,7 @@
             self._read_gauges, self._role.leaderless.buckets, channels.silences.buckets
         )
         self._follow = FollowService(
-            settings.failure_domain, self._role, self._view, channels, clock
+            settings.failure_domain, self._role, self._view, channels, clock, random
         )
         self._quotas = QuotaService(
             self._role,
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -14,17 +14,15 @@
 from urllib3.response import BaseHTTPResponse
 
 from persimmonusher_decisions.server import BackendServer
+from persimmonusher_decisions.ways import Verdict
 from persimmonusher_decisions.work import OutcomeKind
 from persimmonusher_model.clock import Clock
 from persimmonusher_node.answers import AnswerCode
 from persimmonusher_node.connections import ServerConnection, ServerPool
 from persimmonusher_node.dialect import OWN_DIALECT, Dialect
 from persimmonusher_node.headers import HeaderList
-from persimmonusher_node.server_openings import (
-    OpeningResult,
-    ServerOpenings,
-    classify_opening_error,
-)
+from persimmonusher_node.relays import RelayDialer
+from persimmonusher_node.server_ways import OpeningError, ServerWays
 
 STREAM_CHUNK_BYTES: Final = 65_536
 
@@ -72,12 +70,18 @@
 class Upstream:
     """The connection pools of the backend servers used recently."""
 
-    def __init__(self, clock: Clock, buffered_bytes: int, dialect: Dialect = OWN_DIALECT) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        buffered_bytes: int,
+        dialect: Dialect = OWN_DIALECT,
+        relays: RelayDialer | None = None,
+    ) -> None:
+        self.ways = ServerWays(clock, relays)
         self._clock = clock
         self._dialect = dialect
         self._buffered_bytes = buffered_bytes
         self._pools: dict[str, ServerPool] = {}
-        self.openings = ServerOpenings()
 
     def start_attempt(
         self,
@@ -92,23 +96,27 @@
         Just before the first byte is sent, `may_begin` is called to check that the caller still
         wants the request, and `may_send` to check that the server still accepts it.
         """
-        pool = self._pools.get(server.address)
-        if pool is None:
-            pool = ServerPool(server.address, self._clock)
-            self._pools[server.address] = pool
-        pool.last_used = self._clock.monotonic()
         return Attempt(
-            pool,
+            self._find_pool(server),
+            server,
             request,
             deadline,
             self._clock,
             self._buffered_bytes,
             self._dialect,
-            self.openings,
+            self.ways,
             may_begin,
             may_send,
         )
 
+    def _find_pool(self, server: BackendServer) -> ServerPool:
+        pool = self._pools.get(server.address)
+        if pool is None:
+            pool = ServerPool(server.address, self._clock)
+            self._pools[server.address] = pool
+        pool.last_used = self._clock.monotonic()
+        return pool
+
     def expire(self) -> None:
         """Close connections idle for too long and drop the pools of unused servers."""
         for address, pool in list(self._pools.items()):
@@ -129,16 +137,18 @@
     def __init__(
         self,
         pool: ServerPool,
+        server: BackendServer,
         request: UpstreamRequest,
         deadline: float,
         clock: Clock,
         buffered_bytes: int,
         dialect: Dialect,
-        openings: ServerOpenings,
+        ways: ServerWays,
         may_begin: Callable[[], bool] = always_allow,
         may_send: Callable[[], bool] = always_allow,
     ) -> None:
-        self._openings = openings
+        self._ways = ways
+        self._server = server
         self._pool = pool
         self._may_begin = may_begin
         self._may_send = may_send
@@ -149,6 +159,8 @@
         self._buffered_bytes = buffered_bytes
         self._socket: socket.socket | None = None
         self._stopped: OutcomeKind | None = None
+        self.is_relayed = False
+        """Whether the request was sent through another instance."""
 
     def run(self) -> UpstreamAnswer:
         """Send the request and read the answer; raise AttemptError if that fails."""
@@ -176,27 +188,28 @@
 
     def _open(self) -> ServerConnection:
         self._check_may_begin()
-        connection = self._pool.acquire(self._request.idempotent)
+        connection = None
+        if self._ways.may_use_pooled(self._pool):
+            connection = self._pool.acquire(self._request.idempotent)
         if connection is None:
             connection = self._connect()
         self._socket = connection.sock
+        self.is_relayed = connection.is_relayed
         return connection
 
     def _connect(self) -> ServerConnection:
-        """Open a connection; if the attempt may not begin by then, leave it in the pool."""
-        address, clock = self._pool.address, self._clock
+        """Open a connection; if the attempt may not begin by then, keep it for another one."""
         try:
-            connection = self._pool.connect(self._remaining())
-            self._openings.record("direct", address, OpeningResult.OPENED, clock.monotonic())
-        except (HTTPError, OSError) as error:
-            result = classify_opening_error(error)
-            self._openings.record("direct", address, result, clock.monotonic())
-            message = "no connection to the backend server"
-            raise AttemptError(OutcomeKind.UNREACHED, AnswerCode.NO_SERVER, message) from error
+            connection = self._ways.open(self._pool, self._server, self._remaining())
+        except OpeningError as error:
+            kind = OutcomeKind.UNREACHED
+            if error.verdict is Verdict.UNKNOWN:
+                kind = OutcomeKind.CUT_OFF
+            raise AttemptError(kind, AnswerCode.NO_SERVER, str(error)) from error
         try:
             self._check_may_begin()
         except AttemptError:
-            self._pool.release(connection)
+            self._release(connection)
             raise
         return connection
 
@@ -292,10 +305,17 @@
     def _keep(self, connection: ServerConnection) -> None:
         # http.client has already dropped the socket if the answer ends its connection.
         if connection.sock is not None and self._stopped is None:
-            self._pool.release(connection)
+            self._release(connection)
         else:
             connection.close()
 
+    def _release(self, connection: ServerConnection) -> None:
+        """Return a direct connection to the pool; close one through another instance."""
+        if connection.is_relayed:
+            connection.close()
+        else:
+            self._pool.release(connection)
+
     def _make_error(self, error: Exception, connection: ServerConnection) -> AttemptError:
         if self._stopped is OutcomeKind.CANCELLED:
             return AttemptError(OutcomeKind.CANCELLED, AnswerCode.CALLER_LEFT, "cancelled")
--- a/packages/node/src/persimmonusher_node/watch.py
+++ b/packages/node/src/persimmonusher_node/watch.py
@@ -24,6 +24,8 @@
 keep an idle instance busy with ticks."""
 CALLER_CHECK_TICKS: Final = 2
 """A disconnected caller is noticed within 0.1 s; each check costs one system call per request."""
+PROBE_TICKS: Final = 5
+"""Lost ways to servers are probed this often, each of them more seldom."""
 HOUSEKEEPING_TICKS: Final = 20
 
 _log = get_logger(__name__)
@@ -76,6 +78,8 @@
         self._end_expired_runs()
         if ticks % CALLER_CHECK_TICKS == 0:
             self._end_abandoned_runs()
+        if ticks % PROBE_TICKS == 0:
+            self._upstream.ways.probe()
         if is_housekeeping:
             self._services.refresh_entry_count()
             self._upstream.expire()
--- a/packages/node/tests/test_follow_service.py
+++ b/packages/node/tests/test_follow_service.py
@@ -6,6 +6,7 @@
 
 import unittest  # noqa: E402
 from collections.abc import Callable  # noqa: E402
+from random import Random  # noqa: E402
 from types import SimpleNamespace  # noqa: E402
 from typing import Any, cast  # noqa: E402
 
@@ -88,7 +89,7 @@
     def setUp(self) -> None:
         self.view = FakeView()
         view, channels = cast("Any", self.view), cast("Any", None)
-        self.service = FollowService("north", make_role(), view, channels, SystemClock())
+        self.service = FollowService("north", make_role(), view, channels, SystemClock(), Random(1))
         self.streams = [FakeStream(number) for number in range(FOLLOWERS)]
         for stream in self.streams:
             task = start_coroutine(self.service.Follow(cast("Any", stream)))
@@ -120,7 +121,12 @@
         and the first follower would avoid servers because of failures of long ago.
         """
         service = FollowService(
-            "north", make_role(), cast("Any", FakeView()), cast("Any", None), SystemClock()
+            "north",
+            make_role(),
+            cast("Any", FakeView()),
+            cast("Any", None),
+            SystemClock(),
+            Random(1),
         )
         notice = pb.Notice(service="entries", server="s1", boot=1, request="r1")
         service._relay.relay(pb.NoticeBatch(notices=[notice], relayed=True))
@@ -157,7 +163,7 @@
         view = FakeView()
         view.servers_held = 3_000
         service = FollowService(
-            "north", make_role(), cast("Any", view), cast("Any", None), SystemClock()
+            "north", make_role(), cast("Any", view), cast("Any", None), SystemClock(), Random(1)
         )
         streams = [FakeStream(number) for number in range(10)]
         for stream in streams:
--- a/packages/node/tests/test_tiers.py
+++ b/packages/node/tests/test_tiers.py
@@ -111,7 +111,9 @@
         )
         leader = LeaderCalls(self.role, channels, clock)
         self.control = KeeperControl(self.settings, self.role, self.view, leader, PlainCodec())
-        follow = FollowService(self.settings.failure_domain, self.role, self.view, channels, clock)
+        follow = FollowService(
+            self.settings.failure_domain, self.role, self.view, channels, clock, Random(1)
+        )
         terms = QuotaTerms(slack=20.0)
         quotas = QuotaService(self.role, self.view, channels, terms, 3, clock)
         self.listener = GrpcListener(
--- a/packages/protocol/src/persimmonusher_protocol/control_grpc.py
+++ b/packages/protocol/src/persimmonusher_protocol/control_grpc.py
@@ -59,6 +59,10 @@
     async def Report(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.NoticeBatch, persimmonusher_protocol.keeper_pb2.Ack]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ListRelays(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.RelayListRequest, persimmonusher_protocol.control_pb2.RelayList]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/persimmonusher.control.Control/ListKeepers': grpclib.const.Handler(
@@ -85,6 +89,12 @@
                 persimmonusher_protocol.control_pb2.NoticeBatch,
                 persimmonusher_protocol.keeper_pb2.Ack,
             ),
+            '/persimmonusher.control.Control/ListRelays': grpclib.const.Handler(
+                self.ListRelays,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonusher_protocol.control_pb2.RelayListRequest,
+                persimmonusher_protocol.control_pb2.RelayList,
+            ),
         }
 
 
@@ -115,6 +125,12 @@
             persimmonusher_protocol.control_pb2.NoticeBatch,
             persimmonusher_protocol.keeper_pb2.Ack,
         )
+        self.ListRelays = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonusher.control.Control/ListRelays',
+            persimmonusher_protocol.control_pb2.RelayListRequest,
+            persimmonusher_protocol.control_pb2.RelayList,
+        )
 
 
 class QuotasBase(abc.ABC):
