Don't count answers lost on a cut way against their servers

A timeout or a broken connection counts at once, at all instances.

An instance that gets no answer now opens a connection to the server. If it can't, and another instance can, the way was cut: the outcome is neither counted nor reported. The caller of a timeout isn't held for the check.

--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -273,7 +273,7 @@
             self._admission.record_attempt(kind is OutcomeKind.REFUSED)
         if kind is OutcomeKind.SUCCESS:
             self._learning.learn_from_success(attempt, outcome, now)
-        elif kind not in SILENT_KINDS:
+        elif kind not in SILENT_KINDS and not outcome.is_way_lost:
             self._learning.learn_from_failure(
                 attempt, outcome, self._tracks.values(), self._profile, now
             )
--- a/packages/decisions/src/persimmonusher_decisions/work.py
+++ b/packages/decisions/src/persimmonusher_decisions/work.py
@@ -60,6 +60,8 @@
     """Requests in progress and queued at the server, from all callers; may be stale or wrong."""
     answer_bytes: int | None = None
     """Size of the answer's body; None if the body wasn't read to its end."""
+    is_way_lost: bool = False
+    """Whether the way to the server was cut meanwhile, so that a failure tells nothing about it."""
 
 
 @dataclass(frozen=True)
--- a/packages/decisions/tests/test_suspicion.py
+++ b/packages/decisions/tests/test_suspicion.py
@@ -67,6 +67,16 @@
         self.assertGreater(serve(second, 60, HOLD_SECONDS + TRIAL_SECONDS)[faulty], 0)
         self.assertEqual(first.pop_notices(), ())
 
+    # Guards against a cut of the own way that turns all instances away from sound servers.
+    def test_answers_lost_on_the_way_do_not_count_against_their_servers(self) -> None:
+        for kind in (OutcomeKind.BROKEN, OutcomeKind.TIMEOUT):
+            traffic = make_traffic(6, SUSPECTING)
+            dispatch = dispatched(traffic.offer(make_request("r"), 0.0))
+            traffic.finish(dispatch, Outcome(kind, 2.0, is_way_lost=True), 2.0)
+            self.assertEqual(traffic.pop_notices(), ())
+            self.assertFalse(traffic.find_suspicion_seconds(dispatch.server.server_id, 2.0))
+            self.assertFalse(traffic.list_in_progress())
+
     def test_the_floor_keeps_servers_when_most_fail(self) -> None:
         """Guards against overloading the last servers when all fail now and then.
 
--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final, TypeAlias
 
 from eventlet import spawn_n
@@ -42,6 +42,9 @@
 )
 """Outcomes that prove that the backend server did not run the request."""
 
+UNANSWERED_KINDS: Final = frozenset({OutcomeKind.TIMEOUT, OutcomeKind.BROKEN})
+"""Outcomes that a cut of the way to the server may cause."""
+
 _log = get_logger(__name__)
 
 
@@ -52,6 +55,8 @@
     dispatch: Dispatch
     result: AttemptResult
     outcome: Outcome
+    is_relayed: bool
+    """Whether it was sent through another instance."""
 
     @property
     def is_streaming(self) -> bool:
@@ -99,6 +104,18 @@
             self._note_draining(dispatch.server)
         self.settle(run.live, dispatch, outcome)
 
+    def finish_stream(self, run: Run, ended: EndedAttempt, broken: OutcomeKind | None) -> None:
+        """Finish an attempt whose long answer has ended, or broke off for the reason given."""
+        run.remove_attempt(ended.dispatch)
+        if broken is None:
+            self.finish(run, ended.dispatch, ended.outcome)
+            return
+        outcome = Outcome(broken, ended.outcome.latency)
+        if broken in UNANSWERED_KINDS:
+            self._finish_unanswered(run, ended.dispatch, ended.is_relayed, outcome)
+        else:
+            self.finish(run, ended.dispatch, outcome)
+
     def settle(self, live: LiveService, dispatch: Dispatch, outcome: Outcome) -> None:
         """Report an outcome to the service's traffic and deliver the decisions that it releases."""
         for released in live.traffic.finish(dispatch, outcome, self._clock.monotonic()):
@@ -153,16 +170,37 @@
         try:
             result = run_attempt(attempt)
             outcome = make_outcome(result, self._clock.monotonic() - started, self._dialect)
+            if outcome.kind is OutcomeKind.BROKEN:
+                outcome = self._judge_way(dispatch, attempt.is_relayed, outcome)
             if isinstance(result, UpstreamAnswer):
                 self._apply_advice(run.live, dispatch, result)
             if outcome.kind not in NOT_RUN_KINDS and not is_unsent(result):
                 run.may_have_run = True
-            ended = EndedAttempt(dispatch, result, outcome)
+            ended = EndedAttempt(dispatch, result, outcome, attempt.is_relayed)
             return ended
         finally:
             if ended is None or not ended.is_streaming:
                 run.remove_attempt(dispatch)
-                self.finish(run, dispatch, outcome)
+                if outcome.kind is OutcomeKind.TIMEOUT:
+                    self._finish_unanswered(run, dispatch, attempt.is_relayed, outcome)
+                else:
+                    self.finish(run, dispatch, outcome)
+
+    def _finish_unanswered(
+        self, run: Run, dispatch: Dispatch, is_relayed: bool, outcome: Outcome
+    ) -> None:
+        """Finish an attempt without an answer; its caller doesn't wait for the check of its way."""
+        run.record.add_outcome(dispatch, outcome, self._clock.monotonic())
+
+        def settle() -> None:
+            self.settle(run.live, dispatch, self._judge_way(dispatch, is_relayed, outcome))
+
+        spawn_n(settle)
+
+    def _judge_way(self, dispatch: Dispatch, is_relayed: bool, outcome: Outcome) -> Outcome:
+        """Mark an outcome without an answer that doesn't tell anything about its server."""
+        is_lost = self._upstream.is_way_lost(dispatch.server, is_relayed, dispatch.started)
+        return replace(outcome, is_way_lost=is_lost)
 
     def _race(self, run: Run, first: Dispatch, delay: float) -> EndedAttempt:
         """Make the attempt, and a second one where the first takes longer than `delay` seconds.
@@ -199,7 +237,7 @@
                 # Without a result in the queue `_race` would wait for ever.
                 _log.exception("attempt failed", request_id=run.request.request_id)
                 error = AttemptError(OutcomeKind.BROKEN, AnswerCode.INTERNAL, "a fault inside")
-                ended = EndedAttempt(dispatch, error, Outcome(OutcomeKind.BROKEN, 0.0))
+                ended = EndedAttempt(dispatch, error, Outcome(OutcomeKind.BROKEN, 0.0), False)
             if not run.has_winner:
                 results.put(ended)
             elif isinstance(ended.result, UpstreamAnswer) and ended.result.stream is not None:
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -174,11 +174,7 @@
         assert answer.stream is not None
 
         def end(broken: OutcomeKind | None) -> None:
-            outcome = ended.outcome
-            if broken is not None:
-                outcome = Outcome(broken, outcome.latency)
-            run.remove_attempt(ended.dispatch)
-            self._attempts.finish(run, ended.dispatch, outcome)
+            self._attempts.finish_stream(run, ended, broken)
             self._end(run, answer)
 
         return replace(answer, stream=AnswerStream(answer.stream, end))
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -109,6 +109,18 @@
             may_send,
         )
 
+    def is_way_lost(self, server: BackendServer, is_relayed: bool, since: float) -> bool:
+        """Return whether a failure since a moment may be that of the way, not of the server.
+
+        Call it when a request got no answer. It opens a connection to the server, and blocks for
+        some tenths of a second where that fails. A request that was sent through another instance
+        may have been lost there, unless the server isn't reached through any.
+        """
+        pool = self._find_pool(server)
+        if is_relayed:
+            return not self.ways.is_down(pool, server)
+        return self.ways.was_cut(pool, server, since)
+
     def _find_pool(self, server: BackendServer) -> ServerPool:
         pool = self._pools.get(server.address)
         if pool is None:
