Don't take an answer for whole that the deadline cut off

Callers could get the first part of an answer as a success: an answer without a length ends with its connection, and an attempt is ended at its deadline by shutting that down. Found by the test of answers without end ('unframed', a piece each 50 ms).

--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -263,6 +263,7 @@
             if size >= self._buffered_bytes:
                 stream = self._stream(connection, response)
                 return UpstreamAnswer(response.status, headers, b"".join(parts), stream)
+        self._check_end(response)
         self._keep(connection)
         return UpstreamAnswer(response.status, headers, b"".join(parts))
 
@@ -282,6 +283,11 @@
             return self._check_origin(response)
         raise HTTPException("the answer has neither Content-Length nor chunks")
 
+    def _check_end(self, response: BaseHTTPResponse) -> None:
+        """Raise HTTPException if an answer that ends with its connection was cut off here."""
+        if self._stopped is not None and not self._is_framed(response):
+            raise HTTPException("the answer was cut off before its end")
+
     @staticmethod
     def _is_framed(response: BaseHTTPResponse) -> bool:
         chunked = response.headers.get("transfer-encoding", "").lower() == "chunked"
@@ -306,6 +312,7 @@
         try:
             while data := response.read(STREAM_CHUNK_BYTES, decode_content=False):
                 yield data
+            self._check_end(response)
             self._keep(connection)
             done = True
         except (HTTPError, HTTPException, OSError, ValueError) as error:
--- a/packages/node/tests/test_whole_answers.py
+++ b/packages/node/tests/test_whole_answers.py
@@ -82,6 +82,19 @@
                     response = self.call("POST")
                     self.assertEqual((response.status, response.outcome), (502, "unknown"))
 
+    # Guards against an answer without a length that the deadline cuts off and that looks whole.
+    def test_an_answer_that_the_deadline_cut_off_is_not_taken_for_whole(self) -> None:
+        def send_slowly(connection: socket.socket, heard: object) -> bool:
+            connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+            for _ in range(20):
+                connection.sendall(b"part")
+                eventlet.sleep(0.05)
+            return False
+
+        self.script(send_slowly)
+        answer = self.call(headers={"Persimmonusher-Deadline-Ms": "400"})
+        self.assertEqual((answer.status, answer.outcome), (504, "unknown"))
+
 
 class RightCallerTest(EntryTestCase):
     server_names = ("s1",)
