Let the scripted keeper of test_follower answer the new call

It lacked ListRelays, so that the abstract class could not be instantiated: all 8 tests of test_follower ended with an error since that call was added.

--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -93,6 +93,10 @@
         await self.read_call(stream)
         await stream.send_message(control_pb2.KeeperList(keepers=self.peers))
 
+    async def ListRelays(self, stream) -> None:  # type: ignore[no-untyped-def]  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(control_pb2.RelayList())
+
     async def Report(  # noqa: N802
         self, stream: "Stream[control_pb2.NoticeBatch, keeper_pb2.Ack]"
     ) -> None:
