Bound answers without end: yield while reading, and limit interim answers

A green thread that reads a socket which always has bytes never waits, so that a server that sends without end held up all other requests, and the check that ends a request at its deadline.

--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -3,9 +3,10 @@
 import io
 import socket
 from collections import deque
-from http.client import HTTPResponse, IncompleteRead
+from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import Any, Final
 
+from eventlet import sleep
 from eventlet.hubs import trampoline
 from urllib3.connection import HTTPConnection
 
@@ -26,11 +27,20 @@
 """Longer than the longest deadline: no attempt from before is still in flight."""
 
 
+BYTES_PER_TURN: Final = 65_536
+"""Bytes that one green thread reads before others get their turn: some tenths of a millisecond."""
+MAX_INTERIM_ANSWERS: Final = 16
+"""Interim answers before the final one; a server needs one or two."""
+
+
 class ResetAwareReader(io.RawIOBase):
     """Reads from the socket below eventlet's, which reports a reset as a normal end of stream.
 
     Guards against a server that crashes in the middle of an answer that ends with its connection:
     only the reset shows that such an answer is not whole.
+
+    A green thread that always finds bytes to read never waits, and would hold up all others for as
+    long as a server goes on sending. So other threads get their turn after some bytes.
     """
 
     def __init__(self, connection: Any, owner: io.RawIOBase) -> None:
@@ -38,6 +48,8 @@
         self._timeout: float | None = connection.gettimeout()
         self._owner = owner
         """The file object that keeps the socket open until it is closed."""
+        self._read_at_once = 0
+        """Bytes read since the last wait."""
 
     def readable(self) -> bool:
         """Return True; io.RawIOBase's default is False."""
@@ -45,10 +57,16 @@
 
     def readinto(self, buffer: Any, /) -> int:
         """Read the available bytes, waiting for the first one; raise OSError on a reset."""
+        if self._read_at_once >= BYTES_PER_TURN:
+            self._read_at_once = 0
+            sleep(0)
         while True:
             try:
-                return self._raw_socket.recv_into(buffer)
+                count = self._raw_socket.recv_into(buffer)
+                self._read_at_once += count
+                return count
             except BlockingIOError:
+                self._read_at_once = 0
                 trampoline(
                     self._raw_socket, read=True, timeout=self._timeout, timeout_exc=TimeoutError
                 )
@@ -82,6 +100,14 @@
         super().__init__(*arguments, **options)
         connection = arguments[0]
         self.fp = WholeLineReader(ResetAwareReader(connection, self.fp.detach()))
+        self._status_lines = 0
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read one status line; http.client reads interim answers without a limit."""
+        self._status_lines += 1
+        if self._status_lines > MAX_INTERIM_ANSWERS:
+            raise HTTPException(f"more than {MAX_INTERIM_ANSWERS} interim answers")
+        return super()._read_status()  # type: ignore[misc, no-any-return]
 
 
 class ServerConnection(HTTPConnection):
