Find lost ways in constant time, and state the time left when it is sent

Review of the change: each relayed connection walked over all lost servers to decide whether the instance is cut off, which grows with their number; lost ways that were forgotten kept their pools. The deadline header was written before a way to the server was found, which may take over 0.5 s in the first moments of a cut; workers would be handed more time than is left. Gauges for lost ways and for connections that are open for others.

--- a/packages/decisions/src/persimmonusher_decisions/ways.py
+++ b/packages/decisions/src/persimmonusher_decisions/ways.py
@@ -46,7 +46,6 @@
     """A server to which the last direct connection could not be opened."""
 
     verdict: Verdict
-    since: float
     failed_at: float
     used_at: float
     probe_at: float
@@ -71,7 +70,8 @@
 
     def __init__(self) -> None:
         self._failed: dict[str, FailedWay] = {}
-        self._opened_at = -inf
+        self._missed: set[str] = set()
+        """Servers that were found to be missed, though not down, since one was last reached."""
         self._unhelped_until = -inf
         self._lost_at: dict[str, float] = {}
         """When each way was last known to be lost, kept after its return."""
@@ -100,18 +100,23 @@
     def record_opened(self, address: str, now: float) -> None:
         """Record that a direct connection was opened."""
         self._failed.pop(address, None)
-        self._opened_at = now
+        self._missed.clear()
         self._unhelped_until = -inf
-        self._update(now)
+        self.is_cut_off = False
 
     def record_failed(self, address: str, verdict: Verdict, now: float) -> None:
         """Record that no direct connection could be opened, and what other instances showed."""
         way = self._failed.get(address)
+        is_new = way is None or way.verdict is Verdict.DOWN
         if way is None:
             probe_at = now + PROBE_INTERVAL_SECONDS
-            way = self._failed[address] = FailedWay(verdict, now, now, now, probe_at)
-        way.verdict, way.failed_at = verdict, now
-        self._update(now)
+            way = self._failed[address] = FailedWay(verdict, now, now, probe_at)
+        way.verdict = verdict
+        if verdict is Verdict.DOWN:
+            self._missed.discard(address)
+        elif is_new:
+            self._missed.add(address)
+        self._record_loss(address, way, now)
 
     def record_unhelped(self, now: float) -> None:
         """Record that other instances were asked for a connection and none could say anything."""
@@ -130,8 +135,7 @@
         """Record that a probe could not open a direct connection."""
         way = self._failed.get(address)
         if way is not None:
-            way.failed_at = now
-        self._update(now)
+            self._record_loss(address, way, now)
 
     def was_lost_since(self, address: str, moment: float) -> bool:
         """Return whether the way to a server was known to be cut at any time since a moment."""
@@ -142,6 +146,7 @@
         for address, way in list(self._failed.items()):
             if now > way.used_at + UNUSED_SECONDS:
                 del self._failed[address]
+                self._missed.discard(address)
         due = [
             address
             for address, way in self._failed.items()
@@ -153,14 +158,16 @@
             self._failed[address].probe_at = now + PROBE_INTERVAL_SECONDS
         return chosen
 
-    def _update(self, now: float) -> None:
-        missing = [way for way in self._failed.values() if way.verdict is not Verdict.DOWN]
-        since = min((way.since for way in missing), default=inf)
-        self.is_cut_off = len(missing) >= MIN_LOST_SERVERS and self._opened_at < since
+    def has_failed(self, address: str) -> bool:
+        """Return whether the last direct connection to a server could not be opened."""
+        return address in self._failed
+
+    def _record_loss(self, address: str, way: FailedWay, now: float) -> None:
+        way.failed_at = now
+        self.is_cut_off = len(self._missed) >= MIN_LOST_SERVERS
         if self.is_cut_off:
             self._cut_off_at = now
-        if len(self._lost_at) > MAX_REMEMBERED_LOSSES:
-            self._lost_at.clear()
-        for address, way in self._failed.items():
-            if way.verdict is Verdict.LOST:
-                self._lost_at[address] = way.failed_at
+        if way.verdict is Verdict.LOST:
+            if len(self._lost_at) >= MAX_REMEMBERED_LOSSES:
+                self._lost_at.clear()
+            self._lost_at[address] = now
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -1,6 +1,7 @@
 """The data plane of one instance: everything between the callers' listener and the ports."""
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import replace
 from random import Random
 
@@ -70,6 +71,8 @@
         body_seconds = settings.limits.body_seconds
         self.application = CallersApplication(entry, instance_id, clock, body_seconds, dialect)
         standing_log = StandingLog(self.services, clock)
+        self.count_relayed: Callable[[], int] = int
+        """Returns the number of connections that are open for other instances."""
         self.configuration_ages: ConfigurationAges | None = None
         """Set by the daemon of an entry that follows a keeper."""
         self.watch = Watch(self.services, self.forwarder, upstream, standing_log, clock)
@@ -117,6 +120,8 @@
             standings,
             openings.count_reached(now),
             len(openings.list_missed(now)),
+            self.ways.lost_count,
+            self.count_relayed(),
             openings.tally,
             self.configuration_ages,
         )
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -48,6 +48,8 @@
     """Servers by service and standing; a standing without servers may be left out."""
     servers_reached: int = 0
     servers_unreached: int = 0
+    ways_lost: int = 0
+    connections_relayed: int = 0
     openings: Mapping[tuple[str, str], int] = field(default_factory=dict)
     """Openings of connections to backend servers by way and result."""
     configuration_ages: ConfigurationAges | None = None
@@ -158,6 +160,8 @@
         self._gauges["live_instances"].set({}, gauges.live_instances)
         self._gauges["servers_reached"].set({}, gauges.servers_reached)
         self._gauges["servers_unreached"].set({}, gauges.servers_unreached)
+        self._gauges["ways_lost"].set({}, gauges.ways_lost)
+        self._gauges["connections_relayed"].set({}, gauges.connections_relayed)
         for (way, result), count in gauges.openings.items():
             self._openings.set({"way": way, "result": result}, count)
         self._gauges["configuration_age_seconds"].set({}, gauges.configuration_age_seconds)
@@ -187,6 +191,8 @@
     "servers_resting": "Backend servers that asked this instance for rest.",
     "servers_reached": "Backend servers to which a connection was opened lately.",
     "servers_unreached": "Backend servers to which none could be opened lately.",
+    "ways_lost": "Backend servers that only other instances reach.",
+    "connections_relayed": "Connections to backend servers that are open for other instances.",
 }
 _SERVER_GAUGES: Final = (
     "servers_taking_work",
--- a/packages/node/src/persimmonusher_node/relay_listener.py
+++ b/packages/node/src/persimmonusher_node/relay_listener.py
@@ -58,8 +58,6 @@
         """Returns a few servers at other addresses."""
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
-        self.relayed = 0
-        """Connections opened for others since the start."""
         self.stopping = False
         """Whether new connections are refused, while open ones go on."""
 
@@ -115,7 +113,6 @@
             status = await self._judge_unreached(request.address)
             writer.write(make_answer(status))
             return await writer.drain()
-        self.relayed += 1
         try:
             writer.write(make_answer(RelayStatus.OPENED))
             await relay(reader, writer, *there)
--- a/packages/node/src/persimmonusher_node/server_ways.py
+++ b/packages/node/src/persimmonusher_node/server_ways.py
@@ -52,11 +52,6 @@
         """Return the number of servers that only other instances reach."""
         return self._ways.lost_count
 
-    @property
-    def is_cut_off(self) -> bool:
-        """Return whether this instance reaches no server itself."""
-        return self._ways.is_cut_off
-
     def may_use_pooled(self, pool: ServerPool) -> bool:
         """Return whether idle direct connections to a server may be used."""
         return self._relays is None or self._ways.plan(pool.address, self._clock.monotonic()).direct
@@ -111,7 +106,11 @@
 
     def probe(self) -> None:
         """Start to open direct connections to servers whose ways are lost."""
-        for address in self._ways.list_due_probes(self._clock.monotonic()):
+        due = self._ways.list_due_probes(self._clock.monotonic())
+        self._pools = {
+            address: pool for address, pool in self._pools.items() if self._ways.has_failed(address)
+        }
+        for address in due:
             pool = self._pools.get(address)
             if pool is not None:
                 spawn_n(self._probe, pool)
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -178,6 +178,7 @@
                 COMPARED_SERVERS, address, self._random
             ),
         )
+        self.plane.count_relayed = lambda: relay.connections
         stack.enter_context(relay)
         stack.enter_context(self.relay_peers)
         return relay
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -242,11 +242,15 @@
     def _exchange(self, connection: ServerConnection) -> BaseHTTPResponse:
         connection.timeout = self._remaining()
         connection.may_have_sent = False
+        headers = dict(self._request.headers)
+        if self._dialect.deadline in headers:
+            # Finding a way to the server may have taken a good part of a second.
+            headers[self._dialect.deadline] = str(max(1, int(self._remaining() * 1000.0)))
         connection.request(
             self._request.method,
             self._request.target,
             body=self._request.body or None,
-            headers=self._request.headers,
+            headers=headers,
             preload_content=False,
             decode_content=False,
         )
