Ask for relaying entries soon after a start, and when none of the known can help

Entries that start together learned only the first followers of each keeper, and kept that list for half a minute; so did an entry whose known ones were all replaced. Found in review: the first round is over before most entries follow a keeper.

--- a/packages/node/src/persimmonusher_node/relays.py
+++ b/packages/node/src/persimmonusher_node/relays.py
@@ -1,6 +1,7 @@
 """Opens connections to backend servers through other instances, by HTTP CONNECT."""
 
 import socket
+from collections.abc import Callable
 from typing import Final
 
 from eventlet import spawn_n
@@ -42,6 +43,10 @@
         self.verdict = verdict
 
 
+def ignore_unhelped() -> None:
+    """Do nothing; where the known instances don't change."""
+
+
 class RelayDialer:
     """Opens connections through the instances that `choice` names, one after the other."""
 
@@ -50,6 +55,8 @@
         self._token = token
         self._clock = clock
         self.openings: ServerOpenings | None = None
+        self.on_unhelped: Callable[[], None] = ignore_unhelped
+        """Is called when none of the instances could help."""
 
     def open(self, server: BackendServer, seconds: float) -> ServerConnection:
         """Return a connection to a server; raise RelayError if no instance opens one.
@@ -66,9 +73,12 @@
             search.wait(self._clock.monotonic(), number if number == len(peers) else None)
             if search.is_over:
                 break
-        if search.connection is None:
-            raise RelayError(Verdict.DOWN if search.denials else Verdict.UNKNOWN)
-        return search.connection
+        if search.connection is not None:
+            return search.connection
+        if search.denials:
+            raise RelayError(Verdict.DOWN)
+        self.on_unhelped()
+        raise RelayError(Verdict.UNKNOWN)
 
     def _try_for(self, search: "RelaySearch", peer: RelayPeer, server: BackendServer) -> None:
         search.add(self._try(peer, server, TRY_SECONDS))
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -104,6 +104,7 @@
         dialer = None
         if settings.listen.relay:
             dialer = RelayDialer(relays, settings.peer_token, clock)
+            dialer.on_unhelped = self.relay_peers.refresh_soon
         self.plane = DataPlane(settings, parts, observer, clock, random, edge.dialect, dialer)
         self.plane.forwarder.set_publisher(self.follower.report)
         self.follower.on_notice = self._apply_notice
--- a/packages/node/src/persimmonusher_node/tiers/relay_peers.py
+++ b/packages/node/src/persimmonusher_node/tiers/relay_peers.py
@@ -1,6 +1,7 @@
 """Learns from the keepers which other entries relay connections to backend servers."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Sequence
 from random import Random
 from typing import Final
@@ -24,8 +25,9 @@
 """Keepers that are asked: those who follow them are in different failure domains."""
 REFRESH_SECONDS: Final = 30.0
 """Mean time between two rounds: entries come and go more seldom."""
-RETRY_SECONDS: Final = 2.0
-"""The same while no keeper has named any."""
+FIRST_REFRESH_SECONDS: Final = 2.0
+"""The same after the first one, doubled with each: when all entries start, the first keepers that
+are asked have few followers. Also the shortest time between two rounds."""
 CALL_TIMEOUT_SECONDS: Final = 1.0
 
 
@@ -45,6 +47,7 @@
         self._list_keepers = list_keepers
         self._channels = channels
         self._random = random
+        self._is_needed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -57,17 +60,25 @@
             self._task.cancel()
             self._task = None
 
+    def refresh_soon(self) -> None:
+        """Ask again soon, because none of the known entries could help."""
+        self._is_needed.set()
+
     async def _run(self) -> None:
+        interval = FIRST_REFRESH_SECONDS
         while True:
             try:
-                is_known = await self._refresh()
+                await self._refresh()
             except Exception:
                 logger.exception("relays-unknown")
-                is_known = False
-            seconds = REFRESH_SECONDS if is_known else RETRY_SECONDS
-            await asyncio.sleep(seconds * self._random.uniform(0.5, 1.5))
+            self._is_needed.clear()
+            await asyncio.sleep(FIRST_REFRESH_SECONDS * self._random.uniform(0.5, 1.5))
+            with contextlib.suppress(TimeoutError):
+                wait = (interval - FIRST_REFRESH_SECONDS) * self._random.uniform(0.5, 1.5)
+                await asyncio.wait_for(self._is_needed.wait(), wait)
+            interval = min(REFRESH_SECONDS, 2.0 * interval)
 
-    async def _refresh(self) -> bool:
+    async def _refresh(self) -> None:
         """Ask some keepers; keep the former entries if none answers."""
         keepers = list(self._list_keepers())
         asked = self._random.sample(keepers, min(MAX_KEEPERS, len(keepers)))
@@ -76,7 +87,6 @@
         peers.pop(self._own_address, None)
         if peers:
             self._choice.replace(list(peers.values()))
-        return bool(peers)
 
     async def _ask(self, keeper: str) -> Sequence[RelayPeer]:
         request = control_pb2.RelayListRequest(count=PEERS_PER_KEEPER)
