--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -193,7 +193,11 @@
         run.record.add_outcome(dispatch, outcome, self._clock.monotonic())
 
         def settle() -> None:
-            self.settle(run.live, dispatch, self._judge_way(dispatch, is_relayed, outcome))
+            judged = outcome
+            try:
+                judged = self._judge_way(dispatch, is_relayed, outcome)
+            finally:
+                self.settle(run.live, dispatch, judged)
 
         spawn_n(settle)
 
