Don't let an idle instance count as cut off for ever

Lost ways that no request needs for 30 s are forgotten, and with them their probes; that the instance is cut off was not. It would have refused to help others until its next request. Found in review; the test failed before.

--- a/packages/decisions/src/persimmonusher_decisions/ways.py
+++ b/packages/decisions/src/persimmonusher_decisions/ways.py
@@ -71,7 +71,8 @@
     def __init__(self) -> None:
         self._failed: dict[str, FailedWay] = {}
         self._missed: set[str] = set()
-        """Servers that were found to be missed, though not down, since one was last reached."""
+        """Servers whose ways were found to have failed, though they aren't known to be down, since
+        a server was last reached."""
         self._unhelped_until = -inf
         self._lost_at: dict[str, float] = {}
         """When each way was last known to be lost, kept after its return."""
@@ -143,10 +144,7 @@
 
     def list_due_probes(self, now: float) -> list[str]:
         """Return the servers to which a direct connection should be tried now."""
-        for address, way in list(self._failed.items()):
-            if now > way.used_at + UNUSED_SECONDS:
-                del self._failed[address]
-                self._missed.discard(address)
+        self._forget_unused(now)
         due = [
             address
             for address, way in self._failed.items()
@@ -162,6 +160,13 @@
         """Return whether the last direct connection to a server could not be opened."""
         return address in self._failed
 
+    def _forget_unused(self, now: float) -> None:
+        for address, way in list(self._failed.items()):
+            if now > way.used_at + UNUSED_SECONDS:
+                del self._failed[address]
+                self._missed.discard(address)
+                self.is_cut_off = len(self._missed) >= MIN_LOST_SERVERS
+
     def _record_loss(self, address: str, way: FailedWay, now: float) -> None:
         way.failed_at = now
         self.is_cut_off = len(self._missed) >= MIN_LOST_SERVERS
--- a/packages/decisions/tests/test_ways.py
+++ b/packages/decisions/tests/test_ways.py
@@ -75,6 +75,13 @@
         self.assertEqual(self.ways.list_due_probes(first + PROBE_INTERVAL_SECONDS), ["a"])
         self.assertEqual(self.ways.list_due_probes(11.0 + UNUSED_SECONDS), [])
 
+    # Guards against an idle instance that counts as cut off for ever, and helps nobody.
+    def test_an_instance_without_requests_does_not_stay_cut_off(self) -> None:
+        self.lose("a", "b")
+        self.ways.list_due_probes(11.0 + UNUSED_SECONDS)
+        self.assertFalse(self.ways.is_cut_off)
+        self.assertEqual(self.ways.plan("c", 50.0), DIRECT_FIRST)
+
     # Guards against requests that are held though neither way leads anywhere.
     def test_a_cut_off_instance_that_nobody_helps_has_no_way_for_a_moment(self) -> None:
         for address in "ab":
