--- a/packages/lab/src/persimmonusher_lab/linked_process.py
+++ b/packages/lab/src/persimmonusher_lab/linked_process.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from persimmonusher_lab.links import OPENED
-from persimmonusher_node import loop
+from persimmonusher_node.loop import install as install_loop
 
 open_directly = BaseEventLoop.create_connection
 
@@ -64,7 +64,7 @@
 
 def install(route: Route) -> None:
     """Open this process's later connections along the route."""
-    loop.install()
+    install_loop()
     # Only now, so that the library uses the sockets of green threads.
     from urllib3.util import connection as library
 
