--- a/packages/node/tests/test_endless_answers.py
+++ b/packages/node/tests/test_endless_answers.py
@@ -18,7 +18,8 @@
 from persimmonusher_node.dialect import Dialect
 from persimmonusher_node.settings import Limits
 
-TIMEOUT_SECONDS = 0.8
+TIMEOUT_MS = 800
+TIMEOUT_SECONDS = TIMEOUT_MS / 1000
 LATE_SECONDS = 0.5
 """Time after the timeout within which the caller must have its answer."""
 HELD_SECONDS = 0.25
@@ -31,7 +32,7 @@
 
 
 class EndlessAnswersTest(EntryTestCase):
-    profile = Profile(deadline_ms=int(TIMEOUT_SECONDS * 1000), max_retries=0)
+    profile = Profile(deadline_ms=TIMEOUT_MS, queue_wait_ms=TIMEOUT_MS, max_retries=0)
     limits = Limits(buffered_answer_bytes=262_144)
     server_names = ()
     dialect = Dialect(accepts_unframed=True)
