--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -257,6 +257,7 @@
                     results[f"{reply.status} {reply.outcome} {reply.body.decode()}"] += 1
 
         callers = [eventlet.spawn(call_until_refused) for _ in range(8)]
+        self.wait_until(lambda: results.total() > 50, 10.0)
         slow = eventlet.spawn(self.post, b"slow")
         eventlet.sleep(0.3)
         self.stop()
