--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -27,8 +27,8 @@
 """Longer than the longest deadline: no attempt from before is still in flight."""
 
 
-BYTES_PER_TURN: Final = 65_536
-"""Bytes that one green thread reads before others get their turn: some tenths of a millisecond."""
+BYTES_PER_TURN: Final = 16_384
+"""Bytes that one green thread reads before the others run."""
 MAX_INTERIM_ANSWERS: Final = 16
 """Interim answers before the final one; a server needs one or two."""
 
@@ -39,8 +39,8 @@
     Guards against a server that crashes in the middle of an answer that ends with its connection:
     only the reset shows that such an answer is not whole.
 
-    A green thread that always finds bytes to read never waits, and would hold up all others for as
-    long as a server goes on sending. So other threads get their turn after some bytes.
+    A green thread that always finds bytes to read never waits, and would block all others for as
+    long as a server goes on sending. So the other threads run after every BYTES_PER_TURN.
     """
 
     def __init__(self, connection: Any, owner: io.RawIOBase) -> None:
