Wait in test_follower until a keeper is followed

The log has no keeper-followed line by then: the entry is current with the first keeper's answer, and its stream is opened a moment later. So the test looked for the followed keeper too soon; it now waits for both, and asserts the same.

--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -148,6 +148,14 @@
             self.assertLess(time.monotonic(), deadline, "condition not met in time")
             eventlet.sleep(0.02)
 
+    def wait_for_followed_keeper(self, seconds: float) -> ScriptedKeeper:
+        """Return the keeper that is followed; an entry is current as soon as one has answered."""
+        deadline = time.monotonic() + seconds
+        while not any(keeper.followers for keeper in self.keepers):
+            self.assertLess(time.monotonic(), deadline, "no keeper is followed in time")
+            eventlet.sleep(0.02)
+        return next(keeper for keeper in self.keepers if keeper.followers)
+
     def find_oldest_age(self, seconds: float) -> float:
         """Return the largest age of the configuration during the next seconds."""
         deadline = time.monotonic() + seconds
@@ -195,7 +203,7 @@
     # Guards against following a keeper on a slow path while the paths to others are fast.
     def test_an_entry_turns_from_a_slow_way_to_another_keeper(self) -> None:
         self.wait_until_current(3.0)
-        slow = next(keeper for keeper in self.keepers if keeper.followers)
+        slow = self.wait_for_followed_keeper(3.0)
         slow.delay_seconds = 1.0
         for _ in range(60):
             eventlet.sleep(0.05)
