Simplify how ways are opened; state a request's deadline in one place

Review: the deadline header was computed when a request is made and again when it is sent; a search for a relaying entry waited in one method with two meanings; a way was a string; names of checks that open connections looked like those of lookups. Buffers of a relayed connection are halved, so that they take the 256 KB that the comment says.

--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -154,9 +154,7 @@
 
     def _make(self, run: Run, dispatch: Dispatch) -> EndedAttempt:
         started = self._clock.monotonic()
-        request = make_upstream_request(
-            run.call, run.request, dispatch.server, started, self._dialect
-        )
+        request = make_upstream_request(run.call, run.request, dispatch.server, self._dialect)
         attempt = self._upstream.start_attempt(
             dispatch.server,
             request,
--- a/packages/node/src/persimmonusher_node/exchange.py
+++ b/packages/node/src/persimmonusher_node/exchange.py
@@ -31,15 +31,13 @@
 
 
 def make_upstream_request(
-    call: Call, request: Request, server: BackendServer, now: float, dialect: Dialect
+    call: Call, request: Request, server: BackendServer, dialect: Dialect
 ) -> UpstreamRequest:
-    """Make the request for a backend server; its deadline header is the remaining time."""
+    """Make the request for a backend server; its deadline is added when it is sent."""
     headers: dict[str, str] = {}
     dropped = list_replaced_headers(dialect, call.identity is not None)
     for name, value in select_headers(call.headers, dropped):
         headers[name] = f"{headers[name]}, {value}" if name in headers else value
-    remaining_ms = max(1, int((request.deadline - now) * 1000.0))
-    headers[dialect.deadline] = str(remaining_ms)
     headers[dialect.request_id] = call.request_id
     if dialect.expected_server is not None:
         headers[dialect.expected_server] = server.server_id
--- a/packages/node/src/persimmonusher_node/relay_listener.py
+++ b/packages/node/src/persimmonusher_node/relay_listener.py
@@ -23,7 +23,7 @@
 
 MAX_CONNECTIONS: Final = 256
 """Connections relayed at a time. Each takes two file descriptors and up to 256 KB of buffers."""
-BUFFER_BYTES: Final = 65_536
+BUFFER_BYTES: Final = 32_768
 HEAD_SECONDS: Final = 1.0
 """Longest time for the head of a request, which fits into one packet."""
 OPEN_SECONDS: Final = 0.2
--- a/packages/node/src/persimmonusher_node/relays.py
+++ b/packages/node/src/persimmonusher_node/relays.py
@@ -22,6 +22,7 @@
 from persimmonusher_node.server_openings import (
     OpeningResult,
     ServerOpenings,
+    Way,
     classify_opening_error,
 )
 
@@ -67,12 +68,13 @@
         peers = self.choice.order(self._clock.monotonic())
         if not peers:
             raise RelayError(Verdict.DOWN)
-        search = RelaySearch(self._clock.monotonic() + min(seconds, TOTAL_SECONDS))
-        for number, peer in enumerate(peers, 1):
+        search = RelaySearch(self._clock, min(seconds, TOTAL_SECONDS))
+        for peer in peers:
             spawn_n(self._try_for, search, peer, server)
-            search.wait(self._clock.monotonic(), number if number == len(peers) else None)
+            search.wait(STAGGER_SECONDS)
             if search.is_over:
                 break
+        search.wait_for_rest(len(peers))
         if search.connection is not None:
             return search.connection
         if search.denials:
@@ -118,14 +120,15 @@
         else:
             self.choice.record_failed(peer, now)
         if self.openings is not None:
-            self.openings.record("relayed", server.address, result, now)
+            self.openings.record(Way.RELAYED, server.address, result, now)
 
 
 class RelaySearch:
     """The search for one connection: the answers of the instances asked, until it is over."""
 
-    def __init__(self, end: float) -> None:
-        self._end = end
+    def __init__(self, clock: Clock, seconds: float) -> None:
+        self._clock = clock
+        self._end = clock.monotonic() + seconds
         self._answers: Queue = Queue()
         self._answered = 0
         self.connection: ServerConnection | None = None
@@ -140,18 +143,23 @@
         elif isinstance(answer, ServerConnection):
             answer.close()
 
-    def wait(self, now: float, asked: int | None) -> None:
-        """Wait a little for the next answer; with `asked` instances, the last ones, for all."""
-        until = self._end if asked else min(self._end, now + STAGGER_SECONDS)
+    def wait(self, seconds: float) -> None:
+        """Wait for the next answer, but no longer than some seconds or until the end."""
+        left = self._end - self._clock.monotonic()
         try:
-            while not self.is_over and self._answered != asked:
-                self._take(self._answers.get(timeout=max(0.0, until - now)))
-                if asked is None:
-                    return
+            self._take(self._answers.get(timeout=max(0.0, min(seconds, left))))
         except Empty:
-            self.is_over = until >= self._end
-        if asked is not None:
-            self._close()
+            self.is_over = self._clock.monotonic() >= self._end
+
+    def wait_for_rest(self, asked: int) -> None:
+        """Wait until all instances asked have answered or the search is over; then close it."""
+        while not self.is_over and self._answered < asked:
+            self.wait(TOTAL_SECONDS)
+        self.is_over = True
+        while not self._answers.empty():
+            answer = self._answers.get()
+            if isinstance(answer, ServerConnection):
+                answer.close()
 
     def _take(self, answer: ServerConnection | RelayStatus) -> None:
         self._answered += 1
@@ -159,16 +167,7 @@
             self.connection = answer
         elif answer is RelayStatus.UNREACHED:
             self.denials += 1
-        if self.connection is not None or self.denials >= MIN_DENIALS:
-            self._close()
-
-    def _close(self) -> None:
-        """End the search, and close the connections that it doesn't use."""
-        self.is_over = True
-        while not self._answers.empty():
-            answer = self._answers.get()
-            if isinstance(answer, ServerConnection):
-                answer.close()
+        self.is_over = self.connection is not None or self.denials >= MIN_DENIALS
 
 
 def read_head(connection: socket.socket) -> bytes:
--- a/packages/node/src/persimmonusher_node/server_openings.py
+++ b/packages/node/src/persimmonusher_node/server_openings.py
@@ -7,7 +7,7 @@
 from structlog import get_logger
 
 RECENT_SECONDS: Final = 2.0
-"""Openings within this time are set beside a failed one: about the time that callers notice."""
+"""Time for which openings count as recent."""
 LOG_INTERVAL_SECONDS: Final = 1.0
 MAX_NAMED_SERVERS: Final = 8
 MAX_REMEMBERED_SERVERS: Final = 4_096
@@ -15,6 +15,14 @@
 _log = get_logger(__name__)
 
 
+class Way(Enum):
+    """How a server is reached."""
+
+    DIRECT = "direct"
+    RELAYED = "relayed"
+    """Through another instance."""
+
+
 class OpeningResult(Enum):
     """How the opening of a connection ended."""
 
@@ -36,15 +44,15 @@
 
     def __init__(self) -> None:
         self.tally: Counter[tuple[str, str]] = Counter()
-        """Openings by way (`direct` or `relayed`) and result."""
+        """Openings by way and result, as labels of a metric."""
         self._opened_at: dict[str, float] = {}
         self._missed_at: dict[str, float] = {}
         self._logged_at = float("-inf")
 
-    def record(self, way: str, address: str, result: OpeningResult, now: float) -> None:
+    def record(self, way: Way, address: str, result: OpeningResult, now: float) -> None:
         """Count an opening; direct ones also tell which servers are reached."""
-        self.tally[way, result.value] += 1
-        if way != "direct":
+        self.tally[way.value, result.value] += 1
+        if way is not Way.DIRECT:
             return
         if len(self._opened_at) + len(self._missed_at) > MAX_REMEMBERED_SERVERS:
             self._opened_at.clear()
--- a/packages/node/src/persimmonusher_node/server_ways.py
+++ b/packages/node/src/persimmonusher_node/server_ways.py
@@ -1,7 +1,5 @@
 """Opens connections to backend servers, directly or through another instance."""
 
-from typing import Final
-
 from eventlet import spawn_n
 from structlog import get_logger
 from urllib3.exceptions import HTTPError
@@ -9,17 +7,19 @@
 from persimmonusher_decisions.server import BackendServer
 from persimmonusher_decisions.ways import Verdict, Ways
 from persimmonusher_model.clock import Clock
-from persimmonusher_node.connections import ServerConnection, ServerPool
+from persimmonusher_node.connections import (
+    CONNECT_TIMEOUT_SECONDS,
+    ServerConnection,
+    ServerPool,
+)
 from persimmonusher_node.relays import RelayDialer, RelayError
 from persimmonusher_node.server_openings import (
     OpeningResult,
     ServerOpenings,
+    Way,
     classify_opening_error,
 )
 
-PROBE_SECONDS: Final = 0.25
-"""Longest wait for a probe's connection."""
-
 _log = get_logger(__name__)
 
 
@@ -52,10 +52,6 @@
         """Return the number of servers that only other instances reach."""
         return self._ways.lost_count
 
-    def may_use_pooled(self, pool: ServerPool) -> bool:
-        """Return whether idle direct connections to a server may be used."""
-        return self._relays is None or self._ways.plan(pool.address, self._clock.monotonic()).direct
-
     def may_reach(self, address: str) -> bool:
         """Return whether this instance has a direct way to a server, as far as it knows."""
         return self._ways.plan(address, self._clock.monotonic()).direct
@@ -64,7 +60,7 @@
         """Return a new connection to a server; raise OpeningError if no way leads there."""
         started = self._clock.monotonic()
         plan = self._ways.plan(pool.address, started)
-        if plan.direct or self._relays is None:
+        if plan.direct:
             connection = self._open_directly(pool, seconds)
             if connection is not None:
                 return connection
@@ -75,7 +71,7 @@
         left = seconds - (self._clock.monotonic() - started)
         return self._open_through_another(self._relays, pool, server, left)
 
-    def was_cut(self, pool: ServerPool, server: BackendServer, since: float) -> bool:
+    def check_cut(self, pool: ServerPool, server: BackendServer, since: float) -> bool:
         """Return whether the direct way to a server is or was cut since a moment.
 
         A new connection tells, which is kept for the next request.
@@ -86,20 +82,20 @@
             return True
         if self._ways.is_down(pool.address, self._clock.monotonic()):
             return False
-        connection = self._open_directly(pool, PROBE_SECONDS)
+        connection = self._open_directly(pool, CONNECT_TIMEOUT_SECONDS)
         if connection is not None:
             pool.release(connection)
             return False
-        return not self.is_down(pool, server)
+        return not self.check_down(pool, server)
 
-    def is_down(self, pool: ServerPool, server: BackendServer) -> bool:
+    def check_down(self, pool: ServerPool, server: BackendServer) -> bool:
         """Return whether other instances don't reach a server, though they reach others."""
         if self._relays is None:
             return True
         if not self._ways.plan(pool.address, self._clock.monotonic()).relayed:
             return self._ways.is_down(pool.address, self._clock.monotonic())
         try:
-            self._open_through_another(self._relays, pool, server, PROBE_SECONDS).close()
+            self._open_through_another(self._relays, pool, server, CONNECT_TIMEOUT_SECONDS).close()
         except OpeningError as error:
             return error.verdict is Verdict.DOWN
         return False
@@ -116,7 +112,7 @@
                 spawn_n(self._probe, pool)
 
     def _probe(self, pool: ServerPool) -> None:
-        connection = self._open_directly(pool, PROBE_SECONDS)
+        connection = self._open_directly(pool, CONNECT_TIMEOUT_SECONDS)
         if connection is None:
             self._ways.record_probe_failed(pool.address, self._clock.monotonic())
         else:
@@ -128,9 +124,9 @@
             connection = pool.connect(seconds)
         except (HTTPError, OSError) as error:
             result = classify_opening_error(error)
-            self.openings.record("direct", address, result, clock.monotonic())
+            self.openings.record(Way.DIRECT, address, result, clock.monotonic())
             return None
-        self.openings.record("direct", address, OpeningResult.OPENED, clock.monotonic())
+        self.openings.record(Way.DIRECT, address, OpeningResult.OPENED, clock.monotonic())
         was_cut_off = self._ways.is_cut_off
         self._ways.record_opened(address, clock.monotonic())
         if self._pools.pop(address, None) is not None:
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True)
 class UpstreamRequest:
-    """The request as it is written to a backend server; `target` is the path with its query."""
+    """A request to a backend server, without its deadline; `target` is the path with its query."""
 
     request_id: str
     method: str
@@ -118,8 +118,8 @@
         """
         pool = self._find_pool(server)
         if is_relayed:
-            return not self.ways.is_down(pool, server)
-        return self.ways.was_cut(pool, server, since)
+            return not self.ways.check_down(pool, server)
+        return self.ways.check_cut(pool, server, since)
 
     def _find_pool(self, server: BackendServer) -> ServerPool:
         pool = self._pools.get(server.address)
@@ -201,7 +201,7 @@
     def _open(self) -> ServerConnection:
         self._check_may_begin()
         connection = None
-        if self._ways.may_use_pooled(self._pool):
+        if self._ways.may_reach(self._pool.address):
             connection = self._pool.acquire(self._request.idempotent)
         if connection is None:
             connection = self._connect()
@@ -242,10 +242,8 @@
     def _exchange(self, connection: ServerConnection) -> BaseHTTPResponse:
         connection.timeout = self._remaining()
         connection.may_have_sent = False
-        headers = dict(self._request.headers)
-        if self._dialect.deadline in headers:
-            # Finding a way to the server may have taken a good part of a second.
-            headers[self._dialect.deadline] = str(max(1, int(self._remaining() * 1000.0)))
+        remaining_ms = int(self._remaining() * 1000.0)
+        headers = {**self._request.headers, self._dialect.deadline: str(max(1, remaining_ms))}
         connection.request(
             self._request.method,
             self._request.target,
--- a/packages/node/tests/test_server_openings.py
+++ b/packages/node/tests/test_server_openings.py
@@ -5,6 +5,7 @@
 from persimmonusher_node.server_openings import (
     OpeningResult,
     ServerOpenings,
+    Way,
     classify_opening_error,
 )
 
@@ -14,9 +15,9 @@
         self.openings = ServerOpenings()
 
     def record(self, address: str, result: OpeningResult, now: float) -> None:
-        self.openings.record("direct", address, result, now)
+        self.openings.record(Way.DIRECT, address, result, now)
 
-    def test_the_log_sets_servers_reached_beside_those_that_are_not(self) -> None:
+    def test_the_log_counts_the_servers_reached_and_those_that_are_not(self) -> None:
         self.record("a", OpeningResult.OPENED, 10.0)
         with capture_logs() as logs:
             self.record("b", OpeningResult.SILENT, 10.1)
