--- a/packages/decisions/tests/test_suspicion.py
+++ b/packages/decisions/tests/test_suspicion.py
@@ -67,7 +67,7 @@
         self.assertGreater(serve(second, 60, HOLD_SECONDS + TRIAL_SECONDS)[faulty], 0)
         self.assertEqual(first.pop_notices(), ())
 
-    # Guards against a cut of the own way that turns all instances away from sound servers.
+    # Guards against a cut of one instance's way that makes all of them avoid healthy servers.
     def test_answers_lost_on_the_way_do_not_count_against_their_servers(self) -> None:
         for kind in (OutcomeKind.BROKEN, OutcomeKind.TIMEOUT):
             traffic = make_traffic(6, SUSPECTING)
--- a/packages/decisions/tests/test_ways.py
+++ b/packages/decisions/tests/test_ways.py
@@ -75,22 +75,22 @@
         self.assertEqual(self.ways.list_due_probes(first + PROBE_INTERVAL_SECONDS), ["a"])
         self.assertEqual(self.ways.list_due_probes(11.0 + UNUSED_SECONDS), [])
 
-    # Guards against an idle instance that counts as cut off for ever, and helps nobody.
+    # Guards against an idle instance that counts as cut off for ever and relays for no other.
     def test_an_instance_without_requests_does_not_stay_cut_off(self) -> None:
         self.lose("a", "b")
         self.ways.list_due_probes(11.0 + UNUSED_SECONDS)
         self.assertFalse(self.ways.is_cut_off)
         self.assertEqual(self.ways.plan("c", 50.0), DIRECT_FIRST)
 
-    # Guards against requests that are held though neither way leads anywhere.
-    def test_a_cut_off_instance_that_nobody_helps_has_no_way_for_a_moment(self) -> None:
+    # Guards against requests that are held though no way to a server is known.
+    def test_a_cut_off_instance_without_help_has_no_way_for_a_moment(self) -> None:
         for address in "ab":
             self.ways.record_failed(address, Verdict.UNKNOWN, 10.0)
         self.ways.record_unhelped(10.0)
         self.assertEqual(self.ways.plan("c", 10.1), NO_WAY)
         self.assertEqual(self.ways.plan("c", 10.1 + UNHELPED_SECONDS), RELAYED_ONLY)
 
-    # Guards against an answer that a cut took, counted against its server when it times out later.
+    # Guards against counting a request against its server that times out after the cut has ended.
     def test_a_loss_is_remembered_after_the_way_has_come_back(self) -> None:
         self.lose("a", now=10.0)
         self.ways.record_opened("a", 12.0)
--- a/packages/lab/src/persimmonusher_lab/links.py
+++ b/packages/lab/src/persimmonusher_lab/links.py
@@ -66,7 +66,7 @@
         self._tell(Command(self._cut, self._refusing))
 
     def set_refusing(self, links: Iterable[Link]) -> None:
-        """Refuse new connections on these links, and on no others; open ones live on."""
+        """Refuse new connections on these links, and on no others; open ones stay open."""
         self._refusing = tuple(links)
         self._tell(Command(self._cut, self._refusing))
 
--- a/packages/lab/tests/test_links.py
+++ b/packages/lab/tests/test_links.py
@@ -78,7 +78,7 @@
             if not client.recv(1):
                 raise ConnectionResetError("closed")
 
-    def test_new_connections_are_refused_while_open_ones_live_on(self) -> None:
+    def test_new_connections_are_refused_while_open_ones_stay_open(self) -> None:
         client = self.open_at_once()
         self.links.set_refusing({(self.source, self.target)})
         refused = self.open()
--- a/packages/node/src/persimmonusher_node/relay_listener.py
+++ b/packages/node/src/persimmonusher_node/relay_listener.py
@@ -30,9 +30,9 @@
 """Longest wait for a server, and then for another one, so that both take less time than the other
 instance waits for the answer."""
 POLL_SECONDS: Final = 0.02
-CLOSE_IN_ORDER: Final = struct.pack("ii", 0, 0)
-"""The default of SO_LINGER. A relayed connection has it only once the server has closed in good
-order: an answer that ends with its connection would look whole after any other end."""
+GRACEFUL_CLOSE: Final = struct.pack("ii", 0, 0)
+"""The default of SO_LINGER. A relayed connection gets it only once the server has closed without a
+reset: an answer that ends with its connection would be taken for whole otherwise."""
 
 logger = structlog.get_logger(__name__)
 
@@ -121,7 +121,7 @@
         try:
             writer.write(make_answer(RelayStatus.OPENED))
             if await relay(reader, writer, *there):
-                set_linger(writer, CLOSE_IN_ORDER)
+                set_linger(writer, GRACEFUL_CLOSE)
         finally:
             there[1].transport.abort()
         return None
@@ -183,7 +183,7 @@
 ) -> bool:
     """Pass bytes on in both directions until either end closes.
 
-    Return whether the server closed its connection in good order. An instance never closes one
+    Return whether the server closed its connection without a reset. An instance never closes one
     direction only, so its close ends the connection to the server.
     """
     there = asyncio.ensure_future(pump(reader, server_writer))
@@ -205,7 +205,7 @@
 
 
 def set_linger(writer: asyncio.StreamWriter, linger: bytes) -> None:
-    """Choose how a connection ends, also when this process is killed."""
+    """Set SO_LINGER, which also decides how the connection ends if this process is killed."""
     connection = writer.get_extra_info("socket")
     with suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/packages/node/tests/endless_server.py
+++ b/packages/node/tests/endless_server.py
@@ -1,4 +1,4 @@
-"""A server as a process of its own, whose answers never end: `endless_server.py SHAPE PAUSE`."""
+"""A server process whose answers have no end: `endless_server.py SHAPE PAUSE_SECONDS`."""
 
 import socket
 import sys
@@ -20,10 +20,10 @@
     "trailers": (CHUNKED + b"0\r\n", b"X-More: and more\r\n"),
     "beyond-length": (OK + b"Content-Length: 2\r\n\r\nok", b"x" * 1_000),
 }
-"""What is sent first, and then again and again."""
+"""The bytes that are sent first, and those that are repeated."""
 BATCH_BYTES = 65_536
 MAX_SECONDS = 4.0
-"""The end after all, so that a reader which never yields doesn't hang the test."""
+"""Limit for a reader that never yields, so that the test ends."""
 
 
 def serve(connection: socket.socket, first: bytes, again: bytes, pause: float) -> None:
--- a/packages/node/tests/test_endless_answers.py
+++ b/packages/node/tests/test_endless_answers.py
@@ -23,7 +23,7 @@
 LATE_SECONDS = 0.5
 """Time after the timeout within which the caller must have its answer."""
 HELD_SECONDS = 0.25
-"""Longest time for which other requests may be held up."""
+"""Longest time that another request may take meanwhile."""
 MAX_GROWTH_BYTES = 64 * 1_048_576
 CALLERS = 4
 READ_BYTES = 65_536
@@ -84,7 +84,7 @@
             eventlet.sleep(0.02)
         return longest
 
-    # Guards against answers without end that hold up their callers, or all others, or fill memory.
+    # Guards against answers without end that delay their callers or all others, or fill memory.
     def test_bytes_without_end_are_cut_off_at_the_timeout(self) -> None:
         for shape in SHAPES:
             for pause in PAUSES:
--- a/packages/node/tests/test_relay_peers.py
+++ b/packages/node/tests/test_relay_peers.py
@@ -53,7 +53,7 @@
         eventlet.sleep(8 * FIRST_SECONDS)
         self.assertEqual(self.list_known(), {"10.0.0.2:1", "10.0.0.3:1"})
 
-    # Guards against known entries that are all gone, and replaced by others half a minute later.
+    # Guards against an old list of entries that are all gone.
     def test_others_are_asked_for_when_none_of_the_known_can_help(self) -> None:
         eventlet.sleep(40 * FIRST_SECONDS)
         asked = self.peers.asked
--- a/packages/node/tests/test_relays.py
+++ b/packages/node/tests/test_relays.py
@@ -93,7 +93,7 @@
         self.assertIn(b"200 OK", connection.recv(1_000))
         self.assertEqual([heard.target for heard in self.server.ran], ["/x"])
 
-    # Guards against an open proxy: strangers, and addresses that aren't those of servers.
+    # Guards against an open proxy: callers without the token, and addresses of other hosts.
     def test_only_the_fleet_reaches_only_servers(self) -> None:
         address = self.server.address
         for raw, status in (
@@ -107,7 +107,7 @@
                 self.assertIs(self.find_status(raw), status)
         self.assertEqual(self.server.connections, 0)
 
-    # Guards against bytes from anywhere that crash the listener or open a connection.
+    # Guards against malformed requests that crash the listener or open a connection.
     def test_mutated_requests_open_nothing_else(self) -> None:
         whole = make_request(self.announced.address, SERVICE, TOKEN)
         for raw in mutate(whole, Random(1)):
@@ -127,7 +127,7 @@
         self.other.stop()
         self.assertIs(self.find_status(raw), RelayStatus.UNAVAILABLE)
 
-    # Guards against requests that are lost with an instance that stops.
+    # Guards against requests that are lost when an instance that relays them stops.
     def test_a_stopping_instance_ends_what_it_relays_and_takes_nothing_new(self) -> None:
         self.server.default = stall(0.3, answer(b"late"))
         raw = make_request(self.server.address, SERVICE, TOKEN)
@@ -193,7 +193,7 @@
         self.assertEqual(self.run_attempt().body, b"ok")
         self.assertEqual(self.upstream.ways.lost_count, 1)
 
-    # Guards against an answer that a reset cut off, and that looks whole behind another instance.
+    # Guards against an answer that a reset cut off and that is taken for whole when relayed.
     def test_a_reset_by_the_server_arrives_as_one(self) -> None:
         def break_off(connection: socket.socket, heard: object) -> bool:
             connection.sendall(b"HTTP/1.1 200 OK\r\n\r\npart")
@@ -222,7 +222,7 @@
             self.run_attempt()
         self.assertIs(raised.exception.kind, OutcomeKind.BROKEN)
 
-    # Guards against an instance that hangs and holds up those that ask it for a connection.
+    # Guards against an instance that hangs and delays those that ask it for a connection.
     def test_a_silent_instance_costs_little_time(self) -> None:
         silent = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(silent.close)
