--- a/packages/node/tests/entry_harness.py
+++ b/packages/node/tests/entry_harness.py
@@ -37,6 +37,7 @@
 from persimmonusher_node.observer import FinishedRequest, RequestObserver  # noqa: E402
 from persimmonusher_node.parts import Parts  # noqa: E402
 from persimmonusher_node.ports import Instance, Quotas, QuotaVerdict  # noqa: E402
+from persimmonusher_node.relays import RelayDialer  # noqa: E402
 from persimmonusher_node.settings import Limits, Listeners, Settings  # noqa: E402
 
 SERVICE = ServiceName("entries")
@@ -253,7 +254,13 @@
         )
         self.observer = KeepingObserver()
         self.plane = DataPlane(
-            settings, parts, self.observer, SystemClock(), Random(1), self.dialect
+            settings,
+            parts,
+            self.observer,
+            SystemClock(),
+            Random(1),
+            self.dialect,
+            self.make_relays(),
         )
         self.listener = HttpListener(
             "127.0.0.1:0",
@@ -266,6 +273,10 @@
         self.addCleanup(self.listener.abort)
         self.addCleanup(self.listener.stop_accepting)
 
+    def make_relays(self) -> RelayDialer | None:
+        """Return the dialer for connections through other instances; None where there are none."""
+        return None
+
     def add_server(self, name: str) -> ScriptedServer:
         server = ScriptedServer(name)
         self.addCleanup(server.stop)
