--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -26,7 +26,7 @@
 PACKAGES: Final = (*VIRTUAL_TIME_PACKAGES, *IO_PACKAGES)
 KNOWN_RED: Final = ROOT / "KNOWN-RED.txt"
 PACKAGE_TIMEOUT_SECONDS: Final = 900
-"""Ends a package whose tests hang; the longest take about 600 s on a busy machine."""
+"""Time after which a package's tests count as hanging."""
 
 
 @dataclass(frozen=True)
