--- a/packages/decisions/src/persimmonusher_decisions/work.py
+++ b/packages/decisions/src/persimmonusher_decisions/work.py
@@ -25,6 +25,9 @@
     """Total servers that it may be sent to, if its route limits them; else the profile applies."""
     priority: int = 0
     """Rank within its service; 0 is the most urgent."""
+    method: str = ""
+    body_bytes: int = 0
+    """Size of the body, as far as it is known when the request is placed."""
 
 
 class OutcomeKind(Enum):
--- a/packages/model/src/persimmonusher_model/profile.py
+++ b/packages/model/src/persimmonusher_model/profile.py
@@ -135,6 +135,24 @@
         description="The same for each kilobyte of the service's usual answer, in addition. For "
         "links between failure domains that are paid by the byte.",
     )
+    work_aware: bool = Field(
+        default=False,
+        description="Place requests by the expected time until a server could begin them, from "
+        "their learned cost and the fleet's requests in progress, instead of by counts. For "
+        "requests that differ in cost, and servers that differ in speed.",
+    )
+    failure_memory_ms: int = Field(
+        default=0,
+        ge=0,
+        le=600_000,
+        description="Time for which an instance remembers the servers that failed in spells, and "
+        "prefers others for requests that can't be repeated; 0 remembers none.",
+    )
+    urgent_first: bool = Field(
+        default=False,
+        description="Refuse less urgent requests first, by their priority, while a service has "
+        "too little capacity. For callers who compete for it.",
+    )
     ramp_ms: int = Field(
         default=10_000,
         ge=0,
--- a/packages/model/src/persimmonusher_model/routing.py
+++ b/packages/model/src/persimmonusher_model/routing.py
@@ -45,6 +45,8 @@
     services: tuple[WeightedService, ...]
     public: bool = False
     """Whether requests need no API key although the document has organisations."""
+    large_body: bool = False
+    """Whether requests have bodies too large to be held whole at an instance."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +80,11 @@
     organisations: tuple[Organisation, ...] | None = None
     """None where requests carry no API keys."""
 
+    @property
+    def has_large_bodies(self) -> bool:
+        """Return whether a route takes requests with large bodies."""
+        return any(rule.large_body for rule in self.rules)
+
 
 class DocumentCodec(ABC):
     """Parses the operator's document format; the fleet stores and returns the original bytes."""
--- a/packages/node/src/persimmonusher_node/applied_document.py
+++ b/packages/node/src/persimmonusher_node/applied_document.py
@@ -23,9 +23,16 @@
 class AppliedDocument:
     """The document's rules, and profiles for its services that have none of their own."""
 
-    def __init__(self, codec: DocumentCodec, default_profile: Profile) -> None:
+    def __init__(
+        self,
+        codec: DocumentCodec,
+        default_profile: Profile,
+        large_body_profile: Profile | None = None,
+    ) -> None:
+        """Take the profile of all services, and the one while a route has large bodies."""
         self._codec = codec
         self._default = default_profile
+        self._large_body_default = large_body_profile or default_profile
         self._rules = RuleTable()
         self._profiles: dict[ServiceName, Profile] = {}
         self.document: RoutingDocument | None = None
@@ -72,8 +79,9 @@
     def _make_profiles(self, document: RoutingDocument) -> dict[ServiceName, Profile]:
         """Make a profile for each service; an unchanged profile stays the same object."""
         made = {}
+        default = self._large_body_default if document.has_large_bodies else self._default
         for entry in document.services:
-            profile = self._default.model_copy(
+            profile = default.model_copy(
                 update={
                     "max_body_bytes": document.limits.body_bytes,
                     "connections_per_server": entry.connection_limit,
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -111,6 +111,8 @@
             compute_fingerprint(call),
             call.rule.attempts if call.rule else None,
             call.find_priority(),
+            call.method,
+            len(call.body),
         )
         record = RequestRecord(
             request_id,
--- a/packages/node/src/persimmonusher_node/settings.py
+++ b/packages/node/src/persimmonusher_node/settings.py
@@ -145,6 +145,13 @@
     bounds: Bounds = Bounds()
     default_profile: dict[str, Any] = {}
     """Profile document for the routing document's services that have no profile of their own."""
+    terms: tuple[str, ...] = ()
+    """Names of the terms that the deployment's operator agreed to."""
+    contended_terms: tuple[str, ...] = ()
+    """Terms by which callers compete for capacity; with one of them `contended_profile` applies."""
+    contended_profile: dict[str, Any] = {}
+    """Fields that replace those of `default_profile` under contention: with one of
+    `contended_terms`, or while the routing document has routes with large bodies."""
     stop_seconds: float | None = Field(default=None, gt=0, le=3600)
     """Longest duration of a graceful stop, where the supervisor kills the process after it."""
     keepers: tuple[Keeper, ...] = ()
@@ -174,6 +181,11 @@
             return self.seeds
         return tuple(f"{seed.rpartition(':')[0]}:{self.seeds_port}" for seed in self.seeds)
 
+    @property
+    def is_contended(self) -> bool:
+        """Return whether callers compete for capacity by the terms of the deployment."""
+        return not set(self.contended_terms).isdisjoint(self.terms)
+
     @property
     def is_keeper(self) -> bool:
         """Return whether this instance is one of the first keepers."""
--- a/packages/node/src/persimmonusher_node/settings_file.py
+++ b/packages/node/src/persimmonusher_node/settings_file.py
@@ -120,12 +120,19 @@
 
 
 def check_default_profile(settings: Settings, found: FindingList) -> None:
-    """Check the default profile as a profile document."""
+    """Check the default profile as a profile document, and what replaces parts of it."""
+    _check_profile("default_profile", settings.default_profile, found)
+    if settings.contended_profile:
+        merged = {**settings.default_profile, **settings.contended_profile}
+        _check_profile("contended_profile", merged, found)
+
+
+def _check_profile(name: str, document: dict[str, Any], found: FindingList) -> None:
     try:
-        parse_profile(settings.default_profile)
+        parse_profile(document)
     except UsherError as error:
         for finding in error.findings:
-            found.add(f"default_profile.{finding.path}", finding.message, finding.code)
+            found.add(f"{name}.{finding.path}", finding.message, finding.code)
 
 
 def find_line(text: str, path: list[str]) -> int | None:
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -13,7 +13,7 @@
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServerId
 from persimmonusher_model.profile import parse_profile
-from persimmonusher_model.routing import CallerLimits
+from persimmonusher_model.routing import CallerLimits, DocumentCodec
 from persimmonusher_node.applied_document import AppliedDocument
 from persimmonusher_node.attempts import log_notice
 from persimmonusher_node.configuration_client import ConfigurationClient
@@ -79,9 +79,7 @@
         self._clock = clock
         self._random = random
         self._lines = LineBudget(clock)
-        self._document = document = AppliedDocument(
-            edge.codec, parse_profile(settings.default_profile)
-        )
+        self._document = document = make_document(settings, edge.codec)
         view = FollowedConfiguration(settings, channels, clock, random, document=document)
         self.follower = make_follower(settings, view, channels, clock, random)
         view.follower = self.follower
@@ -185,6 +183,13 @@
         return relay
 
 
+def make_document(settings: Settings, codec: DocumentCodec) -> AppliedDocument:
+    """Make the routing document's store, with the profiles that the settings state."""
+    default = parse_profile(settings.default_profile)
+    contended = parse_profile({**settings.default_profile, **settings.contended_profile})
+    return AppliedDocument(codec, contended if settings.is_contended else default, contended)
+
+
 def make_follower(
     settings: Settings,
     view: ConfigurationClient,
--- a/packages/node/src/persimmonusher_node/tiers/follow_service.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_service.py
@@ -155,6 +155,12 @@
             standing = self._feed.make_standing()
         await stream.send_message(standing)
 
+    async def ShareLoads(  # noqa: N802
+        self, stream: "Stream[control_pb2.LoadSums, keeper_pb2.Ack]"
+    ) -> None:
+        """Refuse another keeper's sums: they aren't used yet."""
+        raise GRPCError(Status.UNIMPLEMENTED)
+
     async def _tick(self) -> None:
         """Send the status to all followers at the same times, so that they share one message."""
         while self._followers:
--- a/packages/node/src/persimmonusher_node/tiers/peer_notices.py
+++ b/packages/node/src/persimmonusher_node/tiers/peer_notices.py
@@ -5,6 +5,8 @@
 from typing import Final
 
 import structlog
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
 from persimmonusher_decisions.notices import Notice
@@ -87,3 +89,9 @@
         for notice in batch.notices:
             self._on_notice(decode_notice(notice))
         await stream.send_message(keeper_pb2.Ack())
+
+    async def TakeQuota(  # noqa: N802
+        self, stream: "Stream[control_pb2.QuotaRequest, control_pb2.QuotaReply]"
+    ) -> None:
+        """Refuse to forward calls to keepers: this isn't supported yet."""
+        raise GRPCError(Status.UNIMPLEMENTED)
--- a/packages/protocol/src/persimmonusher_protocol/control_grpc.py
+++ b/packages/protocol/src/persimmonusher_protocol/control_grpc.py
@@ -19,6 +19,10 @@
     async def Tell(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.NoticeBatch, persimmonusher_protocol.keeper_pb2.Ack]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def TakeQuota(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.QuotaRequest, persimmonusher_protocol.control_pb2.QuotaReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/persimmonusher.control.Peers/Tell': grpclib.const.Handler(
@@ -27,6 +31,12 @@
                 persimmonusher_protocol.control_pb2.NoticeBatch,
                 persimmonusher_protocol.keeper_pb2.Ack,
             ),
+            '/persimmonusher.control.Peers/TakeQuota': grpclib.const.Handler(
+                self.TakeQuota,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonusher_protocol.control_pb2.QuotaRequest,
+                persimmonusher_protocol.control_pb2.QuotaReply,
+            ),
         }
 
 
@@ -39,6 +49,12 @@
             persimmonusher_protocol.control_pb2.NoticeBatch,
             persimmonusher_protocol.keeper_pb2.Ack,
         )
+        self.TakeQuota = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonusher.control.Peers/TakeQuota',
+            persimmonusher_protocol.control_pb2.QuotaRequest,
+            persimmonusher_protocol.control_pb2.QuotaReply,
+        )
 
 
 class ControlBase(abc.ABC):
@@ -55,6 +71,10 @@
     async def ReportLoad(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.LoadReport, persimmonusher_protocol.control_pb2.Standing]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ShareLoads(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.LoadSums, persimmonusher_protocol.keeper_pb2.Ack]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Report(self, stream: 'grpclib.server.Stream[persimmonusher_protocol.control_pb2.NoticeBatch, persimmonusher_protocol.keeper_pb2.Ack]') -> None:
         pass
@@ -83,6 +103,12 @@
                 persimmonusher_protocol.control_pb2.LoadReport,
                 persimmonusher_protocol.control_pb2.Standing,
             ),
+            '/persimmonusher.control.Control/ShareLoads': grpclib.const.Handler(
+                self.ShareLoads,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                persimmonusher_protocol.control_pb2.LoadSums,
+                persimmonusher_protocol.keeper_pb2.Ack,
+            ),
             '/persimmonusher.control.Control/Report': grpclib.const.Handler(
                 self.Report,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -119,6 +145,12 @@
             persimmonusher_protocol.control_pb2.LoadReport,
             persimmonusher_protocol.control_pb2.Standing,
         )
+        self.ShareLoads = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/persimmonusher.control.Control/ShareLoads',
+            persimmonusher_protocol.control_pb2.LoadSums,
+            persimmonusher_protocol.keeper_pb2.Ack,
+        )
         self.Report = grpclib.client.UnaryUnaryMethod(
             channel,
             '/persimmonusher.control.Control/Report',
