Use no server that a foreign heartbeat names; log refused calls once for each reason and second

A heartbeat without the start of its server was accepted as a server of boot 0 where all others announce theirs, so that another writer could name an address to use. Each refused call wrote a line; now there is one for each reason and second, and a counter.

--- a/packages/node/src/persimmonusher_node/tiers/edge.py
+++ b/packages/node/src/persimmonusher_node/tiers/edge.py
@@ -10,6 +10,7 @@
 from persimmonusher_model.routing import DocumentCodec
 from persimmonusher_node.dialect import Dialect
 from persimmonusher_node.listener import WsgiApplication
+from persimmonusher_node.refusal_log import RefusalLog
 
 
 @dataclass(frozen=True)
@@ -59,5 +60,8 @@
         """Return the reader of routing documents."""
 
     @abstractmethod
-    def make_control(self, port: ControlPort) -> WsgiApplication:
-        """Make the application that answers backend servers and operators."""
+    def make_control(self, port: ControlPort, refusals: RefusalLog) -> WsgiApplication:
+        """Make the application that answers backend servers and operators.
+
+        It records the calls that it refuses in `refusals`.
+        """
--- a/packages/node/src/persimmonusher_node/tiers/keeper_control.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_control.py
@@ -26,7 +26,7 @@
     read_version,
     unpack_document,
 )
-from persimmonusher_model.errors import ErrorCode, UsherError
+from persimmonusher_model.errors import ErrorCode, Finding, UsherError
 from persimmonusher_model.identifiers import Revision, ServiceName
 from persimmonusher_model.rendezvous import rank
 from persimmonusher_model.routing import DocumentCodec
@@ -70,8 +70,12 @@
 
         Guards against a registration from elsewhere that names a service without a route: it could
         take over the address of a working server. If the service is added later, the server's next
-        heartbeat is accepted.
+        heartbeat is accepted. The same holds for one without a boot where servers announce theirs.
         """
+        if not registration.boot and self._view.servers.announces_boots:
+            finding = Finding(ErrorCode.MISSING_KEY, "boot", "is missing")
+            message = f"{registration.server_id}: the registration was refused"
+            raise UsherError(finding.code, message, [finding])
         if not self._view.may_exist(ServiceName(registration.service)):
             message = f"{registration.server_id}: there is no service {registration.service!r}"
             raise UsherError(ErrorCode.NOT_FOUND, message)
--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -21,6 +21,7 @@
 from persimmonusher_node.keeper_seeds import SeededFormation
 from persimmonusher_node.metrics import MetricsApplication
 from persimmonusher_node.peers import ChannelPool
+from persimmonusher_node.refusal_log import RefusalLog
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.settings_bounds import make_quota_terms
 from persimmonusher_node.shutdown import StopSignal
@@ -68,10 +69,14 @@
         )
         leader = LeaderCalls(self._role, channels, clock)
         control = KeeperControl(settings, self._role, self._view, leader, edge.codec)
-        self._control = edge.make_control(control)
+        self._refusals = RefusalLog(clock)
+        self._control = edge.make_control(control, self._refusals)
         self._clock = clock
         self._metrics = KeeperMetrics(
-            self._read_gauges, self._role.leaderless.buckets, channels.silences.buckets
+            self._read_gauges,
+            self._role.leaderless.buckets,
+            channels.silences.buckets,
+            self._refusals.counts,
         )
         self._follow = FollowService(
             settings.failure_domain, self._role, self._view, channels, clock, random
--- a/packages/node/src/persimmonusher_node/tiers/keeper_metrics.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_metrics.py
@@ -1,6 +1,6 @@
-"""A keeper's metrics by aioprometheus; none has labels."""
+"""A keeper's metrics by aioprometheus."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -42,9 +42,15 @@
     """Renders a keeper's gauges, and counts the scrapes while it has none."""
 
     def __init__(
-        self, read_gauges: Callable[[], KeeperGauges | None], leaderless: Buckets, silences: Buckets
+        self,
+        read_gauges: Callable[[], KeeperGauges | None],
+        leaderless: Buckets,
+        silences: Buckets,
+        refusals: Mapping[str, int],
     ) -> None:
+        """Take the sources of the values; `refusals` has counts by reason."""
         self._read_gauges = read_gauges
+        self._refusals = refusals
         self._registry = Registry()
         self._gauges = {
             name: Gauge(f"persimmonusher_{name}", text, registry=self._registry)
@@ -57,6 +63,11 @@
         for name, (text, buckets) in histograms.items():
             histogram = Histogram(f"persimmonusher_{name}", text, registry=self._registry)
             histogram.set_value({}, buckets)
+        self._refused = Counter(
+            "persimmonusher_keeper_refused_calls_total",
+            "Calls of backend servers and operators that were refused, by reason.",
+            registry=self._registry,
+        )
         self._failed = Counter(
             "persimmonusher_keeper_failed_scrapes_total",
             "Scrapes while the disk had failed; the gauges are those of before.",
@@ -71,5 +82,7 @@
         else:
             for name, gauge in self._gauges.items():
                 gauge.set({}, getattr(gauges, name.removeprefix("keeper_")))
+        for reason, count in self._refusals.items():
+            self._refused.set({"reason": reason}, count)
         content, _ = render(self._registry, ["text/plain"])
         return content
--- a/packages/node/tests/test_reference_pages.py
+++ b/packages/node/tests/test_reference_pages.py
@@ -72,7 +72,7 @@
 
     def test_every_metric_of_a_keeper_is_listed(self) -> None:
         metrics = KeeperMetrics(
-            lambda: KeeperGauges(1, 3, 1, 1, 1, 0.1, 2, 2, 2), Buckets(1.0), Buckets(1.0)
+            lambda: KeeperGauges(1, 3, 1, 1, 1, 0.1, 2, 2, 2), Buckets(1.0), Buckets(1.0), {}
         )
         text = metrics.render().decode()
         names = set(re.findall(r"^# HELP (\S+)", text, re.MULTILINE))
