Prefer servers with an idle connection where the profile says so

An entry with seven requests a second before 66 to 131 servers opened a connection for most of them. With opening_load_percent, placement also compares servers to which a connection is idle, and counts the others as more loaded.

--- a/packages/decisions/src/persimmonusher_decisions/dispatcher.py
+++ b/packages/decisions/src/persimmonusher_decisions/dispatcher.py
@@ -50,6 +50,7 @@
             self._retries.earn(now)
             self._admission.record_start(request, now)
         self._limits.spend(track, now)
+        self._placement.reuse.take(track)
         number = self._evidence.find_free_number(request.request_id, attempt)
         asked = track.find_asked(now)
         dispatch = Dispatch(request, track.server, number, now, unreached, asked)
--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Final
 
+from persimmonusher_decisions.connection_reuse import ConnectionReuse, find_oldest_usable
 from persimmonusher_decisions.evidence_messages import EjectionState
 from persimmonusher_decisions.ramp import find_ramp_share
 from persimmonusher_decisions.rate_limits import RateLimits
@@ -91,6 +92,10 @@
         self._lookup_at = -inf
         self._mean_other_load = 0.0
         self.ramp_seconds = 0.0
+        self.reuse = ConnectionReuse()
+        self.opening_load = 0.0
+        """Load per slot added to the score of a server without an idle connection; 0 for none."""
+        self._oldest_usable = -inf
         self.far_load = 0.0
         """Load per slot added to the score of a server in another failure domain."""
         self.probe_seconds = 1.0
@@ -125,6 +130,7 @@
         self._tracks = list(tracks)
         ready = [track for track in self._tracks if track.is_ready and track.connection_limit]
         self._open = [track for track in ready if track.ejection_state is None]
+        self.reuse.retain(self._open)
         self._near = [track for track in self._open if self._is_near(track)]
         self._far = [track for track in self._open if not self._is_near(track)]
         self._probed = [track for track in ready if track.ejection_state is EjectionState.PROBATION]
@@ -139,6 +145,7 @@
         if now >= self._refresh_at:
             self._refresh(now, REFRESH_INTERVAL_SECONDS)
         self._skip_turns(now)
+        self._oldest_usable = find_oldest_usable(idempotent, now)
         if self._probed and idempotent and tried is None:
             probe = self._choose_probe(now)
             if probe is not None:
@@ -249,6 +256,7 @@
         """
         return [
             *(track for track in self._limited if self._may_compare(track, now)),
+            *self._pick_connected(now),
             *self._pick_unsuspected(self._near, now),
             *self._pick_unsuspected(self._far, now),
         ]
@@ -260,6 +268,14 @@
         run = islice(chain(servers[start:], servers[:start]), MAX_SCANNED_SERVERS)
         return islice((track for track in run if self._may_compare(track, now)), COMPARED_SERVERS)
 
+    def _pick_connected(self, now: float) -> Iterable[ServerTrack]:
+        """Return a few unsuspected servers with an idle connection, if `opening_load` is used."""
+        if not self.opening_load:
+            return ()
+        connected = self.reuse.list_newest(self._oldest_usable)
+        usable = (track for track in connected if self._may_compare(track, now))
+        return islice(usable, COMPARED_SERVERS)
+
     @staticmethod
     def _may_compare(track: ServerTrack, now: float) -> bool:
         return track.closed_until <= now and not track.is_suspected(now)
@@ -275,15 +291,16 @@
         end = start + MAX_SCANNED_SERVERS
         return servers[start:end] if end <= count else servers[start:] + servers[: end - count]
 
-    @staticmethod
     def _find_least_loaded(
-        servers: Sequence[ServerTrack], tried: ServerId | None, now: float
+        self, servers: Sequence[ServerTrack], tried: ServerId | None, now: float
     ) -> ServerTrack | None:
         best = None
         best_score = inf
         for track in servers:
             outstanding = track.outstanding
             score = (outstanding + 1 + track.base_load) * track.inverse_slots + track.far_load
+            if self.opening_load and not self._has_idle_connection(track):
+                score += self.opening_load
             if (
                 score < best_score
                 and outstanding < track.connection_limit
@@ -294,6 +311,9 @@
                 best_score = score
         return best
 
+    def _has_idle_connection(self, track: ServerTrack) -> bool:
+        return bool(track.idle_since) and track.idle_since[-1] >= self._oldest_usable
+
     @staticmethod
     def _find_longest_suspected(
         servers: Sequence[ServerTrack], tried: ServerId | None, now: float
@@ -334,6 +354,7 @@
 
     def _refresh(self, now: float, elapsed: float) -> None:
         self._refresh_at = now + REFRESH_INTERVAL_SECONDS
+        self.reuse.expire(now)
         known = [track.other_load for track in self._open if track.other_load is not None]
         mean = sum(known) / len(known) if known else 0.0
         self._mean_other_load = mean
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -24,6 +24,7 @@
         "doubts",
         "draining",
         "failed",
+        "idle_since",
         "inverse_slots",
         "limit_named_at",
         "other_load",
@@ -63,6 +64,8 @@
         self.inverse_slots = 1.0 / self.slots
         self.far_load = 0.0
         self.connection_limit = 1
+        self.idle_since: list[float] = []
+        """When this instance's idle connections were used last, in rising order."""
         self.draining = False
         """Whether an answer of this boot said that the server is leaving."""
         self.ramp_from: float | None = None
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -53,6 +53,9 @@
 PROBES_PER_SECOND: Final = 16.0
 """Probes per second of one server on probation, from all instances together."""
 
+KEPT_KINDS: Final = frozenset({OutcomeKind.SUCCESS, OutcomeKind.FAILURE, OutcomeKind.REFUSED})
+"""Outcomes with a whole answer, after which the connection is usually kept."""
+
 
 @dataclass(frozen=True)
 class ServerStatus:
@@ -271,6 +274,8 @@
         kind = outcome.kind
         if kind not in (OutcomeKind.CANCELLED, OutcomeKind.WITHHELD, OutcomeKind.CUT_OFF):
             self._admission.record_attempt(kind is OutcomeKind.REFUSED)
+        if kind in KEPT_KINDS:
+            self._placement.reuse.record_kept(track, now)
         if kind is OutcomeKind.SUCCESS:
             self._learning.learn_from_success(attempt, outcome, now)
         elif kind not in SILENT_KINDS and not outcome.is_way_lost:
@@ -423,6 +428,7 @@
 
     def _set_limits(self) -> None:
         self._placement.ramp_seconds = self._profile.ramp_ms / 1000.0
+        self._placement.opening_load = self._profile.opening_load_percent / 100.0
         self._retries.share_slack(self._profile.retry_slack, self._live)
 
     def _share_connections(self) -> None:
--- a/packages/model/src/persimmonusher_model/profile.py
+++ b/packages/model/src/persimmonusher_model/profile.py
@@ -135,6 +135,12 @@
         description="The same for each kilobyte of the service's usual answer, in addition. For "
         "links between failure domains that are paid by the byte.",
     )
+    opening_load_percent: Percent = Field(
+        default=0,
+        description="Load for each slot, in percent, that a server without an idle connection of "
+        "the instance is taken to carry in addition. More saves new connections, until the "
+        "servers with one fill up; 0 chooses as if connections cost nothing.",
+    )
     work_aware: bool = Field(
         default=False,
         description="Place requests by the expected time until a server could begin them, from "
