Don't choose a leaving server for its open connection

An attempt that ended after its server had said that it leaves put the server back among those with an idle connection, and placement compared these without a look at whether they are open. The new test failed before.

--- a/packages/decisions/src/persimmonusher_decisions/connection_reuse.py
+++ b/packages/decisions/src/persimmonusher_decisions/connection_reuse.py
@@ -26,9 +26,15 @@
     def __init__(self) -> None:
         self._tracks: dict[ServerTrack, None] = {}
         """Servers with idle connections, the one used last at the end."""
+        self._open: frozenset[ServerTrack] = frozenset()
 
     def record_kept(self, track: ServerTrack, now: float) -> None:
-        """Record that an attempt has ended and its connection can be used again."""
+        """Record that an attempt has ended and its connection can be used again.
+
+        An answer may come in after its server has said that it leaves.
+        """
+        if track not in self._open:
+            return
         track.idle_since.append(now)
         del track.idle_since[:-MAX_IDLE_PER_SERVER]
         self._tracks.pop(track, None)
@@ -48,10 +54,10 @@
                 return
             yield track
 
-    def retain(self, tracks: Iterable[ServerTrack]) -> None:
-        """Forget the connections to all servers but these."""
-        kept = set(tracks)
-        self._tracks = {track: None for track in self._tracks if track in kept}
+    def replace_open(self, tracks: Iterable[ServerTrack]) -> None:
+        """Set the servers that may be chosen; connections to others don't count."""
+        self._open = frozenset(tracks)
+        self._tracks = {track: None for track in self._tracks if track in self._open}
 
     def expire(self, now: float) -> None:
         """Forget the connections that have been idle for too long."""
--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -130,7 +130,7 @@
         self._tracks = list(tracks)
         ready = [track for track in self._tracks if track.is_ready and track.connection_limit]
         self._open = [track for track in ready if track.ejection_state is None]
-        self.reuse.retain(self._open)
+        self.reuse.replace_open(self._open)
         self._near = [track for track in self._open if self._is_near(track)]
         self._far = [track for track in self._open if not self._is_near(track)]
         self._probed = [track for track in ready if track.ejection_state is EjectionState.PROBATION]
--- a/packages/decisions/tests/test_connection_reuse.py
+++ b/packages/decisions/tests/test_connection_reuse.py
@@ -4,11 +4,12 @@
 from collections import defaultdict
 from dataclasses import replace
 
-from decisions_helpers import GOOD, dispatched, make_request, make_traffic
+from decisions_helpers import GOOD, dispatched, make_request, make_server, make_traffic
 from fleet_simulation import FleetSimulation, Load, Served
 from heavy_loads import PROFILE
 
 from persimmonusher_decisions.connection_reuse import NON_IDEMPOTENT_IDLE_SECONDS
+from persimmonusher_decisions.server import ServerState
 from persimmonusher_decisions.traffic import ServiceTraffic
 from persimmonusher_decisions.work import Dispatch, OutcomeKind
 from persimmonusher_model.identifiers import ServerId
@@ -79,6 +80,28 @@
         }
         self.assertEqual(len(used), 6)
 
+    def test_a_server_that_leaves_is_not_used_for_its_open_connection(self) -> None:
+        """Guards against requests to a leaving server after an answer of it has come in."""
+        traffic = make_traffic(6, Profile(opening_load_percent=80))
+        first = dispatched(traffic.offer(make_request("a"), 0.0))
+        leaving = first.server.server_id
+        servers = [make_server(index) for index in range(6)]
+        traffic.replace_servers(
+            [
+                (
+                    replace(one, sequence=2, state=ServerState.DRAINING)
+                    if one.server_id == leaving
+                    else one
+                )
+                for one in servers
+            ],
+            0.1,
+        )
+        traffic.finish(first, GOOD, 0.3)
+        for number in range(12):
+            dispatch = dispatched(traffic.offer(make_request(f"b{number}", 0.4), 0.4))
+            self.assertNotEqual(dispatch.server.server_id, leaving)
+
     def test_a_connection_that_was_idle_for_too_long_counts_for_nothing(self) -> None:
         """Guards against preferring a server whose connection must not be used any more."""
         traffic = make_traffic(40, Profile(opening_load_percent=80))
