Place requests by the expected work at servers, with work_aware

Placement counted requests, known for a third of the fleet, while requests of one service differ in cost by five times. An instance now learns service times by route, method, size class and organisation, and the relative speed of servers, from answers of servers with free slots. With sums of the work of all instances it compares the load per slot weighted by cost and speed. While the sums get older the score moves to the count, so that nothing changes without them.

--- a/packages/decisions/src/persimmonusher_decisions/costs.py
+++ b/packages/decisions/src/persimmonusher_decisions/costs.py
@@ -13,8 +13,10 @@
 from persimmonusher_decisions.work import Request
 from persimmonusher_model.identifiers import ServerId, ServiceName
 
-MAX_KINDS: Final = 256
-"""Kinds remembered for one service; the least recently used one is dropped."""
+MAX_REQUEST_KINDS: Final = 96
+"""Routes, with and without method and size class, remembered for one service."""
+MAX_ORGANISATIONS: Final = 64
+MAX_SERVERS: Final = 512
 MAX_KIND_CHARACTERS: Final = 64
 COST_MEMORY_SECONDS: Final = 4.0
 """Time constant with which earlier samples lose weight: 8% is left of them after 10 s."""
@@ -27,7 +29,9 @@
 """Weight, in samples, of the wider class in an estimate: with as many samples, half of it is that
 of the kind itself."""
 MAX_FLEET_SAMPLES: Final = 64.0
-"""Largest weight, in samples, of the other instances' estimate beside this instance's own."""
+"""Largest weight, in samples, of the mean over all instances."""
+MAX_OWN_SAMPLES: Final = 16.0
+"""Largest weight, in samples, of this instance's own mean beside it."""
 MAX_SAMPLE_RATIO: Final = 4.0
 """A service time is clamped to this many times the expected one where it is compared with it, for
 servers and organisations: a single expensive request says little about either."""
@@ -37,6 +41,7 @@
 the assessor, which ejects it."""
 SIZE_CLASS_SHIFT: Final = 12
 """Bodies below 4 KiB (2^12 bytes) share a size class; above, each doubling begins another one."""
+NO_SERVICE: Final = ServiceName("")
 SERVICE_KIND: Final = "s"
 ROUTE_PREFIX: Final = "r:"
 DETAIL_PREFIX: Final = "d:"
@@ -86,90 +91,187 @@
         )
 
 
-class MeanEstimate:
-    """A mean over samples that lose weight with time; `count` is their weight in samples."""
+class KindEstimate:
+    """What is known of one kind: this instance's own samples and the mean of all instances.
 
-    __slots__ = ("count", "mean", "updated_at")
+    `own_count` and `fleet_count` are weights in samples; earlier samples lose weight.
+    """
 
-    def __init__(self, count: float, mean: float, now: float) -> None:
-        self.count = count
-        self.mean = mean
+    __slots__ = (
+        "fleet_count",
+        "fleet_mean",
+        "own_count",
+        "own_mean",
+        "unsent_count",
+        "unsent_total",
+        "updated_at",
+    )
+
+    def __init__(self, now: float) -> None:
+        self.own_count = 0.0
+        self.own_mean = 0.0
         self.updated_at = now
-
-    def add(self, count: float, mean: float, now: float, memory_seconds: float) -> None:
-        """Add the mean of `count` samples taken now."""
-        kept = self.count * exp(min(0.0, self.updated_at - now) / memory_seconds)
-        kept = max(kept, min(self.count, KEPT_SAMPLES))
-        self.count = kept + count
-        self.mean += (mean - self.mean) * count / self.count
+        self.fleet_count = 0.0
+        self.fleet_mean = 0.0
+        self.unsent_count = 0
+        self.unsent_total = 0.0
+
+    def add(self, value: float, now: float, memory_seconds: float) -> None:
+        """Add a sample of this instance's own."""
+        kept = self.own_count * exp(min(0.0, self.updated_at - now) / memory_seconds)
+        kept = max(kept, min(self.own_count, KEPT_SAMPLES))
+        self.own_count = kept + 1.0
+        self.own_mean += (value - self.own_mean) / self.own_count
         self.updated_at = now
+        self.unsent_count += 1
+        self.unsent_total += value
 
+    def apply(self, count: float, mean: float) -> None:
+        """Apply a mean over all instances; it replaces the one before it, except for small counts.
 
-class CostBook:
-    """Mean estimates by kind, at most `max_kinds` of them.
+        A mean of few samples is averaged with what was known, as it may be that of one answer.
+        """
+        kept = min(self.fleet_count, KEPT_SAMPLES)
+        self.fleet_mean += (mean - self.fleet_mean) * count / (kept + count)
+        self.fleet_count = kept + count
+
+    def refine(self, wider: float) -> float:
+        """Return the estimate for this kind, given that of the wider class."""
+        fleet = min(self.fleet_count, MAX_FLEET_SAMPLES)
+        own = min(self.own_count, MAX_OWN_SAMPLES) if fleet else self.own_count
+        total = wider * PRIOR_SAMPLES + self.fleet_mean * fleet + self.own_mean * own
+        return total / (PRIOR_SAMPLES + fleet + own)
 
-    Keepers can merge the samples of their followers with it as entries do with their own.
-    """
 
-    def __init__(self, max_kinds: int = MAX_KINDS) -> None:
+class CostBook:
+    """Estimates by kind, at most `max_kinds` of them; the least recently used one is dropped."""
+
+    def __init__(self, max_kinds: int, memory_seconds: float) -> None:
         self._max_kinds = max_kinds
-        self._estimates: OrderedDict[str, MeanEstimate] = OrderedDict()
+        self._memory_seconds = memory_seconds
+        self._estimates: OrderedDict[str, KindEstimate] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._estimates)
 
-    def add(self, kind: str, count: float, mean: float, now: float) -> None:
-        """Add the mean of `count` samples of a kind."""
-        estimate = self._estimates.get(kind)
-        if estimate is None:
-            self._estimates[kind] = MeanEstimate(count, mean, now)
-            if len(self._estimates) > self._max_kinds:
-                self._estimates.popitem(last=False)
-            return
-        is_server = kind.startswith(SERVER_PREFIX)
-        memory_seconds = SPEED_MEMORY_SECONDS if is_server else COST_MEMORY_SECONDS
-        estimate.add(count, mean, now, memory_seconds)
-        self._estimates.move_to_end(kind)
-
-    def find(self, kind: str) -> MeanEstimate | None:
+    def find(self, kind: str) -> KindEstimate | None:
         """Return the estimate of a kind, or None; it counts as used."""
         estimate = self._estimates.get(kind)
         if estimate is not None:
             self._estimates.move_to_end(kind)
         return estimate
 
+    def refine(self, kind: str, wider: float) -> float:
+        """Return the estimate for a kind, or that of the wider class if it is unknown."""
+        estimate = self.find(kind)
+        return wider if estimate is None else estimate.refine(wider)
+
+    def add(self, kind: str, value: float, now: float) -> None:
+        """Add a sample of this instance's own."""
+        self._keep(kind, now).add(value, now, self._memory_seconds)
+
+    def apply(self, sample: CostSample, now: float) -> None:
+        """Apply a mean over all instances."""
+        self._keep(sample.kind, now).apply(sample.count, sample.mean_seconds)
+
+    def pop_samples(self, service: ServiceName) -> list[CostSample]:
+        """Return this instance's samples since the last call."""
+        samples = []
+        for kind, estimate in self._estimates.items():
+            if estimate.unsent_count:
+                mean = estimate.unsent_total / estimate.unsent_count
+                samples.append(CostSample(service, kind, estimate.unsent_count, mean))
+                estimate.unsent_count, estimate.unsent_total = 0, 0.0
+        return samples
+
+    def _keep(self, kind: str, now: float) -> KindEstimate:
+        estimate = self.find(kind)
+        if estimate is None:
+            estimate = self._estimates[kind] = KindEstimate(now)
+            if len(self._estimates) > self._max_kinds:
+                self._estimates.popitem(last=False)
+        return estimate
+
 
 class CostModel:
     """Estimates service times from this instance's own samples and those of all instances.
 
     An estimate begins with the mean of the service and is refined by the route, then by method and
     size class, each as far as there are samples. The result is multiplied by the ratio of the
-    organisation. So an unknown or rare kind gets the estimate of its wider class.
+    organisation. So an unknown or rare kind gets the estimate of its wider class. Organisations and
+    servers have books of their own, so that many organisations don't displace the routes.
     """
 
-    def __init__(self, service: ServiceName) -> None:
+    def __init__(self, service: ServiceName = NO_SERVICE) -> None:
         self._service = service
-        self._own = CostBook()
-        self._fleet = CostBook()
-        self._unsent = CostBook()
-        self._unsent_totals: dict[str, tuple[int, float]] = {}
+        self._requests = CostBook(MAX_REQUEST_KINDS, COST_MEMORY_SECONDS)
+        self._organisations = CostBook(MAX_ORGANISATIONS, COST_MEMORY_SECONDS)
+        self._servers = CostBook(MAX_SERVERS, SPEED_MEMORY_SECONDS)
+
+    @property
+    def mean_seconds(self) -> float:
+        """Return the mean service time of all requests of the service; 0 if unknown."""
+        known = self._requests.find(SERVICE_KIND)
+        return 0.0 if known is None else self._find_mean(known)
 
     def estimate(self, request: Request) -> float:
         """Return the expected service time of a request in seconds; 0 if nothing is known yet."""
-        raise NotImplementedError
+        mean = self.mean_seconds
+        if not mean:
+            return 0.0
+        kinds = RequestKinds.derive(request)
+        return self._refine(kinds, mean) * self._organisations.refine(kinds.organisation, 1.0)
 
     def find_speed(self, server_id: ServerId) -> float:
         """Return a server's speed relative to the others; 1 for an average or unknown one."""
-        raise NotImplementedError
+        ratio = self._servers.refine(name_kind(SERVER_PREFIX, server_id), 1.0)
+        return min(MAX_SPEED, max(MIN_SPEED, 1.0 / max(ratio, 1.0 / MAX_SAMPLE_RATIO)))
 
     def record(self, request: Request, server_id: ServerId, seconds: float, now: float) -> None:
         """Add the service time of a request that a server began at once."""
-        raise NotImplementedError
+        kinds = RequestKinds.derive(request)
+        if self._requests.find(kinds.route) is not None:
+            self._record_ratios(kinds, server_id, seconds, now)
+        for kind in (SERVICE_KIND, kinds.route, kinds.detail):
+            self._requests.add(kind, seconds, now)
 
     def pop_samples(self) -> tuple[CostSample, ...]:
         """Return what was recorded since the last call, to be sent to the other instances."""
-        raise NotImplementedError
+        books = (self._requests, self._organisations, self._servers)
+        return tuple(sample for book in books for sample in book.pop_samples(self._service))
 
     def apply_samples(self, samples: Iterable[CostSample], now: float) -> None:
-        """Apply the means over all instances."""
-        raise NotImplementedError
+        """Apply means over all instances; those of other services are ignored."""
+        for sample in samples:
+            if sample.service == self._service and sample.count > 0 and sample.mean_seconds > 0.0:
+                self._find_book(sample.kind).apply(sample, now)
+
+    def _record_ratios(
+        self, kinds: RequestKinds, server_id: ServerId, seconds: float, now: float
+    ) -> None:
+        """Compare a service time with the expected one, for the organisation and the server.
+
+        Call it for known routes only: the difference of an unknown one is due to the route.
+        """
+        similar = self._refine(kinds, self.mean_seconds)
+        if similar:
+            expected = similar * self._organisations.refine(kinds.organisation, 1.0)
+            self._organisations.add(kinds.organisation, _find_ratio(seconds, similar), now)
+            server_kind = name_kind(SERVER_PREFIX, server_id)
+            self._servers.add(server_kind, _find_ratio(seconds, expected), now)
+
+    def _refine(self, kinds: RequestKinds, mean: float) -> float:
+        return self._requests.refine(kinds.detail, self._requests.refine(kinds.route, mean))
+
+    def _find_book(self, kind: str) -> CostBook:
+        if kind.startswith(SERVER_PREFIX):
+            return self._servers
+        return self._organisations if kind.startswith(ORGANISATION_PREFIX) else self._requests
+
+    @staticmethod
+    def _find_mean(known: KindEstimate) -> float:
+        return known.refine(known.fleet_mean if known.fleet_count else known.own_mean)
+
+
+def _find_ratio(seconds: float, expected: float) -> float:
+    return min(MAX_SAMPLE_RATIO, max(1.0 / MAX_SAMPLE_RATIO, seconds / expected))
--- a/packages/decisions/src/persimmonusher_decisions/dispatcher.py
+++ b/packages/decisions/src/persimmonusher_decisions/dispatcher.py
@@ -5,6 +5,7 @@
 from persimmonusher_decisions.placement import Placement
 from persimmonusher_decisions.rate_limits import RateLimits
 from persimmonusher_decisions.retries import RetryBudget
+from persimmonusher_decisions.server_work import ServerWork
 from persimmonusher_decisions.track import ServerTrack
 from persimmonusher_decisions.work import Dispatch, Request
 from persimmonusher_model.identifiers import ServerId
@@ -20,12 +21,14 @@
         admission: Admission,
         retries: RetryBudget,
         limits: RateLimits,
+        work: ServerWork,
     ) -> None:
         self._placement = placement
         self._evidence = evidence
         self._admission = admission
         self._retries = retries
         self._limits = limits
+        self._work = work
 
     def place(
         self,
@@ -53,5 +56,6 @@
         number = self._evidence.find_free_number(request.request_id, attempt)
         asked = track.find_asked(now)
         dispatch = Dispatch(request, track.server, number, now, unreached, asked)
-        self._evidence.start(dispatch, track)
+        attempt_started = self._evidence.start(dispatch, track, self._work.estimate(request))
+        attempt_started.measured = self._work.may_begin_at_once(track, now)
         return dispatch
--- a/packages/decisions/src/persimmonusher_decisions/evidence.py
+++ b/packages/decisions/src/persimmonusher_decisions/evidence.py
@@ -50,11 +50,15 @@
 class Attempt:
     """One attempt in flight."""
 
-    __slots__ = ("dispatch", "overdue", "stuck", "collected", "track")
+    __slots__ = ("dispatch", "overdue", "stuck", "collected", "track", "work_seconds", "measured")
 
-    def __init__(self, dispatch: Dispatch, track: ServerTrack) -> None:
+    def __init__(self, dispatch: Dispatch, track: ServerTrack, work_seconds: float) -> None:
         self.dispatch = dispatch
         self.track = track
+        self.work_seconds = work_seconds
+        """Expected service time."""
+        self.measured = False
+        """Whether its latency is a service time: the server could begin it at once."""
         self.overdue = False
         self.stuck = False
         self.collected = False
@@ -93,16 +97,22 @@
             attempt += 1
         return attempt
 
-    def start(self, dispatch: Dispatch, track: ServerTrack) -> None:
+    def start(self, dispatch: Dispatch, track: ServerTrack, work_seconds: float = 0.0) -> Attempt:
         """Add an attempt that is sent now to those in flight."""
-        self._attempts[dispatch.request.request_id, dispatch.attempt] = Attempt(dispatch, track)
+        attempt = Attempt(dispatch, track, work_seconds)
+        self._attempts[dispatch.request.request_id, dispatch.attempt] = attempt
         track.outstanding += 1
+        track.work_seconds += work_seconds
+        return attempt
 
     def end(self, dispatch: Dispatch) -> Attempt | None:
         """Remove an attempt from those in flight; None if it has already ended."""
         attempt = self._attempts.pop((dispatch.request.request_id, dispatch.attempt), None)
         if attempt is not None:
-            attempt.track.outstanding -= 1
+            track = attempt.track
+            track.outstanding -= 1
+            remaining = track.work_seconds - attempt.work_seconds
+            track.work_seconds = max(0.0, remaining) if track.outstanding else 0.0
         return attempt
 
     def learn(self, attempt: Attempt, outcome: Outcome) -> None:
--- a/packages/decisions/src/persimmonusher_decisions/learning.py
+++ b/packages/decisions/src/persimmonusher_decisions/learning.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 from typing import Final
 
+from persimmonusher_decisions.costs import CostModel
 from persimmonusher_decisions.evidence import Attempt, EvidenceLog
 from persimmonusher_decisions.locality import Locality
 from persimmonusher_decisions.placement import Placement
@@ -40,6 +41,7 @@
         window: ConcurrencyWindow,
         quarantine: Quarantine,
         suspicion: Suspicion,
+        costs: CostModel,
     ) -> None:
         self._evidence = evidence
         self._placement = placement
@@ -47,6 +49,7 @@
         self._window = window
         self._quarantine = quarantine
         self._suspicion = suspicion
+        self._costs = costs
 
     def learn_from_success(self, attempt: Attempt, outcome: Outcome, now: float) -> None:
         """Learn from a successful answer."""
@@ -55,6 +58,8 @@
         self._quarantine.record_success(fingerprint, track.server_id, dispatch.started)
         self._evidence.learn(attempt, outcome)
         self._suspicion.record_answer(dispatch, track, now)
+        if attempt.measured:
+            self._costs.record(dispatch.request, track.server_id, outcome.latency, now)
         if outcome.answer_bytes is not None:
             self._locality.record(outcome.answer_bytes)
             self._placement.far_load = self._locality.far_load
--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -9,6 +9,7 @@
 from persimmonusher_decisions.evidence_messages import EjectionState
 from persimmonusher_decisions.ramp import find_ramp_share
 from persimmonusher_decisions.rate_limits import RateLimits
+from persimmonusher_decisions.server_work import ServerWork
 from persimmonusher_decisions.track import ServerTrack
 from persimmonusher_decisions.trials import TrialSchedule
 from persimmonusher_model.identifiers import FailureDomain, ServerId
@@ -75,11 +76,13 @@
         random: Random,
         limits: RateLimits,
         trials: TrialSchedule,
+        work: ServerWork | None = None,
     ) -> None:
         self._failure_domain = failure_domain
         self._random = random
         self._limits = limits
         self._trials = trials
+        self._work = work or ServerWork()
         self._tracks: list[ServerTrack] = []
         self._open: list[ServerTrack] = []
         self._near: list[ServerTrack] = []
@@ -275,15 +278,17 @@
         end = start + MAX_SCANNED_SERVERS
         return servers[start:end] if end <= count else servers[start:] + servers[: end - count]
 
-    @staticmethod
     def _find_least_loaded(
-        servers: Sequence[ServerTrack], tried: ServerId | None, now: float
+        self, servers: Sequence[ServerTrack], tried: ServerId | None, now: float
     ) -> ServerTrack | None:
+        is_work_known = self._work.is_known(now)
         best = None
         best_score = inf
         for track in servers:
             outstanding = track.outstanding
             score = (outstanding + 1 + track.base_load) * track.inverse_slots + track.far_load
+            if is_work_known:
+                score = self._work.score(track, score)
             if (
                 score < best_score
                 and outstanding < track.connection_limit
@@ -337,6 +342,7 @@
         known = [track.other_load for track in self._open if track.other_load is not None]
         mean = sum(known) / len(known) if known else 0.0
         self._mean_other_load = mean
+        self._work.advance(self._tracks, now)
         report_keep = exp(-elapsed / REPORT_MEMORY_SECONDS)
         penalty_keep = exp(-elapsed / PENALTY_MEMORY_SECONDS)
         self._limited = [track for track in self._open if track.rate_limit is not None]
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -27,6 +27,8 @@
         "inverse_slots",
         "limit_named_at",
         "other_load",
+        "others_requests",
+        "others_seconds",
         "ejection_state",
         "outstanding",
         "penalty",
@@ -40,6 +42,7 @@
         "slow",
         "kept_by_floor",
         "slots",
+        "speed",
         "suspect_until",
         "suspected_at",
         "failed_trials",
@@ -47,7 +50,10 @@
         "trials_from",
         "evidence_sent_at",
         "turn_at",
+        "usual_requests",
+        "usual_seconds",
         "timed",
+        "work_seconds",
     )
 
     def __init__(self, server: BackendServer, now: float) -> None:
@@ -58,6 +64,17 @@
         self.other_load: float | None = None
         """Requests of all other instances in progress there, as last reported and decayed toward
         the mean of all servers; None before the first report."""
+        self.work_seconds = 0.0
+        """Expected service time of this instance's requests in progress, in seconds."""
+        self.others_requests = 0.0
+        self.others_seconds = 0.0
+        """Expected requests of all other instances in progress there, and their service time, if
+        the sums of all instances are known."""
+        self.usual_requests = 0.0
+        self.usual_seconds = 0.0
+        """Moving averages of the two over the last sums."""
+        self.speed = 1.0
+        """Speed relative to the service's other servers."""
         self.penalty = 0.0
         self.base_load = 0.0
         self.inverse_slots = 1.0 / self.slots
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -14,7 +14,7 @@
 from persimmonusher_decisions.advice import ServerAdvice
 from persimmonusher_decisions.advice_book import AdviceBook
 from persimmonusher_decisions.connections import ConnectionBudget
-from persimmonusher_decisions.costs import CostSample
+from persimmonusher_decisions.costs import CostModel, CostSample
 from persimmonusher_decisions.digests import DigestMaker
 from persimmonusher_decisions.dispatcher import Dispatcher
 from persimmonusher_decisions.ejection import EjectionLease
@@ -30,7 +30,7 @@
 from persimmonusher_decisions.rate_limits import RateLimits
 from persimmonusher_decisions.retries import RetryBudget
 from persimmonusher_decisions.server import BackendServer
-from persimmonusher_decisions.server_work import WorkInProgress
+from persimmonusher_decisions.server_work import ServerWork, WorkInProgress
 from persimmonusher_decisions.standing import Standing, find_standing
 from persimmonusher_decisions.suspicion import Suspicion
 from persimmonusher_decisions.track import ServerTrack
@@ -93,7 +93,9 @@
         self._evidence = EvidenceLog()
         self._limits = RateLimits(random)
         self._trials = TrialSchedule(random)
-        self._placement = Placement(failure_domain, random, self._limits, self._trials)
+        self._costs = CostModel(service)
+        self._work = ServerWork(self._costs)
+        self._placement = Placement(failure_domain, random, self._limits, self._trials, self._work)
         self._locality = Locality(profile)
         self._window = ConcurrencyWindow()
         self._admission = Admission(profile, random)
@@ -105,7 +107,12 @@
         self._suspicion = Suspicion(service, self._trials)
         self._advice = AdviceBook(service, self._limits)
         self._dispatcher = Dispatcher(
-            self._placement, self._evidence, self._admission, self._retries, self._limits
+            self._placement,
+            self._evidence,
+            self._admission,
+            self._retries,
+            self._limits,
+            self._work,
         )
         self._further = FurtherAttempts(
             self._dispatcher,
@@ -122,6 +129,7 @@
             self._window,
             self._quarantine,
             self._suspicion,
+            self._costs,
         )
         self._set_limits()
 
@@ -249,7 +257,7 @@
 
         Idle servers are left out; empty unless the profile is `work_aware`.
         """
-        return {}
+        return self._work.report(self._tracks.values())
 
     def apply_work(self, work: Mapping[ServerId, WorkInProgress], age: float) -> None:
         """Apply the requests in progress by server, summed over all instances, this one included.
@@ -257,13 +265,15 @@
         `age` is the time in seconds since the oldest part of the sums was taken. Servers that
         aren't listed have no requests in progress.
         """
+        self._work.apply(work, age, self._tracks.values())
 
     def pop_cost_samples(self) -> tuple[CostSample, ...]:
         """Return and clear the service times learned since the last call, to be sent to others."""
-        return ()
+        return self._costs.pop_samples()
 
     def apply_cost_samples(self, samples: Iterable[CostSample]) -> None:
         """Apply means of service times over all instances; those of other services are ignored."""
+        self._costs.apply_samples(samples, self._work.now)
 
     def apply_advice(self, dispatch: Dispatch, advice: ServerAdvice, now: float) -> bool:
         """Apply what a server's answer asks for; return whether it newly says that it leaves."""
@@ -314,6 +324,7 @@
 
         Also marks overdue attempts and lets an expired ejection lease lapse.
         """
+        self._work.now = now
         self._limits.count_entries(self._live, now)
         self._evidence.mark_overdue(now)
         for attempt in self._evidence.collect_newly_overdue(now):
@@ -445,6 +456,7 @@
         )
 
     def _set_limits(self) -> None:
+        self._work.set_enabled(self._profile.work_aware)
         self._placement.ramp_seconds = self._profile.ramp_ms / 1000.0
         self._retries.share_slack(self._profile.retry_slack, self._live)
 
