--- a/packages/decisions/src/persimmonusher_decisions/costs.py
+++ b/packages/decisions/src/persimmonusher_decisions/costs.py
@@ -32,9 +32,11 @@
 """Largest weight, in samples, of the mean over all instances."""
 MAX_OWN_SAMPLES: Final = 16.0
 """Largest weight, in samples, of this instance's own mean beside it."""
-MAX_SAMPLE_RATIO: Final = 4.0
-"""A service time is clamped to this many times the expected one where it is compared with it, for
-servers and organisations: a single expensive request says little about either."""
+MAX_SERVER_RATIO: Final = 4.0
+"""Where service times are compared with the expected ones to learn a server's speed, they are
+clamped to this many times those: a single expensive request says little about the server."""
+MAX_ORGANISATION_RATIO: Final = 8.0
+"""The same for organisations. It is larger, as all requests of one may be that expensive."""
 MAX_SPEED: Final = 2.0
 MIN_SPEED: Final = 0.4
 """Bounds of a server's speed relative to the others. A server that is slower than this is left to
@@ -225,7 +227,7 @@
     def find_speed(self, server_id: ServerId) -> float:
         """Return a server's speed relative to the others; 1 for an average or unknown one."""
         ratio = self._servers.refine(name_kind(SERVER_PREFIX, server_id), 1.0)
-        return min(MAX_SPEED, max(MIN_SPEED, 1.0 / max(ratio, 1.0 / MAX_SAMPLE_RATIO)))
+        return 1.0 / min(1.0 / MIN_SPEED, max(1.0 / MAX_SPEED, ratio))
 
     def record(self, request: Request, server_id: ServerId, seconds: float, now: float) -> None:
         """Add the service time of a request that a server began at once."""
@@ -256,9 +258,11 @@
         similar = self._refine(kinds, self.mean_seconds)
         if similar:
             expected = similar * self._organisations.refine(kinds.organisation, 1.0)
-            self._organisations.add(kinds.organisation, _find_ratio(seconds, similar), now)
+            self._organisations.add(
+                kinds.organisation, _find_ratio(seconds, similar, MAX_ORGANISATION_RATIO), now
+            )
             server_kind = name_kind(SERVER_PREFIX, server_id)
-            self._servers.add(server_kind, _find_ratio(seconds, expected), now)
+            self._servers.add(server_kind, _find_ratio(seconds, expected, MAX_SERVER_RATIO), now)
 
     def _refine(self, kinds: RequestKinds, mean: float) -> float:
         return self._requests.refine(kinds.detail, self._requests.refine(kinds.route, mean))
@@ -273,5 +277,5 @@
         return known.refine(known.fleet_mean if known.fleet_count else known.own_mean)
 
 
-def _find_ratio(seconds: float, expected: float) -> float:
-    return min(MAX_SAMPLE_RATIO, max(1.0 / MAX_SAMPLE_RATIO, seconds / expected))
+def _find_ratio(seconds: float, expected: float, largest: float) -> float:
+    return min(largest, max(1.0 / largest, seconds / expected))
--- a/packages/decisions/src/persimmonusher_decisions/server_work.py
+++ b/packages/decisions/src/persimmonusher_decisions/server_work.py
@@ -40,6 +40,15 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class WorkStatus:
+    """Whether requests are placed by expected work, and the mean service time, for operators."""
+
+    is_known: bool
+    mean_seconds: float
+    """0 while nothing is known."""
+
+
 NO_WORK: Final = WorkInProgress(0, 0.0)
 
 
@@ -82,6 +91,10 @@
         in_progress = track.outstanding + track.others_requests
         return self.is_known(now) and in_progress <= MEASURED_LOAD_PER_SLOT * track.slots
 
+    def describe(self, now: float) -> WorkStatus | None:
+        """Return the status, or None while disabled."""
+        return WorkStatus(self.is_known(now), self._costs.mean_seconds) if self._enabled else None
+
     def report(self, tracks: Collection[ServerTrack]) -> dict[ServerId, float]:
         """Return this instance's work in progress by server, and remember it as reported."""
         if not self._enabled:
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -30,7 +30,7 @@
 from persimmonusher_decisions.rate_limits import RateLimits
 from persimmonusher_decisions.retries import RetryBudget
 from persimmonusher_decisions.server import BackendServer
-from persimmonusher_decisions.server_work import ServerWork, WorkInProgress
+from persimmonusher_decisions.server_work import ServerWork, WorkInProgress, WorkStatus
 from persimmonusher_decisions.standing import Standing, find_standing
 from persimmonusher_decisions.suspicion import Suspicion
 from persimmonusher_decisions.track import ServerTrack
@@ -267,6 +267,10 @@
         """
         self._work.apply(work, age, self._tracks.values())
 
+    def describe_work(self, now: float) -> WorkStatus | None:
+        """Return what is known of the work in progress, or None unless `work_aware`."""
+        return self._work.describe(now)
+
     def pop_cost_samples(self) -> tuple[CostSample, ...]:
         """Return and clear the service times learned since the last call, to be sent to others."""
         return self._costs.pop_samples()
--- a/packages/decisions/tests/test_server_work.py
+++ b/packages/decisions/tests/test_server_work.py
@@ -101,6 +101,7 @@
         dispatch = dispatched(traffic.offer(make_request("a"), 0.0))
         traffic.apply_work({ServerId("s0"): WorkInProgress(9, 1.0)}, 0.0)
         self.assertEqual(traffic.list_work(), {})
+        self.assertIsNone(traffic.describe_work(0.0))
         traffic.finish(dispatch, Outcome(OutcomeKind.SUCCESS, 0.3), 0.3)
         self.assertEqual(traffic.pop_cost_samples(), ())
 
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from persimmonusher_decisions.server import BackendServer, ServerState
+from persimmonusher_decisions.server_work import WorkStatus
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, RequestId, ServiceName
 from persimmonusher_node.ages import bound_age
@@ -98,12 +99,16 @@
         limited = {}
         resting = {}
         standings: dict[ServiceName, dict[str, int]] = {}
+        work: dict[ServiceName, WorkStatus] = {}
         for live in self.services:
             statuses = live.traffic.describe(now)
             taking[live.name] = sum(status.taking_work for status in statuses)
             excluded[live.name] = len(statuses) - taking[live.name]
             limited[live.name] = sum(status.rate_limit is not None for status in statuses)
             resting[live.name] = sum(status.rest_seconds > 0.0 for status in statuses)
+            work_status = live.traffic.describe_work(now)
+            if work_status is not None:
+                work[live.name] = work_status
             standings[live.name] = Counter(status.standing.value for status in statuses)
         freshness = self.services.find_freshness()
         openings = self.ways.openings
@@ -124,4 +129,5 @@
             self.count_relayed(),
             openings.tally,
             self.configuration_ages,
+            work,
         )
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -16,6 +16,7 @@
 from aioprometheus.histogram import Histogram as Buckets
 from aioprometheus.renderer import render
 
+from persimmonusher_decisions.server_work import WorkStatus
 from persimmonusher_decisions.standing import Standing
 from persimmonusher_model.identifiers import ServiceName
 from persimmonusher_node.configuration_ages import ConfigurationAges
@@ -54,6 +55,8 @@
     """Openings of connections to backend servers by way and result."""
     configuration_ages: ConfigurationAges | None = None
     """None where the configuration's age isn't known."""
+    work: Mapping[ServiceName, WorkStatus] = field(default_factory=dict)
+    """Services whose requests are placed by expected work."""
 
 
 class MetricsSource(ABC):
@@ -173,6 +176,9 @@
             self._ages.set_value({}, gauges.configuration_ages.buckets)
             for keeper, peak in gauges.configuration_ages.list_peaks().items():
                 self._age_peaks.set({"keeper": keeper}, peak)
+        for service, status in gauges.work.items():
+            self._gauges["work_known"].set({"service": service}, int(status.is_known))
+            self._gauges["expected_work_seconds"].set({"service": service}, status.mean_seconds)
         for service, counts in gauges.standings.items():
             for standing in Standing:
                 labels = {"service": service, "standing": standing.value}
@@ -191,6 +197,8 @@
     "servers_resting": "Backend servers that asked this instance for rest.",
     "servers_reached": "Backend servers to which a connection was opened lately.",
     "servers_unreached": "Backend servers to which none could be opened lately.",
+    "work_known": "Whether requests are placed by expected work: 1, or 0 without recent sums.",
+    "expected_work_seconds": "Expected time that a server works on a request.",
     "ways_lost": "Backend servers that only other instances reach.",
     "connections_relayed": "Connections to backend servers that are open for other instances.",
 }
