State the interfaces of request costs and server work

Another part carries these samples and sums between instances and needs the names and types first. No behaviour changes: the methods of ServiceTraffic return nothing and ignore what they are given.

--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -14,6 +14,7 @@
 from persimmonusher_decisions.advice import ServerAdvice
 from persimmonusher_decisions.advice_book import AdviceBook
 from persimmonusher_decisions.connections import ConnectionBudget
+from persimmonusher_decisions.costs import CostSample
 from persimmonusher_decisions.digests import DigestMaker
 from persimmonusher_decisions.dispatcher import Dispatcher
 from persimmonusher_decisions.ejection import EjectionLease
@@ -29,6 +30,7 @@
 from persimmonusher_decisions.rate_limits import RateLimits
 from persimmonusher_decisions.retries import RetryBudget
 from persimmonusher_decisions.server import BackendServer
+from persimmonusher_decisions.server_work import WorkInProgress
 from persimmonusher_decisions.standing import Standing, find_standing
 from persimmonusher_decisions.suspicion import Suspicion
 from persimmonusher_decisions.track import ServerTrack
@@ -242,6 +244,27 @@
             if total or track.server.failure_domain == self._failure_domain:
                 self._placement.record_load(track, total)
 
+    def list_work(self) -> dict[ServerId, float]:
+        """Return the expected seconds of this instance's requests in progress, by server.
+
+        Idle servers are left out; empty unless the profile is `work_aware`.
+        """
+        return {}
+
+    def apply_work(self, work: Mapping[ServerId, WorkInProgress], age: float) -> None:
+        """Apply the requests in progress by server, summed over all instances, this one included.
+
+        `age` is the time in seconds since the oldest part of the sums was taken. Servers that
+        aren't listed have no requests in progress.
+        """
+
+    def pop_cost_samples(self) -> tuple[CostSample, ...]:
+        """Return and clear the service times learned since the last call, to be sent to others."""
+        return ()
+
+    def apply_cost_samples(self, samples: Iterable[CostSample]) -> None:
+        """Apply means of service times over all instances; those of other services are ignored."""
+
     def apply_advice(self, dispatch: Dispatch, advice: ServerAdvice, now: float) -> bool:
         """Apply what a server's answer asks for; return whether it newly says that it leaves."""
         server = dispatch.server
