--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -73,6 +73,9 @@
         standing_log = StandingLog(self.services, clock)
         self.count_relayed: Callable[[], int] = int
         """Returns the number of connections that are open for other instances."""
+        self.read_fleet_loads: Callable[[], tuple[float, int]] = lambda: (0.0, 0)
+        """Returns the age in seconds of the work in progress of all entries, and the number of
+        servers that have any."""
         self.configuration_ages: ConfigurationAges | None = None
         """Set by the daemon of an entry that follows a keeper."""
         self.watch = Watch(self.services, self.forwarder, upstream, standing_log, clock)
@@ -124,4 +127,5 @@
             self.count_relayed(),
             openings.tally,
             self.configuration_ages,
+            *self.read_fleet_loads(),
         )
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -54,6 +54,8 @@
     """Openings of connections to backend servers by way and result."""
     configuration_ages: ConfigurationAges | None = None
     """None where the configuration's age isn't known."""
+    fleet_loads_age_seconds: float = 0.0
+    fleet_loads_servers: int = 0
 
 
 class MetricsSource(ABC):
@@ -165,6 +167,8 @@
         for (way, result), count in gauges.openings.items():
             self._openings.set({"way": way, "result": result}, count)
         self._gauges["configuration_age_seconds"].set({}, gauges.configuration_age_seconds)
+        self._gauges["fleet_loads_age_seconds"].set({}, gauges.fleet_loads_age_seconds)
+        self._gauges["fleet_loads_servers"].set({}, gauges.fleet_loads_servers)
         for name in _SERVER_GAUGES:
             by_service: dict[ServiceName, int] = getattr(gauges, name)
             for service, count in by_service.items():
@@ -184,6 +188,8 @@
     "caller_connections": "Open connections of callers.",
     "revision": "The configuration revision in force here.",
     "configuration_age_seconds": "All acknowledged longer ago is in force here.",
+    "fleet_loads_age_seconds": "Age of the oldest part of the fleet's loads.",
+    "fleet_loads_servers": "Backend servers with work in the fleet's loads.",
     "live_instances": "Instances believed alive, this one included.",
     "servers_taking_work": "Backend servers that get work from here.",
     "servers_left_out": "Backend servers that get none, such as ejected or draining ones.",
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -37,6 +37,7 @@
     RefusingClaims,
     RegisteredDirectory,
 )
+from persimmonusher_node.tiers.entry_work import EntryWork
 from persimmonusher_node.tiers.follower import KeeperFollower
 from persimmonusher_node.tiers.grpc_keepers import GrpcKeepers
 from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas
@@ -109,6 +110,10 @@
         self.follower.read_loads = self._list_loads
         self.plane.configuration_ages = self.follower.lease.ages
         self.follower.on_loads = self._apply_loads
+        self.work = EntryWork(lambda: self.plane.services, clock)
+        self.follower.make_report = self.work.make_report
+        self.follower.on_fleet_work = self.work.apply_update
+        self.plane.read_fleet_loads = lambda: self.work.watch.describe(clock.monotonic())
 
     def _list_loads(self) -> dict[ServerId, int]:
         loads: dict[ServerId, int] = {}
@@ -150,6 +155,7 @@
                 peers.start()
                 stack.callback(peers.stop)
             stack.enter_context(self.follower)
+            stack.enter_context(self.work)
             stack.enter_context(self.plane.watch)
             relay = self._start_relay(stack)
             start_http(stack, listen.ready, application)
--- a/packages/node/src/persimmonusher_node/tiers/follow_feed.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_feed.py
@@ -10,6 +10,7 @@
 from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.keeper import KeeperRole
 from persimmonusher_node.keeper_wire import encode_parts
+from persimmonusher_node.tiers.fleet_work import FleetWork
 from persimmonusher_node.tiers.load_book import LoadBook
 from persimmonusher_node.tiers.packed_parts import pack_part
 from persimmonusher_protocol import control_pb2
@@ -31,12 +32,14 @@
         role: KeeperRole,
         view: ConfigurationClient,
         loads: LoadBook,
+        fleet: FleetWork,
         clock: Clock,
     ) -> None:
         self._failure_domain = failure_domain
         self._role = role
         self._view = view
         self._loads = loads
+        self._fleet = fleet
         self._clock = clock
         self.places_version = 0
         """Rises whenever the keepers or the peers change."""
@@ -44,6 +47,10 @@
         self._peers: tuple[str, ...] = ()
         self._statuses: dict[str, control_pb2.FollowUpdate] = {}
         """The latest status for each failure domain; the empty name stands for all servers."""
+        self._fleet_bytes: dict[str, int] = {}
+        """Bytes of the fleet's loads in each of them."""
+        self._costs: dict[int, tuple[control_pb2.FollowUpdate | None, int]] = {}
+        """The costs after a version, and the version up to which they go."""
         self._statuses_at = float("-inf")
         self._parts: dict[Revision, tuple[control_pb2.FollowUpdate, ...]] = {}
         """Updates that lead to `_parts_revision`, by the revision that they begin at."""
@@ -75,12 +82,25 @@
         """
         now = self._clock.monotonic()
         if now - self._statuses_at > STATUS_MAX_AGE_SECONDS:
-            self._statuses, self._statuses_at = {}, now
-        domain = "" if failure_domain == self._failure_domain else failure_domain
+            self._statuses, self._costs, self._statuses_at = {}, {}, now
+        domain = self._find_scope(failure_domain)
         if domain not in self._statuses:
             self._statuses[domain] = self._describe(domain, now)
         return self._statuses[domain]
 
+    def find_fleet_bytes(self, failure_domain: str) -> int:
+        """Return the bytes of the fleet's loads in the status for a failure domain."""
+        return self._fleet_bytes.get(self._find_scope(failure_domain), 0)
+
+    def make_costs(self, since: int) -> tuple[control_pb2.FollowUpdate | None, int]:
+        """Return the costs after a version, if any, and the version up to which they go."""
+        if since not in self._costs:
+            self._costs[since] = self._fleet.make_costs(since)
+        return self._costs[since]
+
+    def _find_scope(self, failure_domain: str) -> str:
+        return "" if failure_domain == self._failure_domain else failure_domain
+
     def make_parts(self, since: Revision) -> Sequence[control_pb2.FollowUpdate]:
         """Return the updates from a follower's revision to this keeper's.
 
@@ -110,6 +130,11 @@
             if not domain or servers.is_in_domain(server, domain)
         )
         update = control_pb2.FollowUpdate(loads=loads, has_loads=sums is not None)
+        bytes_before = update.ByteSize()
+        self._fleet.add_loads(
+            update, lambda server: not domain or servers.is_in_domain(server, domain), now
+        )
+        self._fleet_bytes[domain] = update.ByteSize() - bytes_before
         self._add_freshness(update, now)
         return update
 
--- a/packages/node/src/persimmonusher_node/tiers/follow_service.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_service.py
@@ -20,8 +20,11 @@
 from persimmonusher_node.keeper import KeeperRole
 from persimmonusher_node.loop import start_coroutine
 from persimmonusher_node.peers import ChannelPool
+from persimmonusher_node.tiers.fleet_work import FleetWork
 from persimmonusher_node.tiers.follow_feed import FollowFeed
 from persimmonusher_node.tiers.load_book import LoadBook
+from persimmonusher_node.tiers.load_exchange import LoadExchange
+from persimmonusher_node.tiers.message_delays import make_run_number
 from persimmonusher_node.tiers.notice_relay import NoticeRelay
 from persimmonusher_protocol import control_pb2, keeper_pb2
 from persimmonusher_protocol.control_grpc import ControlBase
@@ -49,6 +52,7 @@
         self.notices: list[control_pb2.FollowUpdate] = []
         self.status_due = True
         self.sent_places_version = -1
+        self.sent_costs_version = 0
 
     def add_notices(self, update: control_pb2.FollowUpdate) -> None:
         """Queue a batch of notices, which all followers share, and wake the stream."""
@@ -81,7 +85,11 @@
         self._followers: set[Follower] = set()
         self._relay = NoticeRelay(role, channels, self._notify_followers, clock)
         self._loads = LoadBook()
-        self._feed = FollowFeed(failure_domain, role, view, self._loads, clock)
+        self.fleet = FleetWork(make_run_number(clock))
+        self.exchange = LoadExchange(self.fleet, role, channels, clock)
+        self._feed = FollowFeed(failure_domain, role, view, self._loads, self.fleet, clock)
+        self.fleet_bytes = 0
+        """Bytes of the fleet's loads and costs sent to followers so far."""
         self._pace = FanoutPace()
         self._pending_notices: list[control_pb2.Notice] = []
         self._round_timer: asyncio.TimerHandle | None = None
@@ -150,7 +158,9 @@
         assert report is not None
         if report.instance:
             loads = {load.server: load.in_progress for load in report.loads}
-            self._loads.record(report.instance, loads, self._clock.monotonic())
+            now = self._clock.monotonic()
+            self._loads.record(report.instance, loads, now)
+            self.fleet.record_report(report, loads, now)
         with refuse_as_unavailable():
             standing = self._feed.make_standing()
         await stream.send_message(standing)
@@ -158,13 +168,17 @@
     async def ShareLoads(  # noqa: N802
         self, stream: "Stream[control_pb2.LoadSums, keeper_pb2.Ack]"
     ) -> None:
-        """Refuse another keeper's sums: they aren't used yet."""
-        raise GRPCError(Status.UNIMPLEMENTED)
+        """Record the sums of another keeper's followers."""
+        sums = await stream.recv_message()
+        assert sums is not None
+        self.fleet.record_sums(sums, self._clock.monotonic())
+        await stream.send_message(keeper_pb2.Ack())
 
     async def _tick(self) -> None:
         """Send the status to all followers at the same times, so that they share one message."""
         while self._followers:
             self._refresh_places()
+            self.exchange.share()
             for follower in self._followers:
                 follower.status_due = True
                 follower.wake.set()
@@ -210,8 +224,17 @@
         if follower.status_due:
             follower.status_due = False
             yield self._feed.make_status(follower.failure_domain)
+            self.fleet_bytes += self._feed.find_fleet_bytes(follower.failure_domain)
+            yield from self._list_costs(follower)
         yield from follower.pop_notices()
 
+    def _list_costs(self, follower: Follower) -> Iterator[control_pb2.FollowUpdate]:
+        """Yield the next costs that a follower lacks, if there are any."""
+        update, follower.sent_costs_version = self._feed.make_costs(follower.sent_costs_version)
+        if update is not None:
+            self.fleet_bytes += update.ByteSize()
+            yield update
+
     def _on_change(self, revision: Revision, keys: Sequence[ObjectKey]) -> None:
         self._schedule_round()
 
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -22,7 +22,7 @@
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.tiers.follow_lease import FollowLease
 from persimmonusher_node.tiers.keeper_finder import KeeperFinder
-from persimmonusher_node.tiers.keeper_port import KeeperAnswer, KeeperPort
+from persimmonusher_node.tiers.keeper_port import KeeperAnswer, KeeperPort, ReportedLoads
 from persimmonusher_node.tiers.keeper_stream import KeeperStream, StreamOwner
 from persimmonusher_node.tiers.notice_wire import decode_notice
 from persimmonusher_node.tiers.peer_notices import PeerNotices
@@ -53,6 +53,10 @@
     """Do nothing; the handler until there is a data plane."""
 
 
+def ignore_fleet_work(update: control_pb2.FollowUpdate, delay: float) -> None:
+    """Do nothing; the handler until there is a data plane."""
+
+
 class KeeperFollower(Component, StreamOwner):
     """Follows one keeper at a time, preferably one in the own failure domain.
 
@@ -89,6 +93,11 @@
         self._reporting: asyncio.Task[None] | None = None
         self.read_loads: Callable[[], Mapping[ServerId, int]] = dict
         """Returns this entry's requests in progress by server; set by the daemon."""
+        self.make_report: Callable[[Mapping[ServerId, int]], ReportedLoads] = ReportedLoads
+        """Makes the report to the keeper from the requests in progress; set by the daemon."""
+        self.on_fleet_work: Callable[[control_pb2.FollowUpdate, float], None] = ignore_fleet_work
+        """Is called with an update that carries loads or costs of the whole fleet, and the seconds
+        for which it was delayed."""
         self.on_notice: Callable[[Notice], None] = ignore_notice
         """Is called with each notice of another entry."""
         self.on_loads: Callable[[Mapping[ServerId, int]], None] = ignore_loads
@@ -168,9 +177,9 @@
 
     # Called by the streams
 
-    def list_loads(self) -> Mapping[ServerId, int]:
-        """Return this entry's requests in progress by server."""
-        return self.read_loads()
+    def list_loads(self) -> ReportedLoads:
+        """Return what this entry reports to the keeper."""
+        return self.make_report(self.read_loads())
 
     def apply_batch(self, batch: Batch) -> None:
         """Put a whole batch of changes in force."""
@@ -191,6 +200,10 @@
         if update.HasField("majority_age_ms"):
             self.entries = update.entries
 
+    def apply_fleet_work(self, update: control_pb2.FollowUpdate, delay: float) -> None:
+        """Apply the fleet's loads and costs of an update that was delayed by some seconds."""
+        self.on_fleet_work(update, delay)
+
     def record_answer(self, answer: KeeperAnswer) -> None:
         """Record a keeper's answer how fresh it is."""
         self.lease.record_answer(answer)
--- a/packages/node/src/persimmonusher_node/tiers/grpc_keepers.py
+++ b/packages/node/src/persimmonusher_node/tiers/grpc_keepers.py
@@ -1,16 +1,18 @@
 """The calls of an entry to the keepers over gRPC."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Mapping, Sequence
+from collections.abc import AsyncGenerator, Sequence
 from typing import Final
 
 from persimmonusher_agreement.keeper_choice import KeeperPlace
 from persimmonusher_decisions.notices import Notice
 from persimmonusher_model.clock import Clock
-from persimmonusher_model.identifiers import Revision, ServerId
+from persimmonusher_model.identifiers import Revision
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.settings import Settings
-from persimmonusher_node.tiers.keeper_port import KeeperAnswer, KeeperPort
+from persimmonusher_node.tiers.keeper_port import KeeperAnswer, KeeperPort, ReportedLoads
+from persimmonusher_node.tiers.load_wire import encode_sample, to_milliseconds
+from persimmonusher_node.tiers.message_delays import make_run_number, make_send_time
 from persimmonusher_node.tiers.notice_wire import encode_notice
 from persimmonusher_protocol import control_pb2
 from persimmonusher_protocol.control_grpc import ControlStub
@@ -32,16 +34,17 @@
         self._settings = settings
         self._channels = channels
         self._clock = clock
+        self._run = make_run_number(clock)
 
     async def ask_freshness(
-        self, place: KeeperPlace, loads: Mapping[ServerId, int] | None
+        self, place: KeeperPlace, loads: ReportedLoads | None
     ) -> KeeperAnswer | None:
         """Ask for the keeper's freshness; return None while its log isn't open."""
-        instance = NO_INSTANCE if loads is None else self._settings.instance_id
-        report = control_pb2.LoadReport(
-            instance=instance,
-            loads=(control_pb2.Load(server=s, in_progress=n) for s, n in (loads or {}).items()),
-        )
+        report = control_pb2.LoadReport(instance=NO_INSTANCE)
+        if loads is not None:
+            report = encode_report(self._settings.instance_id, loads)
+            if loads.work is not None:
+                report.sent.CopyFrom(make_send_time(self._run, self._clock.monotonic()))
         asked_at = self._clock.monotonic()
         standing = await self._stub(place).ReportLoad(report, timeout=ANSWER_TIMEOUT_SECONDS)
         if not standing.HasField("majority_age_ms"):
@@ -89,3 +92,14 @@
 
     def _stub(self, place: KeeperPlace) -> ControlStub:
         return ControlStub(self._channels.get(place.address))
+
+
+def encode_report(instance: str, loads: ReportedLoads) -> control_pb2.LoadReport:
+    """Return the wire form of an entry's report."""
+    report = control_pb2.LoadReport(instance=instance, costs=map(encode_sample, loads.costs))
+    work = loads.work or {}
+    for server, count in loads.in_progress.items():
+        load = report.loads.add(server=server, in_progress=count)
+        if server in work:
+            load.work_ms = to_milliseconds(work[server])
+    return report
--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -102,6 +102,9 @@
             self._role.followers.own,
             self._role.followers.find_total(leads, now),
             len(self._view.servers),
+            *self._follow.fleet.describe(now),
+            self._follow.fleet_bytes,
+            self._follow.exchange.sent_bytes,
         )
 
     def reload(self, settings: Settings) -> None:
--- a/packages/node/src/persimmonusher_node/tiers/keeper_metrics.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_metrics.py
@@ -1,6 +1,6 @@
 """A keeper's metrics by aioprometheus; none has labels."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -20,12 +20,20 @@
     "keeper_followers": "Entries that follow this keeper.",
     "keeper_entries": "Entries that follow any keeper.",
     "keeper_servers": "Backend servers that are registered and have not ended.",
+    "keeper_fleet_loads_age_seconds": "Age of the oldest part of the fleet's loads.",
+    "keeper_fleet_loads_servers": "Backend servers with work in the fleet's loads.",
+}
+
+
+COUNTERS: Final = {
+    "keeper_fleet_loads_bytes": "Bytes of the fleet's loads and costs sent to followers.",
+    "keeper_shared_loads_bytes": "Bytes of its followers' loads sent to other keepers.",
 }
 
 
 @dataclass(frozen=True)
 class KeeperGauges:
-    """The gauges' values at one scrape, in the order of `GAUGES`."""
+    """The values at one scrape, in the order of `GAUGES` and `COUNTERS`."""
 
     leads: int
     voters: int
@@ -36,6 +44,10 @@
     followers: int
     entries: int
     servers: int
+    fleet_loads_age_seconds: float = 0.0
+    fleet_loads_servers: int = 0
+    fleet_loads_bytes: int = 0
+    shared_loads_bytes: int = 0
 
 
 class KeeperMetrics(MetricsSource):
@@ -50,6 +62,10 @@
             name: Gauge(f"persimmonusher_{name}", text, registry=self._registry)
             for name, text in GAUGES.items()
         }
+        self._counters = {
+            name: Counter(f"persimmonusher_{name}_total", text, registry=self._registry)
+            for name, text in COUNTERS.items()
+        }
         histograms = {
             "keeper_leaderless_seconds": ("Times without a leader that are over.", leaderless),
             "peer_silence_seconds": ("Times without an answer of a peer.", silences),
@@ -69,7 +85,8 @@
         if gauges is None:
             self._failed.inc({})
         else:
-            for name, gauge in self._gauges.items():
-                gauge.set({}, getattr(gauges, name.removeprefix("keeper_")))
+            metrics: Mapping[str, Gauge | Counter] = {**self._gauges, **self._counters}
+            for name, metric in metrics.items():
+                metric.set({}, getattr(gauges, name.removeprefix("keeper_")))
         content, _ = render(self._registry, ["text/plain"])
         return content
--- a/packages/node/src/persimmonusher_node/tiers/keeper_port.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_port.py
@@ -2,9 +2,10 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import AsyncGenerator, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from persimmonusher_agreement.keeper_choice import KeeperPlace
+from persimmonusher_decisions.costs import CostSample
 from persimmonusher_decisions.notices import Notice
 from persimmonusher_model.identifiers import Revision, ServerId
 from persimmonusher_protocol import control_pb2
@@ -28,16 +29,27 @@
         return self.asked_at - self.age
 
 
+@dataclass(frozen=True)
+class ReportedLoads:
+    """What an entry reports to the keeper that it follows."""
+
+    in_progress: Mapping[ServerId, int] = field(default_factory=dict)
+    """Requests in progress by server."""
+    work: Mapping[ServerId, float] | None = None
+    """Expected seconds of work by server; None if none of the services is work-aware."""
+    costs: tuple[CostSample, ...] = ()
+
+
 class KeeperPort(ABC):
     """Calls to a keeper; each raises one of `CALL_ERRORS` when it fails."""
 
     @abstractmethod
     async def ask_freshness(
-        self, place: KeeperPlace, loads: Mapping[ServerId, int] | None
+        self, place: KeeperPlace, loads: ReportedLoads | None
     ) -> KeeperAnswer | None:
         """Ask for the keeper's freshness; return None while its log isn't open.
 
-        `loads` are this entry's requests in progress by server; None asks without a report.
+        `loads` are what this entry reports; None asks without a report.
         """
 
     @abstractmethod
--- a/packages/node/src/persimmonusher_node/tiers/keeper_stream.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_stream.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
 from random import Random
 from typing import Final
 
@@ -11,11 +10,12 @@
 
 from persimmonusher_agreement.configuration_objects import Batch, Record
 from persimmonusher_model.clock import Clock
-from persimmonusher_model.identifiers import Revision, ServerId
+from persimmonusher_model.identifiers import Revision
 from persimmonusher_node.keeper_calls import CALL_ERRORS
 from persimmonusher_node.keeper_wire import decode_record
 from persimmonusher_node.loop import start_coroutine
-from persimmonusher_node.tiers.keeper_port import KeeperAnswer, KeeperPort
+from persimmonusher_node.tiers.keeper_port import KeeperAnswer, KeeperPort, ReportedLoads
+from persimmonusher_node.tiers.message_delays import SenderDelays
 from persimmonusher_node.tiers.packed_parts import unpack_part
 from persimmonusher_protocol import control_pb2
 
@@ -37,8 +37,8 @@
     """Takes what streams bring."""
 
     @abstractmethod
-    def list_loads(self) -> Mapping[ServerId, int]:
-        """Return this entry's requests in progress by server, for a report to the keeper."""
+    def list_loads(self) -> ReportedLoads:
+        """Return what this entry reports to the keeper."""
 
     @abstractmethod
     def apply_batch(self, batch: Batch) -> None:
@@ -48,6 +48,10 @@
     def apply_update(self, update: control_pb2.FollowUpdate) -> None:
         """Apply everything of an update but its changes."""
 
+    @abstractmethod
+    def apply_fleet_work(self, update: control_pb2.FollowUpdate, delay: float) -> None:
+        """Apply the fleet's loads and costs of an update that was delayed by some seconds."""
+
     @abstractmethod
     def record_answer(self, answer: KeeperAnswer) -> None:
         """Record the keeper's answer how fresh it is."""
@@ -78,6 +82,7 @@
         """What ended the stream; None while it is open and after `close`."""
         self._changed = asyncio.Event()
         """Set by the first update and by the end of the stream."""
+        self._delays = SenderDelays()
         self._records: list[Record] = []
         self._tasks: tuple[asyncio.Task[None], ...] = ()
 
@@ -151,10 +156,17 @@
                 self._owner.apply_batch(Batch(part.lineage, since, revision, records, part.whole))
         self._updated_at = self._clock.monotonic()
         self._owner.apply_update(update)
+        if update.has_fleet_loads or update.costs:
+            self._owner.apply_fleet_work(update, self._find_delay(update))
         if not self.has_updates:
             self.has_updates = True
             self._changed.set()
 
+    def _find_delay(self, update: control_pb2.FollowUpdate) -> float:
+        if not update.HasField("sent"):
+            return 0.0
+        return self._delays.find_delay(update.sent.milliseconds / 1000.0, self._updated_at)
+
     async def _ask(self) -> None:
         """Ask how fresh the keeper is at intervals while the stream is open.
 
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/tiers/load_wire.py
@@ -0,0 +1,117 @@
+"""The wire form of work in progress and of cost samples, within a number of bytes."""
+
+import zlib
+from collections.abc import Iterable, Mapping
+from heapq import nlargest
+from typing import Final
+
+from google.protobuf.message import DecodeError
+
+from persimmonusher_decisions.costs import CostSample
+from persimmonusher_decisions.server_work import WorkInProgress
+from persimmonusher_model.identifiers import ServiceName
+from persimmonusher_protocol import control_pb2 as pb
+
+MIN_PACKED_SERVERS: Final = 16
+"""Fewer servers are sent as they are: compressing them would save little."""
+LEAST_BYTES_PER_SERVER: Final = 3
+"""Bytes below which no server fits: requests and work alone take three when compressed."""
+SHRINK_MARGIN: Final = 0.97
+"""Part of the estimated number of servers that is tried next when the former didn't fit."""
+MAX_TABLE_BYTES: Final = 16_777_216
+"""Most bytes that a table may unpack to: without a limit, an oversized one would end the
+process."""
+SAMPLE_OVERHEAD_BYTES: Final = 2
+"""Tag and length of a sample in its message."""
+MAX_WORK_MS: Final = 4_294_967_295
+
+
+def pack_loads(work: Mapping[str, WorkInProgress], max_bytes: int) -> tuple[list[pb.Load], bytes]:
+    """Return the busiest servers as loads or as a packed table, within a number of bytes.
+
+    One of the two is empty. All servers are included if they fit.
+    """
+    count = min(len(work), max_bytes // LEAST_BYTES_PER_SERVER)
+    busiest = nlargest(count, work, key=lambda server: (work[server].seconds, server))
+    while True:
+        servers = sorted(busiest[:count])
+        loads: list[pb.Load] = []
+        packed = b""
+        if count < MIN_PACKED_SERVERS:
+            loads = [make_load(server, work[server]) for server in servers]
+            size = pb.LoadSums(loads=loads).ByteSize()
+        else:
+            packed = pack_table(servers, work)
+            size = len(packed)
+        if size <= max_bytes:
+            return loads, packed
+        count = min(count - 1, int(count * max_bytes / size * SHRINK_MARGIN))
+
+
+def make_load(server: str, work: WorkInProgress) -> pb.Load:
+    """Return the wire form of the work at one server."""
+    return pb.Load(server=server, in_progress=work.requests, work_ms=to_milliseconds(work.seconds))
+
+
+def to_milliseconds(seconds: float) -> int:
+    """Return milliseconds for the wire, at least 1: 0 stands for an unknown time."""
+    return min(MAX_WORK_MS, max(1, round(seconds * 1000.0)))
+
+
+def pack_table(servers: Iterable[str], work: Mapping[str, WorkInProgress]) -> bytes:
+    """Return a compressed table of some servers."""
+    table = pb.LoadTable(
+        servers=servers,
+        in_progress=(work[server].requests for server in servers),
+        work_ms=(to_milliseconds(work[server].seconds) for server in servers),
+    )
+    return zlib.compress(table.SerializeToString(), 9)
+
+
+def unpack_loads(loads: Iterable[pb.Load], packed: bytes) -> dict[str, WorkInProgress] | None:
+    """Return the work by server; None for a table that can't be read.
+
+    Loads without work are left out.
+    """
+    if not packed:
+        rows = [(load.server, load.in_progress, load.work_ms) for load in loads]
+    else:
+        table = unpack_table(packed)
+        if table is None:
+            return None
+        rows = list(zip(table.servers, table.in_progress, table.work_ms, strict=False))
+    return {
+        server: WorkInProgress(requests, work_ms / 1000.0)
+        for server, requests, work_ms in rows
+        if work_ms
+    }
+
+
+def unpack_table(packed: bytes) -> pb.LoadTable | None:
+    """Return the table of its compressed form, or None if that can't be read."""
+    unpacking = zlib.decompressobj()
+    try:
+        data = unpacking.decompress(packed, MAX_TABLE_BYTES)
+        return pb.LoadTable.FromString(data) if unpacking.eof else None
+    except (zlib.error, DecodeError):
+        return None
+
+
+def encode_sample(sample: CostSample) -> pb.CostSample:
+    """Return the wire form of a cost sample."""
+    return pb.CostSample(
+        service=sample.service,
+        kind=sample.kind,
+        count=sample.count,
+        mean_ms=to_milliseconds(sample.mean_seconds),
+    )
+
+
+def decode_sample(wire: pb.CostSample) -> CostSample:
+    """Return the cost sample of a wire message."""
+    return CostSample(ServiceName(wire.service), wire.kind, wire.count, wire.mean_ms / 1000.0)
+
+
+def measure_sample(sample: CostSample) -> int:
+    """Return the bytes that a sample takes in a message, at most two of them too few."""
+    return encode_sample(sample).ByteSize() + SAMPLE_OVERHEAD_BYTES
--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -12,6 +12,8 @@
 
 import eventlet  # noqa: E402
 from entry_settings import make_entry_settings  # noqa: E402
+from grpclib.const import Status  # noqa: E402
+from grpclib.exceptions import GRPCError  # noqa: E402
 from grpclib.server import Stream  # noqa: E402
 
 from persimmonusher_node.clock import SystemClock  # noqa: E402
@@ -103,6 +105,11 @@
         await self.read_call(stream)
         await stream.send_message(keeper_pb2.Ack())
 
+    async def ShareLoads(  # noqa: N802
+        self, stream: "Stream[control_pb2.LoadSums, keeper_pb2.Ack]"
+    ) -> None:
+        raise GRPCError(Status.UNIMPLEMENTED)
+
     async def ReportLoad(  # noqa: N802
         self, stream: "Stream[control_pb2.LoadReport, control_pb2.Standing]"
     ) -> None:
