Estimate the work of servers that are left out of a message

Beyond about 100 busy servers the limit of bytes leaves some out. An entry took these for idle. The message now names the most work that one of them may have, and the entry counts their requests in progress, as its keeper's followers report them, with the mean work of the servers listed.

--- a/packages/node/src/persimmonusher_node/tiers/fleet_loads.py
+++ b/packages/node/src/persimmonusher_node/tiers/fleet_loads.py
@@ -46,10 +46,30 @@
     work = unpack_loads(update.fleet_loads, update.packed_fleet_loads)
     if work is None:
         return None
+    if update.fleet_loads_left_out_ms:
+        work = add_estimates(work, update.loads, update.fleet_loads_left_out_ms / 1000.0)
     taken_at = now - delay - update.fleet_loads_age_ms / 1000.0
     return FleetLoads({ServerId(server): one for server, one in work.items()}, taken_at)
 
 
+def add_estimates(
+    work: Mapping[str, WorkInProgress], loads: Iterable[control_pb2.Load], most_seconds: float
+) -> dict[str, WorkInProgress]:
+    """Return the work with estimates for servers that were left out as they have too little.
+
+    `loads` are the requests in progress of the entries that follow the same keeper, which are all
+    that is known of these servers. Each request counts as the listed ones do on average.
+    """
+    requests = sum(one.requests for one in work.values())
+    mean = sum(one.seconds for one in work.values()) / max(1, requests)
+    estimates = {
+        load.server: WorkInProgress(load.in_progress, min(most_seconds, load.in_progress * mean))
+        for load in loads
+        if load.server not in work
+    }
+    return {**estimates, **work}
+
+
 class FleetLoadsWatch:
     """The age of the loads received last; logs when they become too old, and current again."""
 
--- a/packages/node/src/persimmonusher_node/tiers/fleet_work.py
+++ b/packages/node/src/persimmonusher_node/tiers/fleet_work.py
@@ -10,6 +10,7 @@
     decode_sample,
     encode_sample,
     pack_loads,
+    to_milliseconds,
     unpack_loads,
 )
 from persimmonusher_node.tiers.message_delays import MessageDelays, make_send_time
@@ -59,7 +60,8 @@
             for entry, age_ms in zip(sums.entries, sums.entry_ages_ms, strict=False)
         }
         taken_at = sent_at - sums.age_ms / 1000.0
-        self._book.record_sums(sums.keeper, WorkSums(work, taken_at, entries), sent_at)
+        left_out = sums.left_out_ms / 1000.0
+        self._book.record_sums(sums.keeper, WorkSums(work, taken_at, entries, left_out), sent_at)
         self._costs.add(map(decode_sample, sums.costs), now)
 
     def make_sums(self, keeper: str, now: float) -> pb.LoadSums | None:
@@ -67,11 +69,12 @@
         own = self._book.sum_followers(now)
         if own is None:
             return None
-        loads, packed = pack_loads(own.work, MAX_KEEPER_LOAD_BYTES)
+        packed = pack_loads(own.work, MAX_KEEPER_LOAD_BYTES)
         return pb.LoadSums(
             keeper=keeper,
-            loads=loads,
-            packed_loads=packed,
+            loads=packed.loads,
+            packed_loads=packed.table,
+            left_out_ms=packed.left_out_ms,
             costs=map(encode_sample, self._unshared.pop(MAX_KEEPER_COST_BYTES)),
             sent=make_send_time(self._run, now),
             age_ms=to_age_ms(now - own.taken_at),
@@ -89,10 +92,13 @@
         wanted: dict[str, WorkInProgress] = {
             server: work for server, work in sums.work.items() if is_wanted(server)
         }
-        loads, packed = pack_loads(wanted, MAX_FOLLOWER_LOAD_BYTES)
+        packed = pack_loads(wanted, MAX_FOLLOWER_LOAD_BYTES)
         update.has_fleet_loads = True
-        update.fleet_loads.extend(loads)
-        update.packed_fleet_loads = packed
+        update.fleet_loads.extend(packed.loads)
+        update.packed_fleet_loads = packed.table
+        update.fleet_loads_left_out_ms = max(
+            packed.left_out_ms, to_milliseconds(sums.left_out) if sums.left_out else 0
+        )
         update.fleet_loads_age_ms = to_age_ms(now - sums.taken_at)
         update.sent.CopyFrom(make_send_time(self._run, now))
 
--- a/packages/node/src/persimmonusher_node/tiers/load_wire.py
+++ b/packages/node/src/persimmonusher_node/tiers/load_wire.py
@@ -2,6 +2,7 @@
 
 import zlib
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
 from heapq import nlargest
 from math import exp2, log2
 from typing import Final
@@ -28,39 +29,54 @@
 """Steps in which a table states a time that doubles: within 1.1%, which takes a byte less for each
 server than milliseconds."""
 MAX_OCTAVES: Final = 32.0
-MAX_WORK_MS: Final = 4_294_967_295
+MAX_UINT32: Final = 4_294_967_295
 
 
-def pack_loads(work: Mapping[str, WorkInProgress], max_bytes: int) -> tuple[list[pb.Load], bytes]:
-    """Return the busiest servers as loads or as a packed table, within a number of bytes.
+@dataclass(frozen=True)
+class PackedLoads:
+    """Servers with work, as loads or as a packed table; one of the two is empty."""
 
-    One of the two is empty. All servers are included if they fit.
-    """
+    loads: list[pb.Load]
+    table: bytes
+    left_out_ms: int
+    """The most work of a server that didn't fit; 0 if all did."""
+
+
+def pack_loads(work: Mapping[str, WorkInProgress], max_bytes: int) -> PackedLoads:
+    """Return the busiest servers that fit into a number of bytes."""
     count = min(len(work), max_bytes // LEAST_BYTES_PER_SERVER)
-    busiest = nlargest(count, work, key=lambda server: (work[server].seconds, server))
+    busiest = nlargest(count + 1, work, key=lambda server: (work[server].seconds, server))
     while True:
-        servers = sorted(busiest[:count])
-        loads: list[pb.Load] = []
-        packed = b""
-        if count < MIN_PACKED_SERVERS:
-            loads = [make_load(server, work[server]) for server in servers]
-            size = pb.LoadSums(loads=loads).ByteSize()
-        else:
-            packed = pack_table(servers, work)
-            size = len(packed)
+        packed = pack_busiest(busiest[:count], work)
+        size = len(packed.table) + pb.LoadSums(loads=packed.loads).ByteSize()
         if size <= max_bytes:
-            return loads, packed
+            break
         count = min(count - 1, int(count * max_bytes / size * SHRINK_MARGIN))
+    if count == len(work):
+        return packed
+    return replace(packed, left_out_ms=to_milliseconds(work[busiest[count]].seconds))
+
+
+def pack_busiest(servers: Iterable[str], work: Mapping[str, WorkInProgress]) -> PackedLoads:
+    """Return all of some servers."""
+    chosen = sorted(servers)
+    if len(chosen) < MIN_PACKED_SERVERS:
+        return PackedLoads([make_load(server, work[server]) for server in chosen], b"", 0)
+    return PackedLoads([], pack_table(chosen, work), 0)
 
 
 def make_load(server: str, work: WorkInProgress) -> pb.Load:
     """Return the wire form of the work at one server."""
-    return pb.Load(server=server, in_progress=work.requests, work_ms=to_milliseconds(work.seconds))
+    return pb.Load(
+        server=server,
+        in_progress=min(MAX_UINT32, work.requests),
+        work_ms=to_milliseconds(work.seconds),
+    )
 
 
 def to_milliseconds(seconds: float) -> int:
     """Return milliseconds for the wire, at least 1: 0 stands for an unknown time."""
-    return min(MAX_WORK_MS, max(1, round(seconds * 1000.0)))
+    return min(MAX_UINT32, max(1, round(seconds * 1000.0)))
 
 
 def to_steps(seconds: float) -> int:
@@ -77,7 +93,7 @@
     """Return a compressed table of some servers."""
     table = pb.LoadTable(
         servers=servers,
-        in_progress=(work[server].requests for server in servers),
+        in_progress=(min(MAX_UINT32, work[server].requests) for server in servers),
         work_steps=(to_steps(work[server].seconds) for server in servers),
     )
     return zlib.compress(table.SerializeToString(), 9)
--- a/packages/node/src/persimmonusher_node/tiers/work_book.py
+++ b/packages/node/src/persimmonusher_node/tiers/work_book.py
@@ -43,6 +43,8 @@
     """When the oldest report in the sums was taken."""
     entries: Mapping[int, float]
     """When the report of each entry was taken, by the hash of its name."""
+    left_out: float = 0.0
+    """The most seconds of work of a server that is missing; 0 if all with work are included."""
 
 
 def hash_entry(instance: str) -> int:
@@ -130,7 +132,8 @@
         work: dict[str, WorkInProgress] = {}
         for part in parts:
             add_work(work, part.work)
-        return WorkSums(work, min(part.taken_at for part in parts), {})
+        left_out = sum(part.left_out for part in parts)
+        return WorkSums(work, min(part.taken_at for part in parts), {}, left_out)
 
     def _drop_expired(self, now: float) -> None:
         self._reports = {
--- a/packages/node/tests/test_fleet_loads.py
+++ b/packages/node/tests/test_fleet_loads.py
@@ -100,18 +100,32 @@
     def test_the_busiest_servers_are_kept(self) -> None:
         work = {f"s{n}": WorkInProgress(1, 0.001 * n) for n in range(1, 5_000)}
         for limit in (20, 700, 2_800):
-            loads, packed = pack_loads(work, limit)
-            self.assertLessEqual(pb.LoadSums(loads=loads, packed_loads=b"").ByteSize(), limit)
-            self.assertLessEqual(len(packed), limit)
-            kept = unpack_loads(loads, packed)
+            packed = pack_loads(work, limit)
+            size = pb.LoadSums(loads=packed.loads).ByteSize() + len(packed.table)
+            self.assertLessEqual(size, limit)
+            kept = unpack_loads(packed.loads, packed.table)
             assert kept is not None
+            self.assertEqual(packed.left_out_ms, 4_999 - len(kept))
             self.assertGreater(len(kept), 0)
             self.assertEqual(set(kept), {f"s{n}" for n in range(5_000 - len(kept), 5_000)})
 
+    # Guards against taking servers for idle that were left out of a message.
+    def test_servers_that_were_left_out_count_by_their_requests(self) -> None:
+        update = pb.FollowUpdate(
+            has_fleet_loads=True,
+            fleet_loads=[pb.Load(server="s1", in_progress=4, work_ms=8_000)],
+            fleet_loads_left_out_ms=5_000,
+            loads=[pb.Load(server=f"s{n}", in_progress=n) for n in (1, 2, 3)],
+        )
+        loads = decode_fleet_loads(update, 0.0, 1.0)
+        assert loads is not None
+        expected = {"s1": (4, 8.0), "s2": (2, 4.0), "s3": (3, 5.0)}
+        self.assertEqual(loads.work, {s: WorkInProgress(*one) for s, one in expected.items()})
+
     # Guards against times that are wrong by more than the estimates that they come from.
     def test_work_arrives_within_a_few_percent(self) -> None:
         work = {f"s{n}": WorkInProgress(n, 0.002 * 1.2**n) for n in range(1, 80)}
-        found = unpack_loads(*pack_loads(work, 1_000)) or {}
+        found = unpack_loads([], pack_loads(work, 1_000).table) or {}
         self.assertEqual(set(found), set(work))
         for server, one in work.items():
             self.assertEqual(found[server].requests, one.requests)
@@ -119,7 +133,7 @@
 
     # Guards against a message of another version or a fault ending the stream that carries it.
     def test_a_table_that_cannot_be_read_is_ignored(self) -> None:
-        _, packed = pack_loads({f"s{n}": WorkInProgress(1, 1.0) for n in range(50)}, 700)
+        packed = pack_loads({f"s{n}": WorkInProgress(1, 1.0) for n in range(50)}, 700).table
         for data in (b"noise", packed[:-9]):
             update = pb.FollowUpdate(has_fleet_loads=True, packed_fleet_loads=data)
             self.assertIsNone(decode_fleet_loads(update, 0.0, 1.0))
--- a/packages/node/tests/test_tiers.py
+++ b/packages/node/tests/test_tiers.py
@@ -18,6 +18,7 @@
 
 from persimmonusher_agreement.configuration_keeper import LossTolerance  # noqa: E402
 from persimmonusher_agreement.registration import RegisteredState, Registration  # noqa: E402
+from persimmonusher_decisions.costs import CostSample  # noqa: E402
 from persimmonusher_decisions.notices import Notice, NoticeKind  # noqa: E402
 from persimmonusher_decisions.quota_shares import QuotaTerms  # noqa: E402
 from persimmonusher_model.errors import ErrorCode, UsherError  # noqa: E402
@@ -52,10 +53,12 @@
 from persimmonusher_node.tiers.entry_ports import RegisteredDirectory  # noqa: E402
 from persimmonusher_node.tiers.follow_service import FollowService  # noqa: E402
 from persimmonusher_node.tiers.keeper_control import KeeperControl  # noqa: E402
+from persimmonusher_node.tiers.keeper_port import ReportedLoads  # noqa: E402
 from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas  # noqa: E402
 from persimmonusher_node.tiers.leader import LeaderCalls  # noqa: E402
 from persimmonusher_node.tiers.peer_notices import PeerNoticeService  # noqa: E402
 from persimmonusher_node.tiers.quota_service import QuotaService  # noqa: E402
+from persimmonusher_protocol import control_pb2  # noqa: E402
 
 SERVICE = ServiceName("entries")
 IN_FORCE_SECONDS = Settings.model_fields["stale_seconds"].default
@@ -316,6 +319,24 @@
         heard.clear()
         self.wait_for(lambda: {} in heard)
 
+    # Guards against work that is lost or without an age on its way from entry to entry.
+    def test_entries_learn_the_work_of_all_of_them(self) -> None:
+        """Load pattern: one entry has a steady request at a server, the other one is idle."""
+        self.put(1)
+        heard: list[tuple[control_pb2.FollowUpdate, float]] = []
+        first, second = (entry.follower for entry in self.entries)
+        self.wait_for(lambda: all(entry.view.is_current() for entry in self.entries))
+        sample = CostSample(SERVICE, "r:/lookup", 3, 0.38)
+        work = {ServerId("s1"): 0.7}
+        first.make_report = lambda loads: ReportedLoads({ServerId("s1"): 2}, work, (sample,))
+        second.on_fleet_work = lambda update, delay: heard.append((update, delay))
+        self.wait_for(lambda: any(u.fleet_loads and delay < 0.3 for u, delay in heard))
+        self.wait_for(lambda: any(u.costs for u, _ in heard))
+        [load] = next(u.fleet_loads for u, _ in heard if u.fleet_loads)
+        self.assertEqual((load.server, load.in_progress, load.work_ms), ("s1", 2, 700))
+        [cost] = next(u.costs for u, _ in heard if u.costs)
+        self.assertEqual((cost.kind, cost.mean_ms), ("r:/lookup", 380))
+
     def find_organisation(self, entry: EntryNode) -> Organisation:
         book = entry.view.organisations
         assert book is not None
