--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -74,6 +74,9 @@
         standing_log = StandingLog(self.services, clock)
         self.count_relayed: Callable[[], int] = int
         """Returns the number of connections that are open for other instances."""
+        self.read_fleet_loads: Callable[[], tuple[float, int]] = lambda: (0.0, 0)
+        """Returns the age in seconds of the work in progress of all entries, and the number of
+        servers that have any."""
         self.configuration_ages: ConfigurationAges | None = None
         """Set by the daemon of an entry that follows a keeper."""
         self.watch = Watch(self.services, self.forwarder, upstream, standing_log, clock)
@@ -130,4 +133,5 @@
             openings.tally,
             self.configuration_ages,
             work,
+            *self.read_fleet_loads(),
         )
