Free the first part of a streamed answer; end unread answers only while they are open

The request in flight held the first part of an answer, up to 64 KiB or 1 MiB, until the last byte was read, and the interruption of an unread answer could reach a connection that had just ended.

--- a/packages/node/src/persimmonusher_node/answer_spool.py
+++ b/packages/node/src/persimmonusher_node/answer_spool.py
@@ -59,6 +59,7 @@
         self._changed = Event()
         self._written = 0
         self._is_ended = rest is None
+        self._is_closed = False
         self._error: Exception | None = None
         self._thread: GreenThread | None = None
         self._writer: Any = None
@@ -85,6 +86,7 @@
 
     def close(self) -> None:
         """Release the server's connection and the memory; the caller's connection stays open."""
+        self._is_closed = True
         if self._thread is not None:
             self._thread.kill()
         close = getattr(self._rest, "close", None)
@@ -131,9 +133,12 @@
         """Reset the caller's connection; its green thread is blocked in a write."""
         self._protocol.cut_off()
         self._report_unread()
-        self._error = UnreadAnswer("the caller reads nothing")
-        if self._writer is not None:
-            get_hub().schedule_call_global(0, self._writer.throw, self._error)
+        error = self._error = UnreadAnswer("the caller reads nothing")
+        get_hub().schedule_call_global(0, self._interrupt_write, error)
+
+    def _interrupt_write(self, error: UnreadAnswer) -> None:
+        if not self._is_closed:
+            self._writer.throw(error)
 
     def _notify(self) -> None:
         changed, self._changed = self._changed, Event()
--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -63,6 +63,12 @@
         """Return whether the rest of the answer is still to be read."""
         return isinstance(self.result, UpstreamAnswer) and self.result.stream is not None
 
+    def without_body(self) -> "EndedAttempt":
+        """Return the attempt without the part of its answer's body that was read."""
+        if isinstance(self.result, AttemptError):
+            return self
+        return replace(self, result=replace(self.result, body=b""))
+
 
 class Attempts:
     """Carries out dispatches and reports their outcomes to the service's traffic decisions."""
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -175,10 +175,13 @@
     def _stream(self, run: Run, ended: EndedAttempt, answer: Answer) -> Answer:
         """Keep the request in flight until the rest of its long answer has been passed on."""
         assert answer.stream is not None
+        # What is kept until the end must not hold the first part of the body.
+        ended = ended.without_body()
+        summary = replace(answer, body=b"", stream=None)
 
         def end(broken: OutcomeKind | None) -> None:
             self._attempts.finish_stream(run, ended, broken)
-            self._end(run, answer)
+            self._end(run, summary)
 
         return replace(answer, stream=AnswerStream(answer.stream, end))
 
--- a/packages/node/tests/test_large_bodies.py
+++ b/packages/node/tests/test_large_bodies.py
@@ -72,6 +72,13 @@
         self.assertEqual(len(self.uploads[0].body), KEPT + 10_000)
         self.assertEqual(self.upload(connection, LARGE[KEPT + 10_000 :]).status, 200)
 
+    # Guards against a key that is claimed for the first part of a body only.
+    def test_a_keyed_request_is_compared_by_its_whole_body(self) -> None:
+        for body, status in ((LARGE, 200), (LARGE[:-1] + b"x", 422), (LARGE, 200)):
+            reply = self.upload(self.open(len(body), "Idempotency-Key: k1"), body)
+            self.assertEqual(reply.status, status)
+        self.assertEqual(sum(upload.is_complete for upload in self.uploads), 1)
+
 
 class BreakPointsTest(LargeBodyTestCase):
     def expect(self, reply, status: int, outcome: str, uploads: int) -> None:  # type: ignore[no-untyped-def]
