--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -63,6 +63,12 @@
         """Return whether the rest of the answer is still to be read."""
         return isinstance(self.result, UpstreamAnswer) and self.result.stream is not None
 
+    def without_body(self) -> "EndedAttempt":
+        """Return the attempt without the part of its answer's body that was read."""
+        if isinstance(self.result, AttemptError):
+            return self
+        return replace(self, result=replace(self.result, body=b""))
+
 
 class Attempts:
     """Carries out dispatches and reports their outcomes to the service's traffic decisions."""
@@ -167,7 +173,8 @@
         ended: EndedAttempt | None = None
         try:
             result = run_attempt(attempt)
-            outcome = make_outcome(result, self._clock.monotonic() - started, self._dialect)
+            latency = self._clock.monotonic() - started - attempt.caller_seconds
+            outcome = make_outcome(result, max(0.0, latency), self._dialect)
             if outcome.kind is OutcomeKind.BROKEN:
                 outcome = self._judge_way(dispatch, attempt.is_relayed, outcome)
             if isinstance(result, UpstreamAnswer):
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -4,6 +4,7 @@
 
 - a request that certainly did not run (no connection, a `not run` answer) may go to another server;
 - an idempotent request may be retried within the retry budget;
+- a request of whose body a part is no longer held is not sent again in either case;
 - any other request is not sent again: its caller gets the server's answer, or `unknown`, at once.
 """
 
@@ -112,7 +113,7 @@
             call.rule.attempts if call.rule else None,
             call.find_priority(),
             call.method,
-            len(call.body),
+            call.body.length or len(call.body.kept),
         )
         record = RequestRecord(
             request_id,
@@ -174,10 +175,13 @@
     def _stream(self, run: Run, ended: EndedAttempt, answer: Answer) -> Answer:
         """Keep the request in flight until the rest of its long answer has been passed on."""
         assert answer.stream is not None
+        # What is kept until the end must not hold the first part of the body.
+        ended = ended.without_body()
+        summary = replace(answer, body=b"", stream=None)
 
         def end(broken: OutcomeKind | None) -> None:
             self._attempts.finish_stream(run, ended, broken)
-            self._end(run, answer)
+            self._end(run, summary)
 
         return replace(answer, stream=AnswerStream(answer.stream, end))
 
@@ -201,6 +205,8 @@
             return None
         if kind not in NOT_RUN_KINDS and not run.request.idempotent:
             return None
+        if not run.call.body.can_send_again:
+            return None
         if not run.may_begin(self._clock.monotonic()):
             return None
         # A hedged request counts as two attempts, whichever server answered last.
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -19,6 +19,7 @@
 from persimmonusher_decisions.server_work import WorkStatus
 from persimmonusher_decisions.standing import Standing
 from persimmonusher_model.identifiers import ServiceName
+from persimmonusher_node.body_counts import LargeBodyCounts
 from persimmonusher_node.configuration_ages import ConfigurationAges
 from persimmonusher_node.observer import FinishedRequest, RequestObserver
 
@@ -59,6 +60,8 @@
     """Services whose requests are placed by expected work."""
     fleet_loads_age_seconds: float = 0.0
     fleet_loads_servers: int = 0
+    body_bytes_held: int = 0
+    body_counts: LargeBodyCounts = field(default_factory=LargeBodyCounts)
 
 
 class MetricsSource(ABC):
@@ -101,6 +104,21 @@
             "Openings of connections to backend servers, by way and result.",
             registry=registry,
         )
+        self._bodies_sent_on = Counter(
+            "persimmonusher_bodies_sent_on_total",
+            "Request bodies that were sent on as they arrived.",
+            registry=registry,
+        )
+        self._bodies_refused = Counter(
+            "persimmonusher_bodies_refused_total",
+            "Requests refused because the memory for large bodies was used up.",
+            registry=registry,
+        )
+        self._answers_unread = Counter(
+            "persimmonusher_answers_unread_total",
+            "Answers that were ended because the caller stopped reading.",
+            registry=registry,
+        )
         self._gauges = {
             name: Gauge(f"persimmonusher_{name}", text, registry=registry)
             for name, text in _GAUGES.items()
@@ -167,6 +185,10 @@
         self._gauges["servers_unreached"].set({}, gauges.servers_unreached)
         self._gauges["ways_lost"].set({}, gauges.ways_lost)
         self._gauges["connections_relayed"].set({}, gauges.connections_relayed)
+        self._gauges["body_bytes_held"].set({}, gauges.body_bytes_held)
+        self._bodies_sent_on.set({}, gauges.body_counts.sent_on)
+        self._bodies_refused.set({}, gauges.body_counts.refused)
+        self._answers_unread.set({}, gauges.body_counts.answers_unread)
         for (way, result), count in gauges.openings.items():
             self._openings.set({"way": way, "result": result}, count)
         self._gauges["configuration_age_seconds"].set({}, gauges.configuration_age_seconds)
@@ -207,6 +229,7 @@
     "expected_work_seconds": "Expected time that a server works on a request.",
     "ways_lost": "Backend servers that only other instances reach.",
     "connections_relayed": "Connections to backend servers that are open for other instances.",
+    "body_bytes_held": "Memory set aside for requests on routes with large bodies.",
 }
 _SERVER_GAUGES: Final = (
     "servers_taking_work",
