Keepers name the peer interfaces of entries that follow other keepers

Cause: FollowUpdate.peers names only entries of the same keeper.

Change: RelayListRequest.with_peers asks for Relay.peer in the list of relays, which entries fetch already (up to 24 entries of four keepers, every 30 s). Nothing is asked for unless the daemon wants it, so that messages are unchanged where no organisations exist.

--- a/packages/node/src/persimmonusher_node/tiers/follow_service.py
+++ b/packages/node/src/persimmonusher_node/tiers/follow_service.py
@@ -124,7 +124,11 @@
         relaying = [follower for follower in self._followers if follower.relay]
         chosen = self._random.sample(relaying, min(request.count, len(relaying)))
         relays = [
-            control_pb2.Relay(address=one.relay, failure_domain=one.failure_domain)
+            control_pb2.Relay(
+                address=one.relay,
+                failure_domain=one.failure_domain,
+                peer=one.address if request.with_peers else "",
+            )
             for one in chosen
         ]
         await stream.send_message(control_pb2.RelayList(relays=relays))
--- a/packages/node/src/persimmonusher_node/tiers/relay_peers.py
+++ b/packages/node/src/persimmonusher_node/tiers/relay_peers.py
@@ -48,6 +48,12 @@
         self._channels = channels
         self._random = random
         self._is_needed = asyncio.Event()
+        self.needs_peers: Callable[[], bool] = bool
+        """Returns whether the peer interfaces are wanted too; set by the daemon."""
+        self.peers: tuple[str, ...] = ()
+        """Peer interfaces of the entries that the keepers named last, if they were wanted."""
+        self._named_peers: list[str] = []
+        """Those of the round in progress."""
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -82,20 +88,25 @@
         """Ask some keepers; keep the former entries if none answers."""
         keepers = list(self._list_keepers())
         asked = self._random.sample(keepers, min(MAX_KEEPERS, len(keepers)))
+        self._named_peers = []
         answers = await asyncio.gather(*map(self._ask, asked))
         peers = {peer.address: peer for answer in answers for peer in answer}
         peers.pop(self._own_address, None)
         if peers:
             self._choice.replace(list(peers.values()))
+            self.peers = tuple(self._named_peers)
 
     async def _ask(self, keeper: str) -> Sequence[RelayPeer]:
-        request = control_pb2.RelayListRequest(count=PEERS_PER_KEEPER)
+        request = control_pb2.RelayListRequest(
+            count=PEERS_PER_KEEPER, with_peers=self.needs_peers()
+        )
         try:
             stub = ControlStub(self._channels.get(keeper))
             reply = await stub.ListRelays(request, timeout=CALL_TIMEOUT_SECONDS)
         except CALL_ERRORS as error:
             logger.debug("relays-not-listed", keeper=keeper, error=repr(error))
             return ()
+        self._named_peers += [relay.peer for relay in reply.relays if relay.peer]
         return [
             RelayPeer(relay.address, FailureDomain(relay.failure_domain)) for relay in reply.relays
         ]
