Entries without a path to the keepers get quota through other entries

A forwarded call is never repeated, and a call without an answer counts as used. A token that was held before the quota changed isn't used any more.

Tests that changed: test_tiers, test_peers and test_keeper_quotas make the router that KeeperQuotas now takes; test_peers has a keeper that answers ReportLoad, with which lost keepers are checked. No check was removed.

--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -1,7 +1,7 @@
 """The data plane of one instance: everything between the callers' listener and the ports."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from random import Random
 
@@ -75,6 +75,8 @@
         """Returns the number of connections that are open for other instances."""
         self.configuration_ages: ConfigurationAges | None = None
         """Set by the daemon of an entry that follows a keeper."""
+        self.quota_calls: Mapping[tuple[str, str], int] = {}
+        """Calls for quota by way and result; set by the daemon of an entry."""
         self.watch = Watch(self.services, self.forwarder, upstream, standing_log, clock)
 
     def explain(self, request_id: RequestId) -> RequestRecord | None:
@@ -124,4 +126,5 @@
             self.count_relayed(),
             openings.tally,
             self.configuration_ages,
+            self.quota_calls,
         )
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -54,6 +54,8 @@
     """Openings of connections to backend servers by way and result."""
     configuration_ages: ConfigurationAges | None = None
     """None where the configuration's age isn't known."""
+    quota_calls: Mapping[tuple[str, str], int] = field(default_factory=dict)
+    """Calls for organisations' quotas by way and result."""
 
 
 class MetricsSource(ABC):
@@ -96,6 +98,11 @@
             "Openings of connections to backend servers, by way and result.",
             registry=registry,
         )
+        self._quota_calls = Counter(
+            "persimmonusher_quota_calls_total",
+            "Calls for organisations' quotas, by way and result.",
+            registry=registry,
+        )
         self._gauges = {
             name: Gauge(f"persimmonusher_{name}", text, registry=registry)
             for name, text in _GAUGES.items()
@@ -164,6 +171,8 @@
         self._gauges["connections_relayed"].set({}, gauges.connections_relayed)
         for (way, result), count in gauges.openings.items():
             self._openings.set({"way": way, "result": result}, count)
+        for (way, result), count in gauges.quota_calls.items():
+            self._quota_calls.set({"way": way, "result": result}, count)
         self._gauges["configuration_age_seconds"].set({}, gauges.configuration_age_seconds)
         for name in _SERVER_GAUGES:
             by_service: dict[ServiceName, int] = getattr(gauges, name)
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -39,8 +39,10 @@
 )
 from persimmonusher_node.tiers.follower import KeeperFollower
 from persimmonusher_node.tiers.grpc_keepers import GrpcKeepers
+from persimmonusher_node.tiers.grpc_quotas import GrpcQuotas
 from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas
 from persimmonusher_node.tiers.peer_notices import PeerNotices, PeerNoticeService
+from persimmonusher_node.tiers.quota_router import QuotaRouter
 from persimmonusher_node.tiers.relay_peers import RelayPeers
 
 COMPARED_SERVERS: Final = 2
@@ -86,7 +88,15 @@
         own = Instance(
             InstanceId(settings.instance_id), FailureDomain(settings.failure_domain), "", ("entry",)
         )
-        quotas = KeeperQuotas(settings.instance_id, self.follower.list_keepers, channels, clock)
+        self.router = QuotaRouter(
+            settings.listen.peers,
+            self.follower.list_keepers,
+            self._list_peers,
+            GrpcQuotas(channels),
+            clock,
+            random,
+        )
+        quotas = KeeperQuotas(settings.instance_id, self.router, clock)
         self._directory = RegisteredDirectory(view)
         parts = Parts(
             view,
@@ -99,6 +109,7 @@
         self.relay_peers = RelayPeers(
             settings.listen.relay, relays, self.follower.list_keepers, channels, random
         )
+        self.relay_peers.needs_peers = lambda: view.organisations is not None
         dialer = None
         if settings.listen.relay:
             dialer = RelayDialer(relays, settings.peer_token, clock)
@@ -109,6 +120,11 @@
         self.follower.read_loads = self._list_loads
         self.plane.configuration_ages = self.follower.lease.ages
         self.follower.on_loads = self._apply_loads
+        self.plane.quota_calls = self.router.tally
+
+    def _list_peers(self) -> tuple[str, ...]:
+        """List the entries that may help with quota: those of the own keeper, and some others."""
+        return (*self.follower.peers, *self.relay_peers.peers)
 
     def _list_loads(self) -> dict[ServerId, int]:
         loads: dict[ServerId, int] = {}
@@ -145,10 +161,11 @@
         )
         with ExitStack() as stack:
             if listen.peers:
-                service = PeerNoticeService(self._apply_notice)
+                service = PeerNoticeService(self._apply_notice, self.router)
                 peers = GrpcListener(listen.peers, [service], {settings.peer_token: "peer"})
                 peers.start()
                 stack.callback(peers.stop)
+            stack.enter_context(self.router)
             stack.enter_context(self.follower)
             stack.enter_context(self.plane.watch)
             relay = self._start_relay(stack)
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -96,6 +96,8 @@
         keeper."""
         self.entries = 0
         """Live entries of the fleet as the keepers count them, 0 before the first update."""
+        self.peers: tuple[str, ...] = ()
+        """Peer interfaces of the entries that followed the last keeper, this one included."""
 
     def start(self) -> None:
         """Start to follow a keeper in the background."""
@@ -185,6 +187,7 @@
             self.on_notice(decode_notice(notice))
         if update.keepers:
             self._peers.replace_peers(update.peers)
+            self.peers = tuple(update.peers)
             self._places = tuple(
                 KeeperPlace(one.address, one.failure_domain) for one in update.keepers
             )
--- a/packages/node/src/persimmonusher_node/tiers/peer_notices.py
+++ b/packages/node/src/persimmonusher_node/tiers/peer_notices.py
@@ -5,8 +5,6 @@
 from typing import Final
 
 import structlog
-from grpclib.const import Status
-from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
 from persimmonusher_decisions.notices import Notice
@@ -14,6 +12,7 @@
 from persimmonusher_node.loop import start_coroutine
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.tiers.notice_wire import decode_notice, encode_notice
+from persimmonusher_node.tiers.quota_router import QuotaRouter
 from persimmonusher_protocol import control_pb2, keeper_pb2
 from persimmonusher_protocol.control_grpc import PeersBase, PeersStub
 
@@ -75,10 +74,11 @@
 
 
 class PeerNoticeService(PeersBase):
-    """Receives the notices that other entries send directly."""
+    """Receives the calls of other entries: notices, and quota requests to be forwarded."""
 
-    def __init__(self, on_notice: Callable[[Notice], None]) -> None:
+    def __init__(self, on_notice: Callable[[Notice], None], router: QuotaRouter) -> None:
         self._on_notice = on_notice
+        self._router = router
 
     async def Tell(  # noqa: N802
         self, stream: "Stream[control_pb2.NoticeBatch, keeper_pb2.Ack]"
@@ -93,5 +93,7 @@
     async def TakeQuota(  # noqa: N802
         self, stream: "Stream[control_pb2.QuotaRequest, control_pb2.QuotaReply]"
     ) -> None:
-        """Refuse to forward calls to keepers: this isn't supported yet."""
-        raise GRPCError(Status.UNIMPLEMENTED)
+        """Forward a request to a keeper."""
+        request = await stream.recv_message()
+        assert request is not None
+        await stream.send_message(await self._router.take_for_peer(request))
--- a/packages/node/tests/test_peers.py
+++ b/packages/node/tests/test_peers.py
@@ -7,9 +7,11 @@
 import select  # noqa: E402
 import socket  # noqa: E402
 import unittest  # noqa: E402
+from random import Random  # noqa: E402
 
 import eventlet  # noqa: E402
 from eventlet.greenthread import GreenThread  # noqa: E402
+from grpclib.const import Cardinality, Handler  # noqa: E402
 from grpclib.server import Stream  # noqa: E402
 
 from persimmonusher_agreement.claims import ClaimRequest, Vote, VoteKind  # noqa: E402
@@ -35,8 +37,10 @@
     ChannelPool,
 )
 from persimmonusher_node.ports import QuotaVerdict  # noqa: E402
+from persimmonusher_node.tiers.grpc_quotas import GrpcQuotas  # noqa: E402
 from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas  # noqa: E402
 from persimmonusher_node.tiers.peer_notices import PeerNotices, PeerNoticeService  # noqa: E402
+from persimmonusher_node.tiers.quota_router import QuotaRouter  # noqa: E402
 from persimmonusher_protocol import control_pb2  # noqa: E402
 from persimmonusher_protocol.control_grpc import PeersStub, QuotasBase, QuotasStub  # noqa: E402
 
@@ -161,6 +165,20 @@
         raise NotImplementedError
 
 
+class StandingKeeper:
+    """Answers each load report with a fresh standing."""
+
+    async def report(self, stream: "Stream[control_pb2.LoadReport, control_pb2.Standing]") -> None:
+        await stream.recv_message()
+        await stream.send_message(control_pb2.Standing(majority_age_ms=10))
+
+    def __mapping__(self) -> dict[str, Handler]:
+        handler = Handler(
+            self.report, Cardinality.UNARY_UNARY, control_pb2.LoadReport, control_pb2.Standing
+        )
+        return {"/persimmonusher.control.Control/ReportLoad": handler}
+
+
 class SilentChannelTest(unittest.TestCase):
     def setUp(self) -> None:
         with socket.socket() as probe:
@@ -168,13 +186,18 @@
             port = probe.getsockname()[1]
         self.noticed: list[Notice] = []
         self.quotas = GrantingQuotas()
-        services = [PeerNoticeService(self.noticed.append), self.quotas]
+        self.pool = self.enterContext(ChannelPool("peers", keepalive_seconds=60.0))
+        self.router = QuotaRouter(
+            "", lambda: [self.relay.address], list, GrpcQuotas(self.pool), SystemClock(), Random(1)
+        )
+        self.addCleanup(self.router.stop)
+        notices = PeerNoticeService(self.noticed.append, self.router)
+        services = [notices, self.quotas, StandingKeeper()]
         listener = GrpcListener(f"127.0.0.1:{port}", services, {"peers": "peer"})
         listener.start()
         self.addCleanup(listener.stop)
         self.relay = SilentRelay(("127.0.0.1", port))
         self.addCleanup(self.relay.stop)
-        self.pool = self.enterContext(ChannelPool("peers", keepalive_seconds=60.0))
         self.assertTrue(self.call())
 
     def take(self) -> bool:
@@ -216,8 +239,7 @@
 
     # Guards against requests that are refused for want of a keeper's grant.
     def test_quotas_leave_a_silent_connection(self) -> None:
-        clock = SystemClock()
-        quotas = KeeperQuotas("e1", lambda: [self.relay.address], self.pool, clock)
+        quotas = KeeperQuotas("e1", self.router, SystemClock())
         organisation = Organisation(CallerId("acme"), ())
         self.relay.go_silent()
         with eventlet.Timeout(MAX_UNANSWERED_SECONDS + 1.0):
--- a/packages/node/tests/test_tiers.py
+++ b/packages/node/tests/test_tiers.py
@@ -6,7 +6,7 @@
 import tempfile  # noqa: E402
 import time  # noqa: E402
 import unittest  # noqa: E402
-from collections.abc import Callable  # noqa: E402
+from collections.abc import Callable, Mapping  # noqa: E402
 from contextlib import ExitStack  # noqa: E402
 from dataclasses import replace  # noqa: E402
 from pathlib import Path  # noqa: E402
@@ -42,7 +42,11 @@
 from persimmonusher_node.grpc_listener import GrpcListener  # noqa: E402
 from persimmonusher_node.keeper import KeeperRole  # noqa: E402
 from persimmonusher_node.keeper_seeds import SeededFormation  # noqa: E402
-from persimmonusher_node.peers import ChannelPool  # noqa: E402
+from persimmonusher_node.peers import (  # noqa: E402
+    MAX_UNANSWERED_SECONDS,
+    ChannelPool,
+    PeerChannel,
+)
 from persimmonusher_node.ports import QuotaVerdict  # noqa: E402
 from persimmonusher_node.settings import Listeners, Role, Settings  # noqa: E402
 from persimmonusher_node.tiers.entry_daemon import (  # noqa: E402
@@ -51,10 +55,12 @@
 )
 from persimmonusher_node.tiers.entry_ports import RegisteredDirectory  # noqa: E402
 from persimmonusher_node.tiers.follow_service import FollowService  # noqa: E402
+from persimmonusher_node.tiers.grpc_quotas import GrpcQuotas  # noqa: E402
 from persimmonusher_node.tiers.keeper_control import KeeperControl  # noqa: E402
 from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas  # noqa: E402
 from persimmonusher_node.tiers.leader import LeaderCalls  # noqa: E402
 from persimmonusher_node.tiers.peer_notices import PeerNoticeService  # noqa: E402
+from persimmonusher_node.tiers.quota_router import QuotaRouter  # noqa: E402
 from persimmonusher_node.tiers.quota_service import QuotaService  # noqa: E402
 
 SERVICE = ServiceName("entries")
@@ -126,6 +132,15 @@
         self.stack.enter_context(self.role)
 
 
+class RedirectedChannels(ChannelPool):
+    """Channels that can lead to other addresses, such as one that never answers."""
+
+    redirected: Mapping[str, str] = {}
+
+    def get(self, address: str, max_unanswered: float = MAX_UNANSWERED_SECONDS) -> PeerChannel:
+        return super().get(self.redirected.get(address, address), max_unanswered)
+
+
 class EntryNode:
     """One entry's follower, quotas and directory, without a data plane."""
 
@@ -140,18 +155,28 @@
         )
         clock = SystemClock()
         self.stack = ExitStack()
-        channels = self.stack.enter_context(ChannelPool("peers"))
+        self.channels = channels = self.stack.enter_context(RedirectedChannels("peers"))
         document = AppliedDocument(PlainCodec(), Profile())
         self.view = FollowedConfiguration(
             settings, channels, clock, Random(number), document=document
         )
         self.follower = make_follower(settings, self.view, channels, clock, Random(number))
         self.view.follower = self.follower
-        self.quotas = KeeperQuotas(f"e{number}", self.follower.list_keepers, channels, clock)
+        self.router = self.stack.enter_context(
+            QuotaRouter(
+                settings.listen.peers,
+                self.follower.list_keepers,
+                lambda: self.follower.peers,
+                GrpcQuotas(channels),
+                clock,
+                Random(number),
+            )
+        )
+        self.quotas = KeeperQuotas(f"e{number}", self.router, clock)
         self.directory = RegisteredDirectory(self.view)
         self.heard: list[Notice] = []
         self.follower.on_notice = self.heard.append
-        service = PeerNoticeService(self.heard.append)
+        service = PeerNoticeService(self.heard.append, self.router)
         listener = GrpcListener(settings.listen.peers, [service], {"peers": "peer"})
         listener.start()
         self.stack.callback(listener.stop)
@@ -365,3 +390,29 @@
             keeper.stack.close()
         self.assertIs(entry.quotas.acquire(organisation), QuotaVerdict.GRANTED)
         self.assertIs(entry.quotas.acquire(organisation), QuotaVerdict.UNKNOWN)
+
+    def test_an_entry_without_a_way_to_the_keepers_gets_quota_through_another(self) -> None:
+        """Guards against refusals at an entry that is cut off from all keepers, silently.
+
+        Load: one request at a time, within the quota.
+        """
+        self.put_quota(1000)
+        first, second = self.entries
+        organisation = self.find_organisation(first)
+        self.wait_for(lambda: len(first.follower.peers) == 2)
+        silent = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(silent.close)
+        address = "{}:{}".format(*silent.getsockname())
+        first.channels.redirected = dict.fromkeys(self.seeds, address)
+        deadline = time.monotonic() + 1.0
+        while not second.router.tally["forwarded", "answered"]:
+            self.assertLess(time.monotonic(), deadline, "no help in time")
+            self.assertIs(first.quotas.acquire(organisation), QuotaVerdict.GRANTED)
+        for _ in range(20):
+            self.assertIs(first.quotas.acquire(organisation), QuotaVerdict.GRANTED)
+        first.channels.redirected = {}
+        answered = first.router.tally["keeper", "answered"]
+        self.wait_for(
+            lambda: first.quotas.acquire(organisation)
+            and first.router.tally["keeper", "answered"] > answered
+        )
