--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -1,7 +1,7 @@
 """The data plane of one instance: everything between the callers' listener and the ports."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from random import Random
 
@@ -85,6 +85,8 @@
         servers that have any."""
         self.configuration_ages: ConfigurationAges | None = None
         """Set by the daemon of an entry that follows a keeper."""
+        self.quota_calls: Mapping[tuple[str, str], int] = {}
+        """Calls for quota by way and result; set by the daemon of an entry."""
         self.watch = Watch(self.services, self.forwarder, upstream, standing_log, clock)
 
     def explain(self, request_id: RequestId) -> RequestRecord | None:
@@ -142,4 +144,5 @@
             *self.read_fleet_loads(),
             self.large_bodies.memory.held_bytes,
             self.large_bodies.counts,
+            self.quota_calls,
         )
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -62,6 +62,8 @@
     fleet_loads_servers: int = 0
     body_bytes_held: int = 0
     body_counts: LargeBodyCounts = field(default_factory=LargeBodyCounts)
+    quota_calls: Mapping[tuple[str, str], int] = field(default_factory=dict)
+    """Calls for organisations' quotas by way and result."""
 
 
 class MetricsSource(ABC):
@@ -119,6 +121,11 @@
             "Answers that were ended because the caller stopped reading.",
             registry=registry,
         )
+        self._quota_calls = Counter(
+            "persimmonusher_quota_calls_total",
+            "Calls for organisations' quotas, by way and result.",
+            registry=registry,
+        )
         self._gauges = {
             name: Gauge(f"persimmonusher_{name}", text, registry=registry)
             for name, text in _GAUGES.items()
@@ -191,6 +198,8 @@
         self._answers_unread.set({}, gauges.body_counts.answers_unread)
         for (way, result), count in gauges.openings.items():
             self._openings.set({"way": way, "result": result}, count)
+        for (way, result), count in gauges.quota_calls.items():
+            self._quota_calls.set({"way": way, "result": result}, count)
         self._gauges["configuration_age_seconds"].set({}, gauges.configuration_age_seconds)
         self._gauges["fleet_loads_age_seconds"].set({}, gauges.fleet_loads_age_seconds)
         self._gauges["fleet_loads_servers"].set({}, gauges.fleet_loads_servers)
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -40,8 +40,10 @@
 from persimmonusher_node.tiers.entry_work import EntryWork
 from persimmonusher_node.tiers.follower import KeeperFollower
 from persimmonusher_node.tiers.grpc_keepers import GrpcKeepers
+from persimmonusher_node.tiers.grpc_quotas import GrpcQuotas
 from persimmonusher_node.tiers.keeper_quotas import KeeperQuotas
 from persimmonusher_node.tiers.peer_notices import PeerNotices, PeerNoticeService
+from persimmonusher_node.tiers.quota_router import QuotaRouter
 from persimmonusher_node.tiers.relay_peers import RelayPeers
 
 COMPARED_SERVERS: Final = 2
@@ -87,7 +89,15 @@
         own = Instance(
             InstanceId(settings.instance_id), FailureDomain(settings.failure_domain), "", ("entry",)
         )
-        quotas = KeeperQuotas(settings.instance_id, self.follower.list_keepers, channels, clock)
+        self.router = QuotaRouter(
+            settings.listen.peers,
+            self.follower.list_keepers,
+            self._list_peers,
+            GrpcQuotas(channels),
+            clock,
+            random,
+        )
+        quotas = KeeperQuotas(settings.instance_id, self.router, clock)
         self._directory = RegisteredDirectory(view)
         parts = Parts(
             view,
@@ -100,6 +110,7 @@
         self.relay_peers = RelayPeers(
             settings.listen.relay, relays, self.follower.list_keepers, channels, random
         )
+        self.relay_peers.needs_peers = lambda: view.organisations is not None
         dialer = None
         if settings.listen.relay:
             dialer = RelayDialer(relays, settings.peer_token, clock)
@@ -110,11 +121,16 @@
         self.follower.read_loads = self._list_loads
         self.plane.configuration_ages = self.follower.lease.ages
         self.follower.on_loads = self._apply_loads
+        self.plane.quota_calls = self.router.tally
         self.work = EntryWork(lambda: self.plane.services, clock)
         self.follower.make_report = self.work.make_report
         self.follower.on_fleet_work = self.work.apply_update
         self.plane.read_fleet_loads = lambda: self.work.watch.describe(clock.monotonic())
 
+    def _list_peers(self) -> tuple[str, ...]:
+        """List the entries that may help with quota: those of the own keeper, and some others."""
+        return (*self.follower.peers, *self.relay_peers.peers)
+
     def _list_loads(self) -> dict[ServerId, int]:
         loads: dict[ServerId, int] = {}
         for live in self.plane.services:
@@ -150,10 +166,11 @@
         )
         with ExitStack() as stack:
             if listen.peers:
-                service = PeerNoticeService(self._apply_notice)
+                service = PeerNoticeService(self._apply_notice, self.router)
                 peers = GrpcListener(listen.peers, [service], {settings.peer_token: "peer"})
                 peers.start()
                 stack.callback(peers.stop)
+            stack.enter_context(self.router)
             stack.enter_context(self.follower)
             stack.enter_context(self.work)
             stack.enter_context(self.plane.watch)
