Remember servers that fail again and again, for requests that can't be repeated

Suspicion starts anew in each failure period of a server, so the first requests of each period are lost. With failure_memory_ms, an entry marks servers with more than one recent episode. First attempts that can't be repeated prefer the others while these have free slots, and lookups leave them to such requests as they fill up. With 0 every decision is unchanged.

test_proofs passes the new argument of Placement. fleet_simulation gets prone_share; its default draws the same numbers as before.

--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from persimmonusher_decisions.evidence_messages import EjectionState
+from persimmonusher_decisions.failure_memory import FailureMemory
 from persimmonusher_decisions.ramp import find_ramp_share
 from persimmonusher_decisions.rate_limits import RateLimits
 from persimmonusher_decisions.track import ServerTrack
@@ -41,6 +42,16 @@
 LOOKUP_MEMORY_SECONDS: Final = 4.0
 """While the last lookup is more recent than this, first attempts of other requests leave it to
 lookups to try suspected servers. In a service without lookups they have to try them themselves."""
+DETOUR_LOAD_PER_SLOT: Final = 0.75
+"""Load per slot of the servers that seldom fail above which lookups leave them to requests that
+can't be repeated. These prefer them up to BUSY_LOAD_PER_SLOT."""
+MAX_DETOUR_LOAD_PER_SLOT: Final = 0.5
+"""Load per slot by which the server that a lookup then gets may be above them: half an answer's
+time at most."""
+FAR_PREFERENCE_LOAD_PER_SLOT: Final = 0.7
+"""Load per slot up to which servers that seldom fail are preferred in a service with servers in
+other failure domains. Only this domain's part of the near servers' load is known then: with a
+higher value, and with detours, near servers were overloaded at 0.9 of capacity."""
 SPARED_LOAD_MARGIN_PER_SLOT: Final = 0.5
 """Load per slot by which a suspected server that the floor keeps in use must be below a trusted
 one to be chosen. It is likely to be failing, and a server that fails fast looks idle."""
@@ -75,11 +86,13 @@
         random: Random,
         limits: RateLimits,
         trials: TrialSchedule,
+        memory: FailureMemory,
     ) -> None:
         self._failure_domain = failure_domain
         self._random = random
         self._limits = limits
         self._trials = trials
+        self._memory = memory
         self._tracks: list[ServerTrack] = []
         self._open: list[ServerTrack] = []
         self._near: list[ServerTrack] = []
@@ -157,6 +170,9 @@
         suspect = self._choose_trial(idempotent, now)
         if suspect is not None:
             return suspect
+        preferred = self._choose_by_memory(idempotent, now) if self._memory.marked_count else None
+        if preferred is not None:
+            return preferred
         best = self._find_least_loaded(self._sample_unsuspected(now), None, now)
         if best is not None and best.load <= BUSY_LOAD_PER_SLOT:
             return best
@@ -180,6 +196,27 @@
         trusted = [track for track in candidates if not track.is_avoided(now)]
         return self._choose_among(trusted, candidates, None, now)
 
+    def _choose_by_memory(self, idempotent: bool, now: float) -> ServerTrack | None:
+        """Return the preferred server while some of the servers fail often, or None for any.
+
+        Requests that can't be repeated prefer servers that seldom fail while these have free
+        slots. As these fill up, lookups leave them to such requests, and find out meanwhile which
+        of the others are failing.
+        """
+        seldom = self._find_least_loaded(self._sample_unsuspected(now, False), None, now)
+        if seldom is None:
+            return None
+        load = seldom.load + seldom.far_load
+        if not idempotent:
+            limit = FAR_PREFERENCE_LOAD_PER_SLOT if self._far else BUSY_LOAD_PER_SLOT
+            return seldom if load <= limit else None
+        if self._far or load <= DETOUR_LOAD_PER_SLOT:
+            return None
+        often = self._find_least_loaded(self._sample_unsuspected(now, True), None, now)
+        if often is None or often.load + often.far_load > load + MAX_DETOUR_LOAD_PER_SLOT:
+            return None
+        return often
+
     def _choose_trial(self, idempotent: bool, now: float) -> ServerTrack | None:
         """Return a suspected server whose trial is due, if this request may be the one.
 
@@ -241,28 +278,31 @@
             self._mean_other_load if track.other_load is None else track.other_load
         ) + track.penalty
 
-    def _sample_unsuspected(self, now: float) -> list[ServerTrack]:
+    def _sample_unsuspected(self, now: float, fails_often: bool | None = None) -> list[ServerTrack]:
         """Return a few unsuspected open servers, from this failure domain and from the others.
 
         Servers with a rate limit come first and so win ties, as they are open to this instance
-        only during its turn.
+        only during its turn. With `fails_often` given, only servers that do or don't are returned.
         """
         return [
-            *(track for track in self._limited if self._may_compare(track, now)),
-            *self._pick_unsuspected(self._near, now),
-            *self._pick_unsuspected(self._far, now),
+            *(track for track in self._limited if self._may_compare(track, now, fails_often)),
+            *self._pick_unsuspected(self._near, now, fails_often),
+            *self._pick_unsuspected(self._far, now, fails_often),
         ]
 
     def _pick_unsuspected(
-        self, servers: Sequence[ServerTrack], now: float
+        self, servers: Sequence[ServerTrack], now: float, fails_often: bool | None
     ) -> Iterable[ServerTrack]:
         start = int(self._random.random() * len(servers))
         run = islice(chain(servers[start:], servers[:start]), MAX_SCANNED_SERVERS)
-        return islice((track for track in run if self._may_compare(track, now)), COMPARED_SERVERS)
+        usable = (track for track in run if self._may_compare(track, now, fails_often))
+        return islice(usable, COMPARED_SERVERS)
 
     @staticmethod
-    def _may_compare(track: ServerTrack, now: float) -> bool:
-        return track.closed_until <= now and not track.is_suspected(now)
+    def _may_compare(track: ServerTrack, now: float, fails_often: bool | None) -> bool:
+        if track.closed_until > now or track.is_suspected(now):
+            return False
+        return fails_often is None or track.fails_often is fails_often
 
     def _pick_candidates(self) -> Sequence[ServerTrack]:
         servers = self._open
@@ -341,6 +381,7 @@
         penalty_keep = exp(-elapsed / PENALTY_MEMORY_SECONDS)
         self._limited = [track for track in self._open if track.rate_limit is not None]
         self._suspected = [track for track in self._open if track.is_suspected(now)]
+        self._memory.mark(self._open, now)
         for track in self._tracks:
             track.far_load = 0.0 if self._is_near(track) else self.far_load
             if track.other_load is not None:
--- a/packages/decisions/src/persimmonusher_decisions/standing.py
+++ b/packages/decisions/src/persimmonusher_decisions/standing.py
@@ -11,6 +11,8 @@
     IN_USE = "in-use"
     PENALIZED = "penalized"
     """A recent failure or refusal counts as load."""
+    FAILING_OFTEN = "failing-often"
+    """It had several failure episodes lately; requests that can't be repeated prefer others."""
     RAMPING = "ramping"
     """New or restarted, with a growing share."""
     KEPT_BY_FLOOR = "kept-by-floor"
@@ -38,4 +40,6 @@
         return Standing.KEPT_BY_FLOOR if track.kept_by_floor else Standing.SUSPECTED
     if track.ramp_from is not None:
         return Standing.RAMPING
+    if track.fails_often:
+        return Standing.FAILING_OFTEN
     return Standing.PENALIZED if track.penalty else Standing.IN_USE
--- a/packages/decisions/src/persimmonusher_decisions/suspicion.py
+++ b/packages/decisions/src/persimmonusher_decisions/suspicion.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from persimmonusher_decisions.doubts import NEEDED_REQUESTS
+from persimmonusher_decisions.failure_memory import FailureMemory
 from persimmonusher_decisions.notices import Notice, NoticeKind
 from persimmonusher_decisions.track import ServerTrack
 from persimmonusher_decisions.trials import TrialSchedule
@@ -88,9 +89,10 @@
     lookup can be retried when it fails.
     """
 
-    def __init__(self, service: ServiceName, trials: TrialSchedule) -> None:
+    def __init__(self, service: ServiceName, trials: TrialSchedule, memory: FailureMemory) -> None:
         self._service = service
         self._trials = trials
+        self._memory = memory
         self._notices: deque[Notice] = deque(maxlen=MAX_NOTICES)
         self._usual_latency = 0.0
         self._answers = 0
@@ -128,7 +130,10 @@
         )
         self._notices.append(notice)
         # An instance that can't reach a server avoids it, whether or not others can.
-        if notice.kind is NoticeKind.UNREACHED or self._is_believed(notice, track, now):
+        if notice.kind is NoticeKind.UNREACHED:
+            self.suspect(track, tracks, profile, dispatch.started, now)
+        elif self._is_believed(notice, track, now):
+            self._memory.record(track, now)
             self.suspect(track, tracks, profile, dispatch.started, now)
 
     def record_answer(self, dispatch: Dispatch, track: ServerTrack, now: float) -> None:
@@ -164,6 +169,7 @@
             return proves and self._record_recovery(track, notice.request_id, now)
         if not self._is_believed(notice, track, now):
             return False
+        self._memory.record(track, now)
         started = now - notice.seconds
         return self.suspect(track, tracks, profile, started, now, is_own=False)
 
--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -28,6 +28,9 @@
         "limit_named_at",
         "other_load",
         "ejection_state",
+        "episodes",
+        "failed_at",
+        "fails_often",
         "outstanding",
         "penalty",
         "rate_limit",
@@ -65,6 +68,12 @@
         self.connection_limit = 1
         self.draining = False
         """Whether an answer of this boot said that the server is leaving."""
+        self.episodes = 0.0
+        """Weight of the server's failure episodes at `failed_at`, see `FailureMemory`."""
+        self.failed_at = -inf
+        """When the last failure episode began."""
+        self.fails_often = False
+        """Whether requests that can't be repeated prefer other servers."""
         self.ramp_from: float | None = None
         self.ejection_state: EjectionState | None = None
         self.reason = ""
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -19,6 +19,7 @@
 from persimmonusher_decisions.ejection import EjectionLease
 from persimmonusher_decisions.evidence import SILENT_KINDS, EvidenceLog
 from persimmonusher_decisions.evidence_messages import EjectionSet, EvidenceDigest
+from persimmonusher_decisions.failure_memory import FailureMemory
 from persimmonusher_decisions.further_attempts import FurtherAttempts
 from persimmonusher_decisions.hedging import TRIAL_PATIENCE_SHARE, find_hedge_delay
 from persimmonusher_decisions.learning import OutcomeLearning
@@ -91,7 +92,10 @@
         self._evidence = EvidenceLog()
         self._limits = RateLimits(random)
         self._trials = TrialSchedule(random)
-        self._placement = Placement(failure_domain, random, self._limits, self._trials)
+        self._memory = FailureMemory()
+        self._placement = Placement(
+            failure_domain, random, self._limits, self._trials, self._memory
+        )
         self._locality = Locality(profile)
         self._window = ConcurrencyWindow()
         self._admission = Admission(profile, random)
@@ -100,7 +104,7 @@
         self._connections = ConnectionBudget(instance_id)
         self._lease = EjectionLease(failure_domain)
         self._digests = DigestMaker(service, instance_id, incarnation, failure_domain)
-        self._suspicion = Suspicion(service, self._trials)
+        self._suspicion = Suspicion(service, self._trials, self._memory)
         self._advice = AdviceBook(service, self._limits)
         self._dispatcher = Dispatcher(
             self._placement, self._evidence, self._admission, self._retries, self._limits
@@ -422,6 +426,7 @@
         )
 
     def _set_limits(self) -> None:
+        self._memory.replace_seconds(self._profile.failure_memory_ms / 1000.0)
         self._placement.ramp_seconds = self._profile.ramp_ms / 1000.0
         self._retries.share_slack(self._profile.retry_slack, self._live)
 
--- a/packages/decisions/tests/fleet_simulation.py
+++ b/packages/decisions/tests/fleet_simulation.py
@@ -51,6 +51,8 @@
     fault_seconds: float = 2.7
     fault_chance: float = 1.0
     """Probability that a server is faulty in a period."""
+    prone_share: float = 1.0
+    """Part of the servers that are ever faulty."""
     fault_share: float = 0.75
     """Part of the requests that a faulty server fails at once."""
     shed_share: float = 0.0
@@ -115,12 +117,15 @@
         self._random = random
         self._phase = random.random() * load.fault_every
         self._draws: list[float] = []
+        self.is_prone = True
         self.running = 0
         self.waiting: deque[Callable[[], None]] = deque()
 
     def is_faulty(self, now: float) -> bool:
         """Return whether the server is faulty at this time."""
         load = self._load
+        if not self.is_prone:
+            return False
         number, moment = divmod(now + self._phase, load.fault_every)
         while len(self._draws) <= number:
             self._draws.append(self._random.random())
@@ -145,6 +150,8 @@
         self._servers = {
             server.server_id: SimulatedServer(load, self._random) for server in announced
         }
+        for server in announced[round(load.prone_share * load.servers) :]:
+            self._servers[server.server_id].is_prone = False
         self._domains = [f"d{index % load.domains}" for index in range(load.instances)]
         self._instances = [
             ServiceTraffic(
--- a/packages/decisions/tests/test_proofs.py
+++ b/packages/decisions/tests/test_proofs.py
@@ -6,6 +6,7 @@
 
 from decisions_helpers import make_server
 
+from persimmonusher_decisions.failure_memory import FailureMemory
 from persimmonusher_decisions.placement import Placement
 from persimmonusher_decisions.rate_limits import RateLimits
 from persimmonusher_decisions.track import ServerTrack
@@ -30,7 +31,9 @@
 
 
 def choose(*tracks: ServerTrack) -> ServerId:
-    placement = Placement(HERE, Random(1), RateLimits(Random(1)), TrialSchedule(Random(1)))
+    placement = Placement(
+        HERE, Random(1), RateLimits(Random(1)), TrialSchedule(Random(1)), FailureMemory()
+    )
     placement.replace(tracks, NOW)
     chosen = placement.choose(True, None, NOW)
     assert chosen is not None
