--- a/packages/decisions/src/persimmonusher_decisions/placement.py
+++ b/packages/decisions/src/persimmonusher_decisions/placement.py
@@ -48,10 +48,6 @@
 MAX_DETOUR_LOAD_PER_SLOT: Final = 0.5
 """Load per slot by which the server that a lookup then gets may be above them: half an answer's
 time at most."""
-FAR_PREFERENCE_LOAD_PER_SLOT: Final = 0.7
-"""Load per slot up to which servers that seldom fail are preferred in a service with servers in
-other failure domains. Only this domain's part of the near servers' load is known then: with a
-higher value, and with detours, near servers were overloaded at 0.9 of capacity."""
 SPARED_LOAD_MARGIN_PER_SLOT: Final = 0.5
 """Load per slot by which a suspected server that the floor keeps in use must be below a trusted
 one to be chosen. It is likely to be failing, and a server that fails fast looks idle."""
@@ -143,14 +139,18 @@
         self._probed = [track for track in ready if track.ejection_state is EjectionState.PROBATION]
         self._refresh(now, 0.0)
 
+    def refresh(self, now: float) -> None:
+        """Let reports and penalties decay, if it is due; `choose` does so itself."""
+        if now >= self._refresh_at:
+            self._refresh(now, REFRESH_INTERVAL_SECONDS)
+
     def choose(self, idempotent: bool, tried: ServerId | None, now: float) -> ServerTrack | None:
         """Return the server for a request; `tried` is used again only if there is no other.
 
         A further attempt (with `tried` given) avoids all suspected servers, also those that the
         floor keeps in use: such attempts are few, and a second failure reaches the caller.
         """
-        if now >= self._refresh_at:
-            self._refresh(now, REFRESH_INTERVAL_SECONDS)
+        self.refresh(now)
         self._skip_turns(now)
         if self._probed and idempotent and tried is None:
             probe = self._choose_probe(now)
@@ -201,15 +201,15 @@
 
         Requests that can't be repeated prefer servers that seldom fail while these have free
         slots. As these fill up, lookups leave them to such requests, and find out meanwhile which
-        of the others are failing.
+        of the others are failing. In a service with servers in other failure domains only this
+        domain's part of a load is known, and such detours would overload servers.
         """
         seldom = self._find_least_loaded(self._sample_unsuspected(now, False), None, now)
         if seldom is None:
             return None
         load = seldom.load + seldom.far_load
         if not idempotent:
-            limit = FAR_PREFERENCE_LOAD_PER_SLOT if self._far else BUSY_LOAD_PER_SLOT
-            return seldom if load <= limit else None
+            return seldom if load <= BUSY_LOAD_PER_SLOT else None
         if self._far or load <= DETOUR_LOAD_PER_SLOT:
             return None
         often = self._find_least_loaded(self._sample_unsuspected(now, True), None, now)
