Refuse less urgent requests first while capacity is short

Priorities were passed on and read by nothing, so chance decided who was served. With urgent_first, each entry estimates from the servers' loads which part of the requests the capacity allows, and refuses the rest at once as not run, by priority, and first what exceeds an organisation's usual number by far. Less urgent requests leave half of the retry budget while more urgent ones fail. Off, nothing is recorded, refused or drawn.

--- a/packages/ctl/src/persimmonusher_ctl/request_story.py
+++ b/packages/ctl/src/persimmonusher_ctl/request_story.py
@@ -43,6 +43,7 @@
     "broken": "the connection to its server broke, or the answer was not its own",
     "cancelled": "its caller left",
     "overload": "every server it was sent to refused it without running it",
+    "less-urgent": "capacity was short, and more urgent requests went first",
     "retry-budget": "it failed, and no further attempt was left in the retry budget",
     "retries-exhausted": "it failed on each server that its route's attempts allow",
     "deadline": "too little of its time was left for an answer",
--- a/packages/decisions/src/persimmonusher_decisions/admission.py
+++ b/packages/decisions/src/persimmonusher_decisions/admission.py
@@ -103,6 +103,11 @@
         """Record the end of an attempt: whether its server refused to run the request."""
         self._shed_share += NEWEST_ATTEMPT_WEIGHT * (refused - self._shed_share)
 
+    @property
+    def shed_share(self) -> float:
+        """Return the share of the recent attempts that servers refused."""
+        return self._shed_share
+
     def refuse_shed(
         self, request: Request, reason: RefusalReason, recent_latency: float, now: float
     ) -> Refusal:
--- a/packages/decisions/src/persimmonusher_decisions/further_attempts.py
+++ b/packages/decisions/src/persimmonusher_decisions/further_attempts.py
@@ -9,6 +9,7 @@
 from persimmonusher_decisions.placement import CROWDED_LOAD_PER_SLOT, Placement
 from persimmonusher_decisions.quarantine import Quarantine
 from persimmonusher_decisions.retries import RetryBudget
+from persimmonusher_decisions.urgency import UrgencyGate
 from persimmonusher_decisions.work import (
     Decision,
     Dispatch,
@@ -36,6 +37,7 @@
         admission: Admission,
         retries: RetryBudget,
         quarantine: Quarantine,
+        urgency: UrgencyGate,
     ) -> None:
         self._dispatcher = dispatcher
         self._placement = placement
@@ -43,6 +45,7 @@
         self._admission = admission
         self._retries = retries
         self._quarantine = quarantine
+        self._urgency = urgency
 
     def retry(self, profile: Profile, dispatch: Dispatch, outcome: Outcome, now: float) -> Decision:
         """Decide on another attempt of a request whose last attempt has ended.
@@ -56,7 +59,8 @@
         spent = dispatch.attempt - dispatch.unreached >= allowed
         crashing = self._quarantine.find_seconds_left(request.fingerprint, now) > 0.0
         may_go = not (spent or self._is_late(dispatch, now) or crashing)
-        if may_go and self._retries.spend(now):
+        share = self._urgency.find_budget_share(request, now)
+        if may_go and self._retries.spend(now, share):
             may_go = False
             tried = dispatch.server.server_id
             again = self._dispatcher.place(
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -34,6 +34,7 @@
 from persimmonusher_decisions.suspicion import Suspicion
 from persimmonusher_decisions.track import ServerTrack
 from persimmonusher_decisions.trials import TrialSchedule
+from persimmonusher_decisions.urgency import UrgencyGate
 from persimmonusher_decisions.window import ConcurrencyWindow
 from persimmonusher_decisions.work import (
     Decision,
@@ -109,6 +110,7 @@
         self._dispatcher = Dispatcher(
             self._placement, self._evidence, self._admission, self._retries, self._limits
         )
+        self._urgency = UrgencyGate(random)
         self._further = FurtherAttempts(
             self._dispatcher,
             self._placement,
@@ -116,6 +118,7 @@
             self._admission,
             self._retries,
             self._quarantine,
+            self._urgency,
         )
         self._learning = OutcomeLearning(
             self._evidence,
@@ -169,6 +172,11 @@
             self._trials.replace_entry_count(self._live)
             self._share_connections()
 
+    @property
+    def admitted_share(self) -> float | None:
+        """Return the part of the requests that capacity allows, or None without `urgent_first`."""
+        return self._urgency.admitted_share if self._urgency.is_on else None
+
     def find_connection_limit(self, server_id: ServerId) -> int:
         """Return the connections that this instance may hold to a server, 0 for an unknown one."""
         track = self._tracks.get(server_id)
@@ -184,6 +192,9 @@
         usual = self._evidence.find_usual_latency(request.request_class)
         if now + usual > request.deadline:
             return self._admission.refuse(request, RefusalReason.DEADLINE, now)
+        refusal = self._refuse_less_urgent(request, now) if self._urgency.is_on else None
+        if refusal is not None:
+            return refusal
         if not len(self._admission.queue) and len(self._evidence) < self._window.limit:
             dispatch = self._dispatcher.place(request, 1, None, now)
             if dispatch is not None:
@@ -241,6 +252,7 @@
         own few requests, together they would fill the near servers' queues while far servers are
         idle. With the domain's sum, near servers look as busy as they are.
         """
+        self._urgency.apply_loads(loads)
         for track in self._tracks.values():
             total = loads.get(track.server_id, 0)
             if total or track.server.failure_domain == self._failure_domain:
@@ -278,6 +290,7 @@
         if kind is OutcomeKind.SUCCESS:
             self._learning.learn_from_success(attempt, outcome, now)
         elif kind not in SILENT_KINDS and not outcome.is_way_lost:
+            self._urgency.record_failure(dispatch.request, now)
             self._learning.learn_from_failure(
                 attempt, outcome, self._tracks.values(), self._profile, now
             )
@@ -386,6 +399,12 @@
             return self._admission.refuse(request, reason, now)
         return self._refuse_closed(request, usual, now)
 
+    def _refuse_less_urgent(self, request: Request, now: float) -> Refusal | None:
+        self._placement.refresh(now)
+        queued_share = len(self._admission.queue) / max(1, len(self._evidence))
+        tracks, shed_share = self._tracks.values(), self._admission.shed_share
+        return self._urgency.find_refusal(request, tracks, shed_share, queued_share, now)
+
     def _refuse_closed(self, request: Request, usual: float, now: float) -> Refusal | None:
         """Refuse a request if all servers stay closed to this instance until it is too late."""
         closed = self._placement.find_seconds_until_open(now)
@@ -427,6 +446,7 @@
 
     def _set_limits(self) -> None:
         self._memory.replace_seconds(self._profile.failure_memory_ms / 1000.0)
+        self._urgency.is_on = self._profile.urgent_first
         self._placement.ramp_seconds = self._profile.ramp_ms / 1000.0
         self._retries.share_slack(self._profile.retry_slack, self._live)
 
--- a/packages/decisions/src/persimmonusher_decisions/work.py
+++ b/packages/decisions/src/persimmonusher_decisions/work.py
@@ -106,6 +106,8 @@
     can wait."""
     QUARANTINED = "quarantined"
     OVERLOAD = "overload"
+    LESS_URGENT = "less-urgent"
+    """Capacity is short; more urgent requests and organisations at their usual rate go first."""
     RETRIES_EXHAUSTED = "retries-exhausted"
     """An idempotent request failed on each server tried: not marked as not run."""
     RETRY_BUDGET = "retry-budget"
--- a/packages/node/src/persimmonusher_node/answers.py
+++ b/packages/node/src/persimmonusher_node/answers.py
@@ -44,6 +44,7 @@
     SERVERS_CLOSED = "servers-closed"
     QUARANTINED = "quarantined"
     OVERLOAD = "overload"
+    LESS_URGENT = "less-urgent"
     RETRIES_EXHAUSTED = "retries-exhausted"
     RETRY_BUDGET = "retry-budget"
     ANSWER_TIMEOUT = "answer-timeout"
@@ -88,6 +89,7 @@
     AnswerCode.NO_SERVER: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.SERVERS_CLOSED: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.QUARANTINED: ErrorForm(503, _NOT_RUN, 60.0),
+    AnswerCode.LESS_URGENT: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.OVERLOAD: ErrorForm(503, _NOT_RUN, 1.0),
     AnswerCode.RETRIES_EXHAUSTED: ErrorForm(502, _UNKNOWN, 1.0),
     AnswerCode.RETRY_BUDGET: ErrorForm(502, _UNKNOWN, 1.0),
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -98,6 +98,7 @@
         limited = {}
         resting = {}
         standings: dict[ServiceName, dict[str, int]] = {}
+        admitted_shares: dict[ServiceName, float] = {}
         for live in self.services:
             statuses = live.traffic.describe(now)
             taking[live.name] = sum(status.taking_work for status in statuses)
@@ -105,6 +106,9 @@
             limited[live.name] = sum(status.rate_limit is not None for status in statuses)
             resting[live.name] = sum(status.rest_seconds > 0.0 for status in statuses)
             standings[live.name] = Counter(status.standing.value for status in statuses)
+            admitted = live.traffic.admitted_share
+            if admitted is not None:
+                admitted_shares[live.name] = admitted
         freshness = self.services.find_freshness()
         openings = self.ways.openings
         return InstanceGauges(
@@ -124,4 +128,5 @@
             self.count_relayed(),
             openings.tally,
             self.configuration_ages,
+            admitted_shares,
         )
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -238,6 +238,7 @@
     RefusalReason.SERVERS_CLOSED: "every backend server asked for rest or limits what it takes",
     RefusalReason.QUARANTINED: "the same request has broken several backend servers",
     RefusalReason.OVERLOAD: "the service is overloaded",
+    RefusalReason.LESS_URGENT: "the service is overloaded, and other requests go first",
     RefusalReason.RETRIES_EXHAUSTED: "every attempt on a backend server failed",
     RefusalReason.RETRY_BUDGET: "the attempt failed, and the retry budget is spent",
 }
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -54,6 +54,8 @@
     """Openings of connections to backend servers by way and result."""
     configuration_ages: ConfigurationAges | None = None
     """None where the configuration's age isn't known."""
+    admitted_shares: dict[ServiceName, float] = field(default_factory=dict)
+    """Only services with `urgent_first`."""
 
 
 class MetricsSource(ABC):
@@ -169,6 +171,8 @@
             by_service: dict[ServiceName, int] = getattr(gauges, name)
             for service, count in by_service.items():
                 self._gauges[name].set({"service": service}, count)
+        for service, share in gauges.admitted_shares.items():
+            self._gauges["admitted_share"].set({"service": service}, share)
         if gauges.configuration_ages is not None:
             self._ages.set_value({}, gauges.configuration_ages.buckets)
             for keeper, peak in gauges.configuration_ages.list_peaks().items():
@@ -189,6 +193,7 @@
     "servers_left_out": "Backend servers that get none, such as ejected or draining ones.",
     "servers_limited": "Backend servers that limit the requests that they take.",
     "servers_resting": "Backend servers that asked this instance for rest.",
+    "admitted_share": "Part of the requests that the service's capacity allows to admit.",
     "servers_reached": "Backend servers to which a connection was opened lately.",
     "servers_unreached": "Backend servers to which none could be opened lately.",
     "ways_lost": "Backend servers that only other instances reach.",
