--- a/packages/decisions/src/persimmonusher_decisions/track.py
+++ b/packages/decisions/src/persimmonusher_decisions/track.py
@@ -31,6 +31,9 @@
         "others_requests",
         "others_seconds",
         "ejection_state",
+        "episodes",
+        "failed_at",
+        "fails_often",
         "outstanding",
         "penalty",
         "rate_limit",
@@ -85,6 +88,12 @@
         """When this instance's idle connections were used last, in rising order."""
         self.draining = False
         """Whether an answer of this boot said that the server is leaving."""
+        self.episodes = 0.0
+        """Weight of the server's failure episodes at `failed_at`, see `FailureMemory`."""
+        self.failed_at = -inf
+        """When the last failure episode began."""
+        self.fails_often = False
+        """Whether requests that can't be repeated prefer other servers."""
         self.ramp_from: float | None = None
         self.ejection_state: EjectionState | None = None
         self.reason = ""
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -20,6 +20,7 @@
 from persimmonusher_decisions.ejection import EjectionLease
 from persimmonusher_decisions.evidence import SILENT_KINDS, EvidenceLog
 from persimmonusher_decisions.evidence_messages import EjectionSet, EvidenceDigest
+from persimmonusher_decisions.failure_memory import FailureMemory
 from persimmonusher_decisions.further_attempts import FurtherAttempts
 from persimmonusher_decisions.hedging import TRIAL_PATIENCE_SHARE, find_hedge_delay
 from persimmonusher_decisions.learning import OutcomeLearning
@@ -35,6 +36,7 @@
 from persimmonusher_decisions.suspicion import Suspicion
 from persimmonusher_decisions.track import ServerTrack
 from persimmonusher_decisions.trials import TrialSchedule
+from persimmonusher_decisions.urgency import UrgencyGate
 from persimmonusher_decisions.window import ConcurrencyWindow
 from persimmonusher_decisions.work import (
     Decision,
@@ -96,9 +98,12 @@
         self._evidence = EvidenceLog()
         self._limits = RateLimits(random)
         self._trials = TrialSchedule(random)
+        self._memory = FailureMemory()
         self._costs = CostModel(service)
         self._work = ServerWork(self._costs)
-        self._placement = Placement(failure_domain, random, self._limits, self._trials, self._work)
+        self._placement = Placement(
+            failure_domain, random, self._limits, self._trials, self._memory, self._work
+        )
         self._locality = Locality(profile)
         self._window = ConcurrencyWindow()
         self._admission = Admission(profile, random)
@@ -107,7 +112,7 @@
         self._connections = ConnectionBudget(instance_id)
         self._lease = EjectionLease(failure_domain)
         self._digests = DigestMaker(service, instance_id, incarnation, failure_domain)
-        self._suspicion = Suspicion(service, self._trials)
+        self._suspicion = Suspicion(service, self._trials, self._memory)
         self._advice = AdviceBook(service, self._limits)
         self._dispatcher = Dispatcher(
             self._placement,
@@ -117,6 +122,7 @@
             self._limits,
             self._work,
         )
+        self._urgency = UrgencyGate(random)
         self._further = FurtherAttempts(
             self._dispatcher,
             self._placement,
@@ -124,6 +130,7 @@
             self._admission,
             self._retries,
             self._quarantine,
+            self._urgency,
         )
         self._learning = OutcomeLearning(
             self._evidence,
@@ -178,6 +185,11 @@
             self._trials.replace_entry_count(self._live)
             self._share_connections()
 
+    @property
+    def admitted_share(self) -> float | None:
+        """Return the part of the requests that capacity allows, or None without `urgent_first`."""
+        return self._urgency.admitted_share if self._urgency.is_on else None
+
     def find_connection_limit(self, server_id: ServerId) -> int:
         """Return the connections that this instance may hold to a server, 0 for an unknown one."""
         track = self._tracks.get(server_id)
@@ -193,6 +205,9 @@
         usual = self._evidence.find_usual_latency(request.request_class)
         if now + usual > request.deadline:
             return self._admission.refuse(request, RefusalReason.DEADLINE, now)
+        refusal = self._refuse_less_urgent(request, now) if self._urgency.is_on else None
+        if refusal is not None:
+            return refusal
         if not len(self._admission.queue) and len(self._evidence) < self._window.limit:
             dispatch = self._dispatcher.place(request, 1, None, now)
             if dispatch is not None:
@@ -250,6 +265,7 @@
         own few requests, together they would fill the near servers' queues while far servers are
         idle. With the domain's sum, near servers look as busy as they are.
         """
+        self._urgency.apply_loads(loads)
         for track in self._tracks.values():
             total = loads.get(track.server_id, 0)
             if total or track.server.failure_domain == self._failure_domain:
@@ -316,6 +332,7 @@
         if kind is OutcomeKind.SUCCESS:
             self._learning.learn_from_success(attempt, outcome, now)
         elif kind not in SILENT_KINDS and not outcome.is_way_lost:
+            self._urgency.record_failure(dispatch.request, now)
             self._learning.learn_from_failure(
                 attempt, outcome, self._tracks.values(), self._profile, now
             )
@@ -425,6 +442,12 @@
             return self._admission.refuse(request, reason, now)
         return self._refuse_closed(request, usual, now)
 
+    def _refuse_less_urgent(self, request: Request, now: float) -> Refusal | None:
+        self._placement.refresh(now)
+        queued_share = len(self._admission.queue) / max(1, len(self._evidence))
+        tracks, shed_share = self._tracks.values(), self._admission.shed_share
+        return self._urgency.find_refusal(request, tracks, shed_share, queued_share, now)
+
     def _refuse_closed(self, request: Request, usual: float, now: float) -> Refusal | None:
         """Refuse a request if all servers stay closed to this instance until it is too late."""
         closed = self._placement.find_seconds_until_open(now)
@@ -466,6 +489,8 @@
 
     def _set_limits(self) -> None:
         self._work.set_enabled(self._profile.work_aware)
+        self._memory.replace_seconds(self._profile.failure_memory_ms / 1000.0)
+        self._urgency.is_on = self._profile.urgent_first
         self._placement.ramp_seconds = self._profile.ramp_ms / 1000.0
         self._placement.opening_load = self._profile.opening_load_percent / 100.0
         self._retries.share_slack(self._profile.retry_slack, self._live)
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -111,6 +111,7 @@
         resting = {}
         standings: dict[ServiceName, dict[str, int]] = {}
         work: dict[ServiceName, WorkStatus] = {}
+        admitted_shares: dict[ServiceName, float] = {}
         for live in self.services:
             statuses = live.traffic.describe(now)
             taking[live.name] = sum(status.taking_work for status in statuses)
@@ -121,6 +122,9 @@
             if work_status is not None:
                 work[live.name] = work_status
             standings[live.name] = Counter(status.standing.value for status in statuses)
+            admitted = live.traffic.admitted_share
+            if admitted is not None:
+                admitted_shares[live.name] = admitted
         freshness = self.services.find_freshness()
         openings = self.ways.openings
         return InstanceGauges(
@@ -145,4 +149,5 @@
             self.large_bodies.memory.held_bytes,
             self.large_bodies.counts,
             self.quota_calls,
+            admitted_shares,
         )
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -64,6 +64,8 @@
     body_counts: LargeBodyCounts = field(default_factory=LargeBodyCounts)
     quota_calls: Mapping[tuple[str, str], int] = field(default_factory=dict)
     """Calls for organisations' quotas by way and result."""
+    admitted_shares: dict[ServiceName, float] = field(default_factory=dict)
+    """Only services with `urgent_first`."""
 
 
 class MetricsSource(ABC):
@@ -207,6 +209,8 @@
             by_service: dict[ServiceName, int] = getattr(gauges, name)
             for service, count in by_service.items():
                 self._gauges[name].set({"service": service}, count)
+        for service, share in gauges.admitted_shares.items():
+            self._gauges["admitted_share"].set({"service": service}, share)
         if gauges.configuration_ages is not None:
             self._ages.set_value({}, gauges.configuration_ages.buckets)
             for keeper, peak in gauges.configuration_ages.list_peaks().items():
@@ -232,6 +236,7 @@
     "servers_left_out": "Backend servers that get none, such as ejected or draining ones.",
     "servers_limited": "Backend servers that limit the requests that they take.",
     "servers_resting": "Backend servers that asked this instance for rest.",
+    "admitted_share": "Part of the requests that the service's capacity allows to admit.",
     "servers_reached": "Backend servers to which a connection was opened lately.",
     "servers_unreached": "Backend servers to which none could be opened lately.",
     "work_known": "Whether requests are placed by expected work: 1, or 0 without recent sums.",
