--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -186,35 +186,28 @@
         return found
 
     def _set_gauges(self, gauges: InstanceGauges) -> None:
-        self._gauges["in_flight"].set({}, gauges.in_flight)
-        self._gauges["caller_connections"].set({}, gauges.caller_connections)
-        self._gauges["revision"].set({}, gauges.revision)
-        self._gauges["live_instances"].set({}, gauges.live_instances)
-        self._gauges["servers_reached"].set({}, gauges.servers_reached)
-        self._gauges["servers_unreached"].set({}, gauges.servers_unreached)
-        self._gauges["ways_lost"].set({}, gauges.ways_lost)
-        self._gauges["connections_relayed"].set({}, gauges.connections_relayed)
-        self._gauges["body_bytes_held"].set({}, gauges.body_bytes_held)
+        for name in _PLAIN_GAUGES:
+            self._gauges[name].set({}, getattr(gauges, name))
         self._bodies_sent_on.set({}, gauges.body_counts.sent_on)
         self._bodies_refused.set({}, gauges.body_counts.refused)
         self._answers_unread.set({}, gauges.body_counts.answers_unread)
-        for (way, result), count in gauges.openings.items():
-            self._openings.set({"way": way, "result": result}, count)
-        for (way, result), count in gauges.quota_calls.items():
-            self._quota_calls.set({"way": way, "result": result}, count)
-        self._gauges["configuration_age_seconds"].set({}, gauges.configuration_age_seconds)
-        self._gauges["fleet_loads_age_seconds"].set({}, gauges.fleet_loads_age_seconds)
-        self._gauges["fleet_loads_servers"].set({}, gauges.fleet_loads_servers)
-        for name in _SERVER_GAUGES:
-            by_service: dict[ServiceName, int] = getattr(gauges, name)
-            for service, count in by_service.items():
-                self._gauges[name].set({"service": service}, count)
-        for service, share in gauges.admitted_shares.items():
-            self._gauges["admitted_share"].set({"service": service}, share)
+        for counter, counts in (
+            (self._openings, gauges.openings),
+            (self._quota_calls, gauges.quota_calls),
+        ):
+            for (way, result), count in counts.items():
+                counter.set({"way": way, "result": result}, count)
         if gauges.configuration_ages is not None:
             self._ages.set_value({}, gauges.configuration_ages.buckets)
             for keeper, peak in gauges.configuration_ages.list_peaks().items():
                 self._age_peaks.set({"keeper": keeper}, peak)
+        self._set_service_gauges(gauges)
+
+    def _set_service_gauges(self, gauges: InstanceGauges) -> None:
+        for name in _SERVICE_GAUGES:
+            by_service: Mapping[ServiceName, float] = getattr(gauges, name)
+            for service, value in by_service.items():
+                self._gauges[name].set({"service": service}, value)
         for service, status in gauges.work.items():
             self._gauges["work_known"].set({"service": service}, int(status.is_known))
             self._gauges["expected_work_seconds"].set({"service": service}, status.mean_seconds)
@@ -245,7 +238,23 @@
     "connections_relayed": "Connections to backend servers that are open for other instances.",
     "body_bytes_held": "Memory set aside for requests on routes with large bodies.",
 }
-_SERVER_GAUGES: Final = (
+_PLAIN_GAUGES: Final = (
+    "in_flight",
+    "caller_connections",
+    "revision",
+    "live_instances",
+    "servers_reached",
+    "servers_unreached",
+    "ways_lost",
+    "connections_relayed",
+    "body_bytes_held",
+    "configuration_age_seconds",
+    "fleet_loads_age_seconds",
+    "fleet_loads_servers",
+)
+"""Gauges without labels."""
+_SERVICE_GAUGES: Final = (
+    "admitted_share",
     "servers_taking_work",
     "servers_left_out",
     "servers_limited",
