--- a/packages/decisions/src/persimmonusher_decisions/dispatcher.py
+++ b/packages/decisions/src/persimmonusher_decisions/dispatcher.py
@@ -56,6 +56,6 @@
         number = self._evidence.find_free_number(request.request_id, attempt)
         asked = track.find_asked(now)
         dispatch = Dispatch(request, track.server, number, now, unreached, asked)
-        attempt_started = self._evidence.start(dispatch, track, self._work.estimate(request))
-        attempt_started.measured = self._work.may_begin_at_once(track, now)
+        in_flight = self._evidence.start(dispatch, track, self._work.estimate(request))
+        in_flight.measured = self._work.may_begin_at_once(track, now)
         return dispatch
