Keep the parts of entries that lose their keepers; feed the fleet's loads to the urgency gate

After a cut of 84 of 93 entries from the keepers, these told the other nine that there are nine entries. Each of the nine then took ten times its part of the retry slack and of the servers' connections, while the others kept theirs (found by reading). The largest count of the last 30 s is used now, as rate limits did already.

--- a/packages/decisions/src/persimmonusher_decisions/rate_limits.py
+++ b/packages/decisions/src/persimmonusher_decisions/rate_limits.py
@@ -1,10 +1,11 @@
 """One instance's share of the request rates that servers accept from all instances together."""
 
-from math import ceil, inf
+from math import ceil
 from random import Random
 from typing import Final
 
 from persimmonusher_decisions.advice import ServerAdvice
+from persimmonusher_decisions.entry_count import EntryCount
 from persimmonusher_decisions.track import ServerTrack
 
 SHARED_RATE_PART: Final = 0.6
@@ -16,9 +17,6 @@
 MIN_RATE_PER_SECOND: Final = 0.25
 """Requests per second, from the whole fleet, that a server gets whatever its limit: only an answer
 shows that a limit has ended."""
-ENTRIES_MEMORY_SECONDS: Final = 30.0
-"""Time for which the largest number of entries seen is used. While keepers are lost or isolated,
-the entries that follow them keep sending requests but aren't counted."""
 
 
 class RateLimits:
@@ -39,21 +37,18 @@
 
     def __init__(self, random: Random) -> None:
         self._random = random
-        self._entries = 1
-        self._entries_at = -inf
+        self._entries = EntryCount()
 
     def count_entries(self, live: int, now: float) -> None:
         """Set the number of live entry instances, this one included.
 
-        A lower number is used only after ENTRIES_MEMORY_SECONDS.
+        A lower number is used only after `entry_count.ENTRIES_MEMORY_SECONDS`.
         """
-        if live >= self._entries or now - self._entries_at > ENTRIES_MEMORY_SECONDS:
-            self._entries = live
-            self._entries_at = now
+        self._entries.record(live, now)
 
     def find_interval(self, rate: float) -> float:
         """Return the seconds between two turns of this instance, for a fleet-wide rate limit."""
-        return self._entries / (SHARED_RATE_PART * max(MIN_RATE_PER_SECOND, rate))
+        return self._entries.value / (SHARED_RATE_PART * max(MIN_RATE_PER_SECOND, rate))
 
     def apply(self, track: ServerTrack, advice: ServerAdvice, sent: float, now: float) -> bool:
         """Apply the limit in an answer to a request sent at `sent`; return whether it changes.
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -36,7 +36,7 @@
 from persimmonusher_decisions.suspicion import Suspicion
 from persimmonusher_decisions.track import ServerTrack
 from persimmonusher_decisions.trials import TrialSchedule
-from persimmonusher_decisions.urgency import UrgencyGate
+from persimmonusher_decisions.urgency import MAX_SUMS_AGE_SECONDS, UrgencyGate
 from persimmonusher_decisions.window import ConcurrencyWindow
 from persimmonusher_decisions.work import (
     Decision,
@@ -265,7 +265,8 @@
         own few requests, together they would fill the near servers' queues while far servers are
         idle. With the domain's sum, near servers look as busy as they are.
         """
-        self._urgency.apply_loads(loads)
+        if not self._profile.work_aware:
+            self._urgency.apply_loads(loads)
         for track in self._tracks.values():
             total = loads.get(track.server_id, 0)
             if total or track.server.failure_domain == self._failure_domain:
@@ -285,6 +286,8 @@
         aren't listed have no requests in progress.
         """
         self._work.apply(work, age, self._tracks.values())
+        if age < MAX_SUMS_AGE_SECONDS:
+            self._urgency.apply_loads({server: one.requests for server, one in work.items()})
 
     def describe_work(self, now: float) -> WorkStatus | None:
         """Return what is known of the work in progress, or None unless `work_aware`."""
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -10,6 +10,7 @@
 
 from persimmonusher_agreement.configuration_objects import Batch
 from persimmonusher_agreement.keeper_choice import KeeperPlace
+from persimmonusher_decisions.entry_count import EntryCount
 from persimmonusher_decisions.notices import Notice
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import ServerId
@@ -103,8 +104,10 @@
         self.on_loads: Callable[[Mapping[ServerId, int]], None] = ignore_loads
         """Is called with the requests in progress, by server, of all entries that follow the
         keeper."""
+        self._entry_count = EntryCount()
         self.entries = 0
-        """Live entries of the fleet as the keepers count them, 0 before the first update."""
+        """Live entries of the fleet as the keepers counted them lately, 0 before the first update;
+        a lower number is used only after `entry_count.ENTRIES_MEMORY_SECONDS`."""
         self.peers: tuple[str, ...] = ()
         """Peer interfaces of the entries that followed the last keeper, this one included."""
 
@@ -201,7 +204,9 @@
                 KeeperPlace(one.address, one.failure_domain) for one in update.keepers
             )
         if update.HasField("majority_age_ms"):
-            self.entries = update.entries
+            # Entries that lose their keepers aren't counted, and go on sending requests.
+            self._entry_count.record(update.entries, self._clock.monotonic())
+            self.entries = self._entry_count.value
 
     def apply_fleet_work(self, update: control_pb2.FollowUpdate, delay: float) -> None:
         """Apply the fleet's loads and costs of an update that was delayed by some seconds."""
