--- a/packages/decisions/src/persimmonusher_decisions/urgency.py
+++ b/packages/decisions/src/persimmonusher_decisions/urgency.py
@@ -219,7 +219,8 @@
 
     Queues form at the servers, which know no priorities. So the gate keeps these short, by refusing
     new requests at the entry before they are sent anywhere, by their priority and by whether their
-    organisation sends many times its usual number. It decides by this instance's own observations.
+    organisation sends many times its usual number. Rates and failures are those that this instance
+    sees; loads are the sums that it is sent.
     """
 
     def __init__(self, random: Random) -> None:
@@ -236,7 +237,7 @@
         return self._shortage.share
 
     def apply_loads(self, loads: Mapping[ServerId, int]) -> None:
-        """Apply the requests in progress by server, summed over this failure domain's instances."""
+        """Apply the requests in progress by server, summed over several or all instances."""
         if self.is_on:
             self._shortage.replace_sums(loads)
 
