--- a/packages/decisions/src/persimmonusher_decisions/entry_count.py
+++ b/packages/decisions/src/persimmonusher_decisions/entry_count.py
@@ -9,21 +9,30 @@
 
 
 class EntryCount:
-    """The largest number of live entries of the last ENTRIES_MEMORY_SECONDS.
+    """The number of live entries, or the largest one of the last ENTRIES_MEMORY_SECONDS.
 
-    >>> entries = EntryCount()
+    A number from `used_share` of the largest on is used as it is. A lower one is taken for entries
+    that aren't counted any more: the largest is used instead.
+
+    >>> entries = EntryCount(used_share=0.5)
     >>> entries.record(93, 0.0)
-    >>> entries.record(9, 10.0)
+    >>> entries.record(80, 10.0)
+    >>> entries.value
+    80
+    >>> entries.record(9, 11.0)
     >>> entries.value
     93
     """
 
-    def __init__(self) -> None:
+    def __init__(self, used_share: float = 1.0) -> None:
+        self._used_share = used_share
+        self._largest = 1
+        self._largest_at = -inf
         self.value = 1
-        self._recorded_at = -inf
 
     def record(self, live: int, now: float) -> None:
         """Record the number of live entries, this one included."""
-        if live >= self.value or now - self._recorded_at > ENTRIES_MEMORY_SECONDS:
-            self.value = live
-            self._recorded_at = now
+        if live >= self._largest or now - self._largest_at > ENTRIES_MEMORY_SECONDS:
+            self._largest = live
+            self._largest_at = now
+        self.value = live if live >= self._used_share * self._largest else self._largest
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -64,7 +64,7 @@
     body_counts: LargeBodyCounts = field(default_factory=LargeBodyCounts)
     quota_calls: Mapping[tuple[str, str], int] = field(default_factory=dict)
     """Calls for organisations' quotas by way and result."""
-    admitted_shares: dict[ServiceName, float] = field(default_factory=dict)
+    admitted_share: dict[ServiceName, float] = field(default_factory=dict)
     """Only services with `urgent_first`."""
 
 
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -45,6 +45,10 @@
 MAX_QUEUED_NOTICES: Final = 256
 """Notices queued while a call is in flight. Beyond this limit the oldest are dropped."""
 
+USED_ENTRIES_SHARE: Final = 0.5
+"""Part of the largest number of entries from which a number counts as it is. Entries stop and start
+a few at a time; when more than half are gone at once, they have rather lost their keepers."""
+
 
 def ignore_notice(notice: Notice) -> None:
     """Do nothing; the handler until there is a data plane."""
@@ -104,10 +108,10 @@
         self.on_loads: Callable[[Mapping[ServerId, int]], None] = ignore_loads
         """Is called with the requests in progress, by server, of all entries that follow the
         keeper."""
-        self._entry_count = EntryCount()
+        self._entry_count = EntryCount(USED_ENTRIES_SHARE)
         self.entries = 0
-        """Live entries of the fleet as the keepers counted them lately, 0 before the first update;
-        a lower number is used only after `entry_count.ENTRIES_MEMORY_SECONDS`."""
+        """Live entries of the fleet as the keepers count them, 0 before the first update. A sudden
+        fall below half is used only after `entry_count.ENTRIES_MEMORY_SECONDS`."""
         self.peers: tuple[str, ...] = ()
         """Peer interfaces of the entries that followed the last keeper, this one included."""
 
