--- a/packages/decisions/src/persimmonusher_decisions/quota_paths.py
+++ b/packages/decisions/src/persimmonusher_decisions/quota_paths.py
@@ -20,12 +20,12 @@
 use at a time the busiest of nine helpers had 1.8 times the mean load, with three 1.2 times."""
 MAX_HELPERS: Final = 4
 MAX_PROBES_IN_FLIGHT: Final = 6
-"""Entries that are asked at once: half a second is enough to ask those that follow one keeper."""
+"""Entries that are asked at once, so that those that follow one keeper are soon all asked."""
 PROBE_BURST: Final = 48.0
 """Entries that are asked without a pause: when a tenth of the fleet can help, it is under one
 search in 100 that finds none of them."""
 PROBES_PER_SECOND: Final = 8.0
-"""The rate at which further ones are asked, which is about 2% of a small entry's processor."""
+"""The rate at which further ones are asked: each call takes processor time at both entries."""
 REPROBE_SECONDS: Final = 1.0
 """Time for which an entry that could not help isn't asked again, unless another one names it."""
 NAMED_REPROBE_SECONDS: Final = 0.3
@@ -91,7 +91,7 @@
         """List those that are in doubt but not lost."""
         return [a for a in addresses if a not in self._lost and self._is_doubted(a, now)]
 
-    def list_hopeful(self, addresses: Sequence[str]) -> list[str]:
+    def list_not_lost(self, addresses: Sequence[str]) -> list[str]:
         """List those that are not lost."""
         return [address for address in addresses if address not in self._lost]
 
--- a/packages/decisions/src/persimmonusher_decisions/urgency.py
+++ b/packages/decisions/src/persimmonusher_decisions/urgency.py
@@ -11,8 +11,8 @@
 from persimmonusher_model.identifiers import CallerId, ServerId
 
 TARGET_LOAD_PER_SLOT: Final = 1.25
-"""Load per slot of the less loaded servers that the gate aims at while capacity is short. With 1.5
-the most loaded servers refused a tenth of the attempts; well below 1, slots would be idle."""
+"""Load per slot of the less loaded servers that the gate aims at while capacity is short. With
+more, the most loaded servers refuse attempts; well below 1, slots would be idle."""
 LEAST_LOADED_SHARE: Final = 0.4
 """Part of the servers, the least loaded ones, whose highest load is compared with the target."""
 LOAD_GAIN: Final = 0.25
@@ -24,7 +24,7 @@
 FREE_LOAD_PER_SLOT: Final = 0.6
 """Load per slot below which so many slots are free that all requests are soon admitted again."""
 RECOVERY_PER_SECOND: Final = 4.0
-"""Growth of that logarithm while servers have free slots: a third is a whole after 0.3 s."""
+"""Growth of that logarithm while servers have free slots, per second."""
 USUAL_SHARE_SECONDS: Final = 10.0
 MAX_STEP_SECONDS: Final = 0.5
 """Longest time that one update counts for, after a pause without requests."""
@@ -58,8 +58,8 @@
 """The share that the gate gives it: a little more, for what servers refuse and for moments with
 less."""
 MOMENTARY_LEAST_SHARE: Final = 0.15
-"""The same for a moment in which the most urgent kind couldn't be admitted whole otherwise: one
-instance's estimate of the capacity varies by a fifth."""
+"""The same for a moment in which the most urgent kind couldn't be admitted whole otherwise, since
+one instance's estimate of the capacity varies."""
 SURPLUS: Final = 1_000_000
 """Added to the priority of requests in surplus, so that they come after all others."""
 FAILURE_MEMORY_SECONDS: Final = 2.0
--- a/packages/node/src/persimmonusher_node/tiers/keeper_reach.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_reach.py
@@ -155,7 +155,7 @@
     async def _check_round(self, keepers: Sequence[str]) -> None:
         self._keepers.retain(keepers)
         checked = self._keepers.list_unproven(keepers, self._clock.monotonic())
-        if not self._keepers.list_hopeful(keepers):
+        if not self._keepers.list_not_lost(keepers):
             checked = self._random.sample(checked, min(MAX_LOST_CHECKS, len(checked)))
         await asyncio.gather(*map(self._check, checked))
 
--- a/packages/node/src/persimmonusher_node/tiers/quota_router.py
+++ b/packages/node/src/persimmonusher_node/tiers/quota_router.py
@@ -115,7 +115,7 @@
         return self._search.find_helper(tried, self._clock.monotonic())
 
     async def _wait_for_search(self, seconds: float) -> bool:
-        """Wait for news of the first search; return False if there is nothing to wait for."""
+        """Wait for a change during the first search; return False if none is in progress."""
         if not self._may_wait:
             return False
         try:
