--- a/packages/decisions/src/persimmonusher_decisions/retries.py
+++ b/packages/decisions/src/persimmonusher_decisions/retries.py
@@ -11,12 +11,16 @@
 the faults that make single requests fail, and short compared with a lasting overload."""
 SLICE_SECONDS: Final = 0.5
 """First attempts are counted in slices of this length: twenty counters, whatever the rate."""
-SHARED_SLACK_PART: Final = 0.8
+SHARED_SLACK_PART: Final = 0.85
 """Part of the fleet's slack that is shared out; the rest is for processes that start."""
 MAX_SLACK_PER_INSTANCE: Final = 10.0
 """Largest slack of one instance, however few instances share the fleet's: enough for the requests
 in flight on a server that breaks."""
-STARTING_SHARE: Final = 0.25
+MAX_GROWTH: Final = 1.25
+"""Growth of an instance's first attempts, from one window to the next, that earns further ones."""
+MIN_COMPARED_SECONDS: Final = 2.0
+"""A service has to be in use for this long before the current window for a comparison."""
+STARTING_SHARE: Final = 0.2
 """Part of its budget that an instance may use within WINDOW_SECONDS of its start."""
 
 
@@ -41,13 +45,44 @@
 
 
 class FirstAttempts:
-    """The count of first attempts in one slice of time."""
+    """The first attempts of this window and of the one before it, by slices of time."""
 
-    __slots__ = ("begin", "count")
+    def __init__(self) -> None:
+        self._slices: deque[list[float]] = deque()
+        """The begin and the count of each slice."""
+        self._since = inf
+        """When the first of them was counted after a time without any."""
 
-    def __init__(self, begin: float) -> None:
-        self.begin = begin
-        self.count = 0
+    def add(self, now: float) -> None:
+        """Count a first attempt."""
+        self._forget(now)
+        if not self._slices:
+            self._since = now
+        if not self._slices or now >= self._slices[-1][0] + SLICE_SECONDS:
+            self._slices.append([now, 0.0])
+        self._slices[-1][1] += 1.0
+
+    def count(self, now: float) -> int:
+        """Return the first attempts of the last window."""
+        self._forget(now)
+        return int(sum(count for begin, count in self._slices if begin > now - WINDOW_SECONDS))
+
+    def count_earning(self, now: float) -> float:
+        """Return those of the last window that earn further attempts.
+
+        Callers of an instance that is lost move to the others. If all of their requests earned
+        further attempts there, those that the lost instance has sent would be earned twice.
+        """
+        recent = self.count(now)
+        seconds_before = min(WINDOW_SECONDS, now - WINDOW_SECONDS - self._since)
+        if seconds_before < MIN_COMPARED_SECONDS:
+            return recent
+        before = sum(count for _, count in self._slices) - recent
+        return min(recent, MAX_GROWTH * before * WINDOW_SECONDS / seconds_before)
+
+    def _forget(self, now: float) -> None:
+        while self._slices and self._slices[0][0] <= now - 2.0 * WINDOW_SECONDS:
+            self._slices.popleft()
 
 
 class RetryBudget:
@@ -75,7 +110,7 @@
         self._slack = MAX_SLACK_PER_INSTANCE
         self._entries = 1
         self._tally: Counter[tuple[str, str]] = Counter()
-        self._firsts: deque[FirstAttempts] = deque()
+        self._firsts = FirstAttempts()
         self._further: deque[float] = deque()
 
     def share_slack(self, slack: float, instances: int) -> None:
@@ -93,10 +128,7 @@
 
     def earn(self, now: float) -> None:
         """Count a first attempt."""
-        self._forget(now)
-        if not self._firsts or now >= self._firsts[-1].begin + SLICE_SECONDS:
-            self._firsts.append(FirstAttempts(now))
-        self._firsts[-1].count += 1
+        self._firsts.add(now)
 
     def spend(self, now: float, cause: str, share: float = 1.0) -> bool:
         """Count a further attempt if this share of the budget has room; return whether it has.
@@ -116,20 +148,17 @@
         return RetryStatus(
             self._entries,
             self._find_slack(now),
-            self._count_firsts(),
+            self._firsts.count(now),
             self._find_allowed(now),
             len(self._further),
             max(0.0, self._whole_at - now),
             dict(self._tally),
         )
 
-    def _count_firsts(self) -> int:
-        return sum(item.count for item in self._firsts)
-
     def _find_allowed(self, now: float) -> float:
         if not self._share:
             return 0.0
-        earned = self._find_used_share(now) * self._share * self._count_firsts()
+        earned = self._find_used_share(now) * self._share * self._firsts.count_earning(now)
         return self._find_slack(now) + earned
 
     def _find_slack(self, now: float) -> float:
@@ -140,7 +169,5 @@
 
     def _forget(self, now: float) -> None:
         oldest = now - WINDOW_SECONDS
-        while self._firsts and self._firsts[0].begin <= oldest:
-            self._firsts.popleft()
         while self._further and self._further[0] <= oldest:
             self._further.popleft()
