--- a/packages/decisions/src/persimmonusher_decisions/connections.py
+++ b/packages/decisions/src/persimmonusher_decisions/connections.py
@@ -6,12 +6,11 @@
 from persimmonusher_decisions.server import BackendServer
 from persimmonusher_decisions.track import ServerTrack
 from persimmonusher_model.identifiers import InstanceId
-from persimmonusher_model.rendezvous import weigh
+from persimmonusher_model.rendezvous import WEIGHT_RANGE, weigh
 
 USED_LIMIT_SHARE: Final = 0.9
 """Part of a server's connection limit that is shared out. While a membership change spreads,
 instances disagree on the number of live instances."""
-WEIGHT_RANGE: Final = 2**64
 
 
 class ConnectionBudget:
--- a/packages/decisions/src/persimmonusher_decisions/retries.py
+++ b/packages/decisions/src/persimmonusher_decisions/retries.py
@@ -6,6 +6,8 @@
 from math import inf
 from typing import Final
 
+from persimmonusher_decisions.entry_count import EntryCount
+
 WINDOW_SECONDS: Final = 10.0
 """Sliding window over which further attempts are compared with first ones: several times as long as
 the faults that make single requests fail, and short compared with a lasting overload."""
@@ -29,7 +31,7 @@
     """What one instance may spend on further attempts of one service, and has spent."""
 
     entries: int
-    """Entries among which the fleet's slack is divided."""
+    """Entries among which the fleet's slack is divided, 0 while unknown."""
     slack: float
     """This instance's part of the slack, in attempts per window."""
     first_attempts: int
@@ -103,24 +105,44 @@
     others leave room for that.
     """
 
-    def __init__(self, percent: int, started: float = -inf) -> None:
-        """Make the budget of a process that started at a moment, by default long ago."""
+    def __init__(self, percent: int, started: float = -inf, rank: float = 0.0) -> None:
+        """Make the budget of a process that started at a moment, by default long ago.
+
+        `rank` from 0 to 1 orders the instances of the fleet; with more instances than slack, those
+        with the lowest ranks get one attempt each.
+        """
         self._share = percent / 100.0
         self._whole_at = started + WINDOW_SECONDS
+        self._rank = rank
+        self._fleet_slack = MAX_SLACK_PER_INSTANCE
         self._slack = MAX_SLACK_PER_INSTANCE
-        self._entries = 1
+        self._count = EntryCount()
+        self._is_counted = True
         self._tally: Counter[tuple[str, str]] = Counter()
         self._firsts = FirstAttempts()
         self._further: deque[float] = deque()
 
-    def share_slack(self, slack: float, instances: int) -> None:
-        """Set the fleet's slack for each window, and the number of instances that share it.
+    def replace_slack(self, slack: float) -> None:
+        """Set the fleet's slack for each window, which its instances share."""
+        self._fleet_slack = slack
+        self._share_slack()
 
-        An instance always gets at least one attempt, or it might never retry. With more instances
-        than slack, few of them meet a fault at the same moment.
+    def count_entries(self, live: int, now: float) -> None:
+        """Set the number of live instances, this one included; 0 if it isn't known.
+
+        A lower number is used only after `entry_count.ENTRIES_MEMORY_SECONDS`: instances that
+        aren't counted any more may still use their parts.
         """
-        self._entries = instances
-        self._slack = min(MAX_SLACK_PER_INSTANCE, max(1.0, SHARED_SLACK_PART * slack / instances))
+        self._is_counted = live > 0
+        if self._is_counted:
+            self._count.record(live, now)
+        self._share_slack()
+
+    def _share_slack(self) -> None:
+        part = SHARED_SLACK_PART * self._fleet_slack / self._count.value
+        if part < 1.0:
+            part = float(self._rank < part)
+        self._slack = min(MAX_SLACK_PER_INSTANCE, part) if self._is_counted else 0.0
 
     def replace_percent(self, percent: int) -> None:
         """Set the percentage; 0 turns further attempts off, the slack included."""
@@ -146,7 +168,7 @@
         """Return what may be spent and has been spent, for operators."""
         self._forget(now)
         return RetryStatus(
-            self._entries,
+            self._count.value if self._is_counted else 0,
             self._find_slack(now),
             self._firsts.count(now),
             self._find_allowed(now),
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -51,6 +51,7 @@
 )
 from persimmonusher_model.identifiers import FailureDomain, InstanceId, ServerId, ServiceName
 from persimmonusher_model.profile import Profile
+from persimmonusher_model.rendezvous import WEIGHT_RANGE, weigh
 
 NO_SERVICE: Final = ServiceName("")
 NO_INSTANCE: Final = InstanceId("")
@@ -96,6 +97,7 @@
         self._profile = profile
         self._failure_domain = failure_domain
         self._live = 1
+        self._is_counted = True
         self._tracks: dict[ServerId, ServerTrack] = {}
         self._started: bool = False
         self._evidence = EvidenceLog()
@@ -110,7 +112,8 @@
         self._locality = Locality(profile)
         self._window = ConcurrencyWindow()
         self._admission = Admission(profile, random)
-        self._retries = RetryBudget(profile.retry_budget_percent, started)
+        rank = weigh(instance_id, service) / WEIGHT_RANGE
+        self._retries = RetryBudget(profile.retry_budget_percent, started, rank)
         self._quarantine = Quarantine(profile.crash_strikes, profile.quarantine_ms / 1000.0)
         self._connections = ConnectionBudget(instance_id)
         self._lease = EjectionLease(failure_domain)
@@ -175,15 +178,16 @@
         self._rebuild(now)
 
     def replace_entry_count(self, live: int) -> None:
-        """Set the number of live entry instances, which share each server's connections.
+        """Set the number of live entry instances, which share what the fleet is allowed.
 
-        Connections and the retry slack are shared out anew at once, rate limits with the next
-        `advance`; the concurrency window and the probe interval follow when servers or ejections
-        are next replaced.
+        With 0, if it isn't known, there is no retry slack, and the last known number stays in use
+        for everything else. Connections are shared out anew at once, the retry slack with the next
+        attempt, rate limits with the next `advance`; the concurrency window and the probe interval
+        follow when servers or ejections are next replaced.
         """
-        if live != self._live:
-            self._live = max(1, live)
-            self._retries.share_slack(self._profile.retry_slack, self._live)
+        self._is_counted = live > 0
+        if live not in (0, self._live):
+            self._live = live
             self._connections.replace_entry_count(self._live)
             self._trials.replace_entry_count(self._live)
             self._share_connections()
@@ -227,6 +231,7 @@
 
         The calling code has checked that the request may safely be run again.
         """
+        self._count_for_retries(now)
         return self._further.retry(self._profile, dispatch, outcome, now)
 
     def pop_notices(self) -> tuple[Notice, ...]:
@@ -298,6 +303,7 @@
 
     def describe_retries(self, now: float) -> RetryStatus:
         """Return what this instance may spend on further attempts, and has spent."""
+        self._count_for_retries(now)
         return self._retries.describe(now)
 
     def pop_cost_samples(self) -> tuple[CostSample, ...]:
@@ -362,6 +368,7 @@
         """
         self._work.now = now
         self._limits.count_entries(self._live, now)
+        self._count_for_retries(now)
         self._evidence.mark_overdue(now)
         for attempt in self._evidence.collect_newly_overdue(now):
             started = attempt.dispatch.started
@@ -391,6 +398,7 @@
 
     def hedge(self, dispatch: Dispatch, now: float) -> Dispatch | None:
         """Return a hedged request, a second copy of an idempotent one in flight, or None."""
+        self._count_for_retries(now)
         return self._further.hedge(self._profile, dispatch, now)
 
     def digest(self, now: float) -> EvidenceDigest | None:
@@ -423,6 +431,9 @@
             for track in self._tracks.values()
         )
 
+    def _count_for_retries(self, now: float) -> None:
+        self._retries.count_entries(self._live if self._is_counted else 0, now)
+
     def _release(self, now: float) -> tuple[Decision, ...]:
         released: list[Decision] = []
         queue = self._admission.queue
@@ -503,7 +514,7 @@
         self._urgency.is_on = self._profile.urgent_first
         self._placement.ramp_seconds = self._profile.ramp_ms / 1000.0
         self._placement.opening_load = self._profile.opening_load_percent / 100.0
-        self._retries.share_slack(self._profile.retry_slack, self._live)
+        self._retries.replace_slack(self._profile.retry_slack)
 
     def _share_connections(self) -> None:
         limit = self._profile.connections_per_server
--- a/packages/decisions/tests/test_retries.py
+++ b/packages/decisions/tests/test_retries.py
@@ -3,10 +3,12 @@
 
 from decisions_helpers import FAILED, GOOD, dispatched, make_request, make_traffic
 
-from persimmonusher_decisions.retries import WINDOW_SECONDS
+from persimmonusher_decisions.entry_count import ENTRIES_MEMORY_SECONDS
+from persimmonusher_decisions.retries import WINDOW_SECONDS, RetryBudget
 from persimmonusher_decisions.traffic import ServiceTraffic
 from persimmonusher_decisions.work import Dispatch
 from persimmonusher_model.profile import Profile
+from persimmonusher_model.rendezvous import WEIGHT_RANGE, weigh
 
 INSTANCES = 48
 TEST_SECONDS = 40
@@ -79,6 +81,31 @@
                     earned = 0.18 * sum(begin < at <= end for at in firsts)
                     self.assertLessEqual(sent, SLACK / INSTANCES + earned)
 
+    # Guards against larger parts of the slack while entries that aren't counted still use theirs.
+    def test_a_number_of_entries_that_falls_gives_no_larger_part_at_once(self) -> None:
+        traffic = make_traffic(6, Profile(retry_slack=SLACK), 48)
+        part = traffic.describe_retries(0.0).slack
+        traffic.replace_entry_count(30)
+        self.assertEqual(traffic.describe_retries(ENTRIES_MEMORY_SECONDS).slack, part)
+        self.assertGreater(traffic.describe_retries(ENTRIES_MEMORY_SECONDS + 0.1).slack, part)
+
+    # Guards against a whole share for an instance that doesn't know of the others yet.
+    def test_an_unknown_number_of_entries_gives_no_slack(self) -> None:
+        traffic = make_traffic(6, Profile(retry_slack=SLACK), 0)
+        status = traffic.describe_retries(0.0)
+        self.assertEqual((status.entries, status.slack), (0, 0.0))
+
+    # Guards against parts below one attempt that each instance rounds up.
+    def test_more_instances_than_slack_do_not_share_out_more_than_there_is(self) -> None:
+        total = 0.0
+        for number in range(400):
+            budget = RetryBudget(18, rank=weigh(f"entry-{number}", "entries") / WEIGHT_RANGE)
+            budget.replace_slack(100.0)
+            budget.count_entries(400, 0.0)
+            total += budget.describe(0.0).slack
+        self.assertLessEqual(total, 100.0)
+        self.assertGreater(total, 50.0)
+
     def test_no_percentage_means_no_retry(self) -> None:
         traffic = make_traffic(6, Profile(retry_budget_percent=0))
         self.assertEqual(run_request(traffic, "r", 0.0, True), (False, 0))
--- a/packages/model/src/persimmonusher_model/rendezvous.py
+++ b/packages/model/src/persimmonusher_model/rendezvous.py
@@ -5,9 +5,13 @@
 """
 
 from collections.abc import Iterable, Mapping
+from typing import Final
 
 import xxhash
 
+WEIGHT_RANGE: Final = 2**64
+"""Number of possible weights."""
+
 
 def weigh(member: str, key: str) -> int:
     """Return the 64-bit weight of a member for a key."""
--- a/packages/node/src/persimmonusher_node/ports.py
+++ b/packages/node/src/persimmonusher_node/ports.py
@@ -116,7 +116,7 @@
         """List the instances believed alive, this one included."""
 
     def count_entries(self) -> int:
-        """Return the number of live instances that take callers' requests."""
+        """Return the number of live instances that take callers' requests, 0 if unknown."""
         return sum("entry" in instance.roles for instance in self.list_live())
 
 
--- a/packages/node/src/persimmonusher_node/services.py
+++ b/packages/node/src/persimmonusher_node/services.py
@@ -76,7 +76,6 @@
         self._clock = clock
         self._random = random
         self._services: dict[ServiceName, LiveService] = {}
-        self._entries = 1
         self._choosers: dict[RouteRule, WeightedChooser] = {}
         self._open_service: Callable[[LiveService], None] = _open_immediately
 
@@ -179,10 +178,10 @@
             deliver(live, decision)
 
     def refresh_entry_count(self) -> None:
-        """Update the number of live entries, which share each server's connections."""
-        self._entries = max(1, self._membership.count_entries())
+        """Update the number of live entries, which share what the fleet is allowed."""
+        entries = self._membership.count_entries()
         for live in self._services.values():
-            live.traffic.replace_entry_count(self._entries)
+            live.traffic.replace_entry_count(entries)
 
     def _open(self, live: LiveService) -> None:
         if live.opened is None:
@@ -204,7 +203,7 @@
             self._incarnation,
             self._started,
         )
-        traffic.replace_entry_count(self._entries)
+        traffic.replace_entry_count(self._membership.count_entries())
         live = LiveService(name, traffic, profile, now)
         self._services[name] = live
         return live
--- a/packages/node/src/persimmonusher_node/tiers/entry_ports.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_ports.py
@@ -87,8 +87,8 @@
         return (self._own,)
 
     def count_entries(self) -> int:
-        """Return the number of live entries, this one included."""
-        return max(1, self._follower.entries)
+        """Return the number of live entries, this one included; 0 if no keeper told it lately."""
+        return self._follower.entries
 
 
 class RefusingClaims(KeyClaims):
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -10,7 +10,7 @@
 
 from persimmonusher_agreement.configuration_objects import Batch
 from persimmonusher_agreement.keeper_choice import KeeperPlace
-from persimmonusher_decisions.entry_count import EntryCount
+from persimmonusher_decisions.entry_count import ENTRIES_MEMORY_SECONDS, EntryCount
 from persimmonusher_decisions.notices import Notice
 from persimmonusher_model.clock import Clock
 from persimmonusher_model.identifiers import ServerId
@@ -109,9 +109,7 @@
         """Is called with the requests in progress, by server, of all entries that follow the
         keeper."""
         self._entry_count = EntryCount(USED_ENTRIES_SHARE)
-        self.entries = 0
-        """Live entries of the fleet as the keepers count them, 0 before the first update. A sudden
-        fall below half is used only after `entry_count.ENTRIES_MEMORY_SECONDS`."""
+        self._counted_at = float("-inf")
         self.peers: tuple[str, ...] = ()
         """Peer interfaces of the entries that followed the last keeper, this one included."""
 
@@ -140,6 +138,17 @@
         if self._reporting is None or self._reporting.done():
             self._reporting = start_coroutine(self._send_reports())
 
+    @property
+    def entries(self) -> int:
+        """Return the live entries of the fleet as the keepers count them, or 0 if unknown.
+
+        A sudden fall below half is used only after `entry_count.ENTRIES_MEMORY_SECONDS`. After the
+        same time without a keeper, this entry isn't counted by others any more.
+        """
+        if self._clock.monotonic() - self._counted_at > ENTRIES_MEMORY_SECONDS:
+            return 0
+        return self._entry_count.value
+
     def is_current(self) -> bool:
         """Return whether no missing change can be in force elsewhere for over `stale_seconds`."""
         return self.lease.is_current()
@@ -209,8 +218,8 @@
             )
         if update.HasField("majority_age_ms"):
             # Entries that lose their keepers aren't counted, and go on sending requests.
-            self._entry_count.record(update.entries, self._clock.monotonic())
-            self.entries = self._entry_count.value
+            self._counted_at = self._clock.monotonic()
+            self._entry_count.record(update.entries, self._counted_at)
 
     def apply_fleet_work(self, update: control_pb2.FollowUpdate, delay: float) -> None:
         """Apply the fleet's loads and costs of an update that was delayed by some seconds."""
--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -16,6 +16,8 @@
 from grpclib.exceptions import GRPCError  # noqa: E402
 from grpclib.server import Stream  # noqa: E402
 
+from persimmonusher_decisions.entry_count import ENTRIES_MEMORY_SECONDS  # noqa: E402
+from persimmonusher_model.clock import ManualClock  # noqa: E402
 from persimmonusher_node.clock import SystemClock  # noqa: E402
 from persimmonusher_node.configuration_client import ConfigurationClient  # noqa: E402
 from persimmonusher_node.grpc_listener import GrpcListener  # noqa: E402
@@ -120,6 +122,22 @@
         await stream.send_message(standing)
 
 
+class CountedEntriesTest(unittest.TestCase):
+    # Guards against an entry that uses its part of the fleet's allowances after the others, whose
+    # keepers count it no more, have shared these out among themselves.
+    def test_an_entry_that_no_keeper_counts_forgets_the_number_of_entries(self) -> None:
+        clock = ManualClock()
+        settings, channels = make_entry_settings("127.0.0.1:1"), ChannelPool("peers")
+        view = ConfigurationClient(settings, channels, clock, Random(1))
+        follower = make_follower(settings, view, channels, clock, Random(1))
+        self.assertEqual(follower.entries, 0)
+        follower.apply_update(control_pb2.FollowUpdate(majority_age_ms=1, entries=40))
+        clock.advance(ENTRIES_MEMORY_SECONDS)
+        self.assertEqual(follower.entries, 40)
+        clock.advance(0.1)
+        self.assertEqual(follower.entries, 0)
+
+
 class FollowerCase(unittest.TestCase):
     """A follower in the failure domain "north", and the keepers that it follows."""
 
--- a/packages/node/tests/test_retry_bound.py
+++ b/packages/node/tests/test_retry_bound.py
@@ -6,6 +6,7 @@
 
 import os
 import unittest
+from random import Random
 
 from virtual_retries import Fleet
 
@@ -90,7 +91,7 @@
 def play_series(seed: int) -> Fleet:
     """Play six disruptions in 15 s, each drawn, in a fleet of a drawn size and rate."""
     fleet = Fleet(count=40, slack=64.0, rate=80.0, seed=seed)
-    random = fleet.random
+    random = Random(seed)
     fleet.rate = random.choice((20.0, 80.0, 200.0, 400.0))
     fleet.run(CALM_SECONDS)
     fleet.failing = random.choice((0.3, 0.6, 0.9))
