--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -181,13 +181,13 @@
         """Set the number of live entry instances, which share what the fleet is allowed.
 
         With 0, if it isn't known, there is no retry slack, and the last known number stays in use
-        for everything else. Connections are shared out anew at once, the retry slack with the next
-        attempt, rate limits with the next `advance`; the concurrency window and the probe interval
-        follow when servers or ejections are next replaced.
+        for everything else. The retry slack is shared out anew with the next attempt, rate limits
+        with the next `advance`, everything else at once.
         """
         self._is_counted = live > 0
         if live not in (0, self._live):
             self._live = live
+            self._resize_window()
             self._connections.replace_entry_count(self._live)
             self._trials.replace_entry_count(self._live)
             self._share_connections()
@@ -502,11 +502,13 @@
         self._lease.mark(tracks, self._profile.health_floor_percent, now)
         self._share_connections()
         self._placement.far_load = self._locality.far_load
-        self._placement.probe_seconds = self._live / PROBES_PER_SECOND
         self._placement.replace(tracks, now)
-        self._window.resize(
-            self._placement.open_slots, self._live, self._profile.fewest_in_progress
-        )
+        self._resize_window()
+
+    def _resize_window(self) -> None:
+        self._placement.probe_seconds = self._live / PROBES_PER_SECOND
+        slots, fewest = self._placement.open_slots, self._profile.fewest_in_progress
+        self._window.resize(slots, self._live, fewest)
 
     def _set_limits(self) -> None:
         self._work.set_enabled(self._profile.work_aware)
--- a/packages/decisions/tests/test_traffic.py
+++ b/packages/decisions/tests/test_traffic.py
@@ -201,6 +201,22 @@
         self.assertEqual(traffic.finish(held[0], GOOD, 0.1), ())
 
 
+class SharedSlotsTest(unittest.TestCase):
+    # Guards against an instance that keeps the whole service's slots as its least number of requests
+    # in progress, from the time before it knew of the other instances.
+    def test_slots_are_shared_as_soon_as_the_other_instances_are_known(self) -> None:
+        traffic = make_traffic(6, Profile())
+        traffic.replace_entry_count(48)
+        now = 0.0
+        for number in range(200):
+            now += 0.06
+            dispatch = dispatched(traffic.offer(make_request(f"full-{number}", now), now))
+            traffic.finish(dispatch, Outcome(OutcomeKind.SUCCESS, 0.02, 40), now)
+        decisions = [traffic.offer(make_request(f"r{n}", now), now) for n in range(24)]
+        started = sum(isinstance(decision, Dispatch) for decision in decisions)
+        self.assertLessEqual(started, 2)
+
+
 class RetryTest(unittest.TestCase):
     def test_budget_bounds_amplification_in_a_lasting_fault(self) -> None:
         traffic = make_traffic(6)
