--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -3,6 +3,7 @@
 import io
 import socket
 from collections import deque
+from contextlib import suppress
 from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import Any, Final
 
@@ -11,7 +12,7 @@
 from urllib3.connection import HTTPConnection
 
 from persimmonusher_model.clock import Clock
-from persimmonusher_node.sockets import Pending, peek
+from persimmonusher_node.sockets import RESET_ON_CLOSE, Pending, peek
 
 CONNECT_TIMEOUT_SECONDS: Final = 0.25
 """Longer than opening a connection between regions takes. One that takes longer has lost its first
@@ -127,6 +128,17 @@
         self.may_have_sent = True
         super().send(data)
 
+    def abort(self) -> None:
+        """Reset the connection, so that nothing of a request that is given up arrives later.
+
+        While the way to the server is cut, the kernel holds the bytes of a request and would
+        deliver them after a plain close too.
+        """
+        if self.sock is not None:
+            with suppress(OSError):
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.close()
+
     def has_no_pending_data(self) -> bool:
         """Return whether the connection is open and has nothing to be read.
 
--- a/packages/node/src/persimmonusher_node/peers.py
+++ b/packages/node/src/persimmonusher_node/peers.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import socket
-import struct
 from collections.abc import Mapping
 from types import TracebackType
 from typing import Final, Self
@@ -30,6 +29,7 @@
 from persimmonusher_model.clock import Clock
 from persimmonusher_node.clock import SystemClock
 from persimmonusher_node.peer_silence import PeerSilences
+from persimmonusher_node.sockets import RESET_ON_CLOSE
 
 KEEPALIVE_SECONDS: Final = 5.0
 """Interval of pings on a channel with calls in progress, and the timeout of each ping.
@@ -52,8 +52,6 @@
 MAX_UNANSWERED_REOPENED_SECONDS: Final = 2.0
 """The same for a further connection that is open: the network works, and a peer that is slow to
 answer needs the time."""
-RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
-"""The value of SO_LINGER with which a close discards what isn't sent and resets the connection."""
 TOKEN_HEADER: Final = "persimmonusher-token"
 
 
--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -3,7 +3,6 @@
 import json
 import re
 import socket
-import struct
 from contextlib import suppress
 from http import HTTPStatus
 from http.client import HTTPMessage
@@ -14,6 +13,7 @@
 from eventlet import wsgi
 
 from persimmonusher_node.caller_reader import CallerReader
+from persimmonusher_node.sockets import RESET_ON_CLOSE
 
 ENVIRON_KEY: Final = "persimmonusher.protocol"
 """Key in the WSGI environment of the connection's `HttpProtocol`."""
@@ -24,7 +24,6 @@
 _TOKEN: Final = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
 _VISIBLE_ASCII: Final = re.compile(r"[!-~]+")
 _FORBIDDEN_IN_VALUE: Final = re.compile(r"[\r\n\0]")
-RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
 class SlowHead(Exception):  # noqa: N818
--- a/packages/node/src/persimmonusher_node/relay_listener.py
+++ b/packages/node/src/persimmonusher_node/relay_listener.py
@@ -12,7 +12,6 @@
 
 from persimmonusher_node.component import Component
 from persimmonusher_node.loop import run_coroutine
-from persimmonusher_node.peers import RESET_ON_CLOSE
 from persimmonusher_node.relay_protocol import (
     MAX_HEAD_BYTES,
     RelayRequest,
@@ -20,6 +19,7 @@
     make_answer,
     parse_request,
 )
+from persimmonusher_node.sockets import RESET_ON_CLOSE
 
 MAX_CONNECTIONS: Final = 256
 """Connections relayed at a time. Each takes two file descriptors and up to 256 KB of buffers."""
@@ -117,7 +117,8 @@
             status = await self._judge_unreached(request.address)
             writer.write(make_answer(status))
             return await writer.drain()
-        set_linger(writer, RESET_ON_CLOSE)
+        for end in (writer, there[1]):
+            set_linger(end, RESET_ON_CLOSE)
         try:
             writer.write(make_answer(RelayStatus.OPENED))
             if await relay(reader, writer, *there):
--- a/packages/node/src/persimmonusher_node/sockets.py
+++ b/packages/node/src/persimmonusher_node/sockets.py
@@ -1,7 +1,12 @@
-"""Checks what can be read from a socket, without waiting and without consuming bytes."""
+"""Reads and sets the state of sockets, without waiting."""
 
 import socket
+import struct
 from enum import Enum
+from typing import Final
+
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+"""The value of SO_LINGER with which a close resets the connection and drops unsent bytes."""
 
 
 class Pending(Enum):
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -192,10 +192,10 @@
             response = self._exchange(connection)
             return self._read(connection, response)
         except (HTTPError, HTTPException, OSError, ValueError) as error:
-            connection.close()
+            connection.abort()
             raise self._make_error(error, connection) from error
         except BaseException:
-            connection.close()
+            connection.abort()
             raise
 
     @property
