--- a/packages/node/tests/test_every_byte.py
+++ b/packages/node/tests/test_every_byte.py
@@ -1,10 +1,13 @@
 """Exchanges with a backend server that are cut off after each possible byte."""
 
+import re
 import socket
 import struct
 import unittest
 
-from entry_harness import PROFILE, EntryTestCase, Heard, send
+from entry_harness import HOST, PROFILE, EntryTestCase, Heard, send
+
+from persimmonusher_node.dialect import Dialect
 
 BODY = b"rank 17 of 230"
 RESET = struct.pack("ii", 1, 0)
@@ -15,6 +18,9 @@
     b"5\r\nrank \r\n9\r\n17 of 230\r\n0\r\n\r\n"
 )
 
+UNTIL_CLOSE = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n" + BODY
+AFTER_INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </s>\r\n\r\n" + WITH_LENGTH
+
 
 def cut_by_reset(raw: bytes):  # type: ignore[no-untyped-def]
     """Send these bytes and reset the connection."""
@@ -84,5 +90,46 @@
                 self.assertEqual(server.ran, [])
 
 
+class EveryByteOfTheHeadTest(EntryTestCase):
+    """Answers may end with their connection, so that a cut one has to be told by its head."""
+
+    server_names = ("s1",)
+    profile = PROFILE.model_copy(update={"max_retries": 0, "retry_budget_percent": 0})
+    dialect = Dialect(accepts_unframed=True)
+
+    # Guards against a 200 with an empty or short body, framed as whole, made of an answer whose
+    # server closed in the middle of its head.
+    def test_an_answer_whose_head_is_cut_anywhere_is_never_a_success(self) -> None:
+        for raw in (WITH_LENGTH, WITHOUT_BODY, IN_CHUNKS, UNTIL_CLOSE, AFTER_INTERIM):
+            for method in ("GET", "POST"):
+                for cut in (send, cut_by_reset):
+                    connection = self.connect()
+                    for size in range(find_head_length(raw)):
+                        with self.subTest(raw[:40], method=method, cut=cut.__name__, size=size):
+                            self.script(cut(raw[:size]))
+                            target = f"/{cut.__name__}/{len(raw)}/{size}"
+                            answer = self.call(method, target, connection=connection)
+                            self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
+
+    # Guards against the rest of such an answer, or the next one, reaching the wrong request of a
+    # caller that sends several ahead.
+    def test_the_next_request_of_the_connection_gets_its_own_answer(self) -> None:
+        second = f"GET /b HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n\r\n"
+        for raw in (WITH_LENGTH, UNTIL_CLOSE):
+            for size in range(0, find_head_length(raw), 5):
+                with self.subTest(raw[:40], size=size):
+                    self.script(send(raw[:size]), send(WITH_LENGTH, go_on=True))
+                    first = f"GET /a{len(raw)}/{size} HTTP/1.1\r\nHost: {HOST}\r\n\r\n"
+                    received = self.send_raw((first + second).encode())
+                    self.assertEqual(re.findall(rb"HTTP/1.1 (\d+)", received), [b"502", b"200"])
+                    self.assertTrue(received.endswith(b"\r\n\r\n" + BODY))
+
+
+def find_head_length(raw: bytes) -> int:
+    """Return the length of an answer's last head, interim ones before it included."""
+    last = raw.rindex(b"HTTP/1.1 ")
+    return raw.index(b"\r\n\r\n", last) + 4
+
+
 if __name__ == "__main__":
     unittest.main()
