--- a/packages/node/src/persimmonusher_node/retry_log.py
+++ b/packages/node/src/persimmonusher_node/retry_log.py
@@ -11,6 +11,8 @@
 from persimmonusher_node.services import LiveService, ServiceBook
 
 INTERVAL_SECONDS: Final = 2.0
+IN_USE_SECONDS: Final = 10.0
+"""Services without requests for this long are skipped: there may be thousands of them."""
 
 _log = get_logger(__name__)
 
@@ -32,7 +34,8 @@
             return
         self._next_at = now + INTERVAL_SECONDS
         for live in self._services:
-            self._write_service(live, now)
+            if now - live.last_used < IN_USE_SECONDS:
+                self._write_service(live, now)
 
     def _write_service(self, live: LiveService, now: float) -> None:
         status = live.traffic.describe_retries(now)
