--- a/packages/decisions/src/persimmonusher_decisions/retries.py
+++ b/packages/decisions/src/persimmonusher_decisions/retries.py
@@ -31,7 +31,7 @@
     """What one instance may spend on further attempts of one service, and has spent."""
 
     entries: int
-    """Entries among which the fleet's slack is divided, 0 while unknown."""
+    """Entries among which the fleet's slack is divided; nothing is used while it isn't reliable."""
     slack: float
     """This instance's part of the slack, in attempts per window."""
     first_attempts: int
@@ -117,7 +117,7 @@
         self._fleet_slack = MAX_SLACK_PER_INSTANCE
         self._slack = MAX_SLACK_PER_INSTANCE
         self._count = EntryCount()
-        self._is_counted = True
+        self._is_count_reliable = True
         self._tally: Counter[tuple[str, str]] = Counter()
         self._firsts = FirstAttempts()
         self._further: deque[float] = deque()
@@ -127,22 +127,22 @@
         self._fleet_slack = slack
         self._share_slack()
 
-    def count_entries(self, live: int, now: float) -> None:
-        """Set the number of live instances, this one included; 0 if it isn't known.
+    def count_entries(self, live: int, is_reliable: bool, now: float) -> None:
+        """Set the number of live instances, this one included.
 
-        A lower number is used only after `entry_count.ENTRIES_MEMORY_SECONDS`: instances that
-        aren't counted any more may still use their parts.
+        While it isn't reliable, there is no slack. A lower number is used only after
+        `entry_count.ENTRIES_MEMORY_SECONDS`: instances that aren't counted any more may still use
+        their parts.
         """
-        self._is_counted = live > 0
-        if self._is_counted:
-            self._count.record(live, now)
+        self._is_count_reliable = is_reliable
+        self._count.record(live, now)
         self._share_slack()
 
     def _share_slack(self) -> None:
         part = SHARED_SLACK_PART * self._fleet_slack / self._count.value
         if part < 1.0:
             part = float(self._rank < part)
-        self._slack = min(MAX_SLACK_PER_INSTANCE, part) if self._is_counted else 0.0
+        self._slack = min(MAX_SLACK_PER_INSTANCE, part) if self._is_count_reliable else 0.0
 
     def replace_percent(self, percent: int) -> None:
         """Set the percentage; 0 turns further attempts off, the slack included."""
@@ -168,7 +168,7 @@
         """Return what may be spent and has been spent, for operators."""
         self._forget(now)
         return RetryStatus(
-            self._count.value if self._is_counted else 0,
+            self._count.value,
             self._find_slack(now),
             self._firsts.count(now),
             self._find_allowed(now),
--- a/packages/decisions/src/persimmonusher_decisions/traffic.py
+++ b/packages/decisions/src/persimmonusher_decisions/traffic.py
@@ -97,7 +97,7 @@
         self._profile = profile
         self._failure_domain = failure_domain
         self._live = 1
-        self._is_counted = True
+        self._is_count_reliable = True
         self._tracks: dict[ServerId, ServerTrack] = {}
         self._started: bool = False
         self._evidence = EvidenceLog()
@@ -177,16 +177,15 @@
         self._started = self._started or bool(tracks)
         self._rebuild(now)
 
-    def replace_entry_count(self, live: int) -> None:
+    def replace_entry_count(self, live: int, is_reliable: bool = True) -> None:
         """Set the number of live entry instances, which share what the fleet is allowed.
 
-        With 0, if it isn't known, there is no retry slack, and the last known number stays in use
-        for everything else. The retry slack is shared out anew with the next attempt, rate limits
-        with the next `advance`, everything else at once.
+        While it isn't reliable, this instance has no retry slack. The retry slack is shared out
+        anew with the next attempt, rate limits with the next `advance`, everything else at once.
         """
-        self._is_counted = live > 0
-        if live not in (0, self._live):
-            self._live = live
+        self._is_count_reliable = is_reliable
+        if live != self._live:
+            self._live = max(1, live)
             self._resize_window()
             self._connections.replace_entry_count(self._live)
             self._trials.replace_entry_count(self._live)
@@ -432,7 +431,7 @@
         )
 
     def _count_for_retries(self, now: float) -> None:
-        self._retries.count_entries(self._live if self._is_counted else 0, now)
+        self._retries.count_entries(self._live, self._is_count_reliable, now)
 
     def _release(self, now: float) -> tuple[Decision, ...]:
         released: list[Decision] = []
--- a/packages/decisions/tests/test_retries.py
+++ b/packages/decisions/tests/test_retries.py
@@ -90,10 +90,10 @@
         self.assertGreater(traffic.describe_retries(ENTRIES_MEMORY_SECONDS + 0.1).slack, part)
 
     # Guards against a whole share for an instance that doesn't know of the others yet.
-    def test_an_unknown_number_of_entries_gives_no_slack(self) -> None:
-        traffic = make_traffic(6, Profile(retry_slack=SLACK), 0)
-        status = traffic.describe_retries(0.0)
-        self.assertEqual((status.entries, status.slack), (0, 0.0))
+    def test_a_number_of_entries_that_is_not_reliable_gives_no_slack(self) -> None:
+        traffic = make_traffic(6, Profile(retry_slack=SLACK), 48)
+        traffic.replace_entry_count(2, is_reliable=False)
+        self.assertEqual(traffic.describe_retries(0.0).slack, 0.0)
 
     # Guards against parts below one attempt that each instance rounds up.
     def test_more_instances_than_slack_do_not_share_out_more_than_there_is(self) -> None:
@@ -101,7 +101,7 @@
         for number in range(400):
             budget = RetryBudget(18, rank=weigh(f"entry-{number}", "entries") / WEIGHT_RANGE)
             budget.replace_slack(100.0)
-            budget.count_entries(400, 0.0)
+            budget.count_entries(400, True, 0.0)
             total += budget.describe(0.0).slack
         self.assertLessEqual(total, 100.0)
         self.assertGreater(total, 50.0)
--- a/packages/node/src/persimmonusher_node/ports.py
+++ b/packages/node/src/persimmonusher_node/ports.py
@@ -116,9 +116,13 @@
         """List the instances believed alive, this one included."""
 
     def count_entries(self) -> int:
-        """Return the number of live instances that take callers' requests, 0 if unknown."""
+        """Return the number of live instances that take callers' requests."""
         return sum("entry" in instance.roles for instance in self.list_live())
 
+    def is_entry_count_reliable(self) -> bool:
+        """Return whether the others count this instance, and it knows about how many there are."""
+        return True
+
 
 @dataclass(frozen=True)
 class ClaimKey:
--- a/packages/node/src/persimmonusher_node/services.py
+++ b/packages/node/src/persimmonusher_node/services.py
@@ -179,9 +179,12 @@
 
     def refresh_entry_count(self) -> None:
         """Update the number of live entries, which share what the fleet is allowed."""
-        entries = self._membership.count_entries()
         for live in self._services.values():
-            live.traffic.replace_entry_count(entries)
+            self._count_entries(live.traffic)
+
+    def _count_entries(self, traffic: ServiceTraffic) -> None:
+        is_reliable = self._membership.is_entry_count_reliable()
+        traffic.replace_entry_count(self._membership.count_entries(), is_reliable)
 
     def _open(self, live: LiveService) -> None:
         if live.opened is None:
@@ -203,7 +206,7 @@
             self._incarnation,
             self._started,
         )
-        traffic.replace_entry_count(self._membership.count_entries())
+        self._count_entries(traffic)
         live = LiveService(name, traffic, profile, now)
         self._services[name] = live
         return live
--- a/packages/node/src/persimmonusher_node/tiers/entry_ports.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_ports.py
@@ -87,8 +87,12 @@
         return (self._own,)
 
     def count_entries(self) -> int:
-        """Return the number of live entries, this one included; 0 if no keeper told it lately."""
-        return self._follower.entries
+        """Return the number of live entries, this one included."""
+        return max(1, self._follower.entries)
+
+    def is_entry_count_reliable(self) -> bool:
+        """Return whether keepers have told the number for some time, and lately."""
+        return self._follower.is_count_reliable
 
 
 class RefusingClaims(KeyClaims):
--- a/packages/node/src/persimmonusher_node/tiers/follower.py
+++ b/packages/node/src/persimmonusher_node/tiers/follower.py
@@ -49,6 +49,10 @@
 """Part of the largest number of entries from which a number counts as it is. Entries stop and start
 a few at a time; when more than half are gone at once, they have rather lost their keepers."""
 
+COUNT_SETTLE_SECONDS: Final = 3.0
+"""Time from the first count of entries until it is relied on: all entries that start together with
+their keepers follow one by then."""
+
 
 def ignore_notice(notice: Notice) -> None:
     """Do nothing; the handler until there is a data plane."""
@@ -109,6 +113,7 @@
         """Is called with the requests in progress, by server, of all entries that follow the
         keeper."""
         self._entry_count = EntryCount(USED_ENTRIES_SHARE)
+        self._first_counted_at = float("inf")
         self._counted_at = float("-inf")
         self.peers: tuple[str, ...] = ()
         """Peer interfaces of the entries that followed the last keeper, this one included."""
@@ -140,14 +145,22 @@
 
     @property
     def entries(self) -> int:
-        """Return the live entries of the fleet as the keepers count them, or 0 if unknown.
+        """Return the live entries as the keepers count them, 0 before the first update.
+
+        A sudden fall below half is used only after `entry_count.ENTRIES_MEMORY_SECONDS`.
+        """
+        return self._entry_count.value if self._counted_at > float("-inf") else 0
 
-        A sudden fall below half is used only after `entry_count.ENTRIES_MEMORY_SECONDS`. After the
-        same time without a keeper, this entry isn't counted by others any more.
+    @property
+    def is_count_reliable(self) -> bool:
+        """Return whether `entries` is neither a first count nor an old one.
+
+        Keepers that have just started count few entries. After ENTRIES_MEMORY_SECONDS without a
+        keeper, this entry isn't counted by others any more.
         """
-        if self._clock.monotonic() - self._counted_at > ENTRIES_MEMORY_SECONDS:
-            return 0
-        return self._entry_count.value
+        now = self._clock.monotonic()
+        is_recent = now - self._counted_at <= ENTRIES_MEMORY_SECONDS
+        return is_recent and now - self._first_counted_at >= COUNT_SETTLE_SECONDS
 
     def is_current(self) -> bool:
         """Return whether no missing change can be in force elsewhere for over `stale_seconds`."""
@@ -219,6 +232,7 @@
         if update.HasField("majority_age_ms"):
             # Entries that lose their keepers aren't counted, and go on sending requests.
             self._counted_at = self._clock.monotonic()
+            self._first_counted_at = min(self._first_counted_at, self._counted_at)
             self._entry_count.record(update.entries, self._counted_at)
 
     def apply_fleet_work(self, update: control_pb2.FollowUpdate, delay: float) -> None:
--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -24,6 +24,7 @@
 from persimmonusher_node.peers import ChannelPool  # noqa: E402
 from persimmonusher_node.settings import Settings  # noqa: E402
 from persimmonusher_node.tiers.entry_daemon import make_follower  # noqa: E402
+from persimmonusher_node.tiers.follower import COUNT_SETTLE_SECONDS  # noqa: E402
 from persimmonusher_protocol import control_pb2, keeper_pb2  # noqa: E402
 from persimmonusher_protocol.control_grpc import ControlBase  # noqa: E402
 
@@ -123,19 +124,30 @@
 
 
 class CountedEntriesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        settings, channels = make_entry_settings("127.0.0.1:1"), ChannelPool("peers")
+        view = ConfigurationClient(settings, channels, self.clock, Random(1))
+        self.follower = make_follower(settings, view, channels, self.clock, Random(1))
+
+    def is_reliable_after(self, seconds: float) -> bool:
+        self.clock.advance(seconds)
+        return self.follower.is_count_reliable
+
+    # Guards against an entry that relies on the first count of a keeper that has just started too.
+    def test_a_first_count_is_not_relied_on(self) -> None:
+        self.assertEqual((self.follower.entries, self.is_reliable_after(60.0)), (0, False))
+        self.follower.apply_update(control_pb2.FollowUpdate(majority_age_ms=1, entries=2))
+        self.assertEqual(self.follower.entries, 2)
+        self.assertFalse(self.is_reliable_after(COUNT_SETTLE_SECONDS - 0.1))
+        self.assertTrue(self.is_reliable_after(0.1))
+
     # Guards against an entry that uses its part of the fleet's allowances after the others, whose
     # keepers count it no more, have shared these out among themselves.
-    def test_an_entry_that_no_keeper_counts_forgets_the_number_of_entries(self) -> None:
-        clock = ManualClock()
-        settings, channels = make_entry_settings("127.0.0.1:1"), ChannelPool("peers")
-        view = ConfigurationClient(settings, channels, clock, Random(1))
-        follower = make_follower(settings, view, channels, clock, Random(1))
-        self.assertEqual(follower.entries, 0)
-        follower.apply_update(control_pb2.FollowUpdate(majority_age_ms=1, entries=40))
-        clock.advance(ENTRIES_MEMORY_SECONDS)
-        self.assertEqual(follower.entries, 40)
-        clock.advance(0.1)
-        self.assertEqual(follower.entries, 0)
+    def test_the_count_of_a_keeper_that_was_lost_long_ago_is_not_relied_on(self) -> None:
+        self.follower.apply_update(control_pb2.FollowUpdate(majority_age_ms=1, entries=40))
+        self.assertTrue(self.is_reliable_after(ENTRIES_MEMORY_SECONDS))
+        self.assertFalse(self.is_reliable_after(0.1))
 
 
 class FollowerCase(unittest.TestCase):
--- a/packages/node/tests/test_retry_bound.py
+++ b/packages/node/tests/test_retry_bound.py
@@ -62,6 +62,19 @@
         self.fleet.run(5.0)
         self.check()
 
+    # Guards against entries that start with their keepers, which count a few of them at first.
+    def test_a_fleet_whose_processes_are_all_killed_keeps_the_bound(self) -> None:
+        self.begin_refusing(rate=40.0)
+        self.fleet.run(2.0)
+        self.fleet.kill(range(40))
+        for number in range(40):
+            self.fleet.start(number)
+        for counted in (1, 3, 20, 40):
+            self.fleet.run(0.7)
+            self.fleet.tell(counted)
+        self.fleet.run(12.0)
+        self.check()
+
     # Guards against entries that share out the slack among too few while the others still spend.
     def test_entries_that_are_told_of_half_of_the_fleet_keep_the_bound(self) -> None:
         self.begin_refusing()
--- a/packages/node/tests/virtual_retries.py
+++ b/packages/node/tests/virtual_retries.py
@@ -4,7 +4,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from random import Random
-from types import SimpleNamespace
+
+from entry_settings import make_entry_settings
 
 from persimmonusher_decisions.server import BackendServer, ServerState
 from persimmonusher_decisions.work import Dispatch, Outcome, OutcomeKind, Request
@@ -18,10 +19,14 @@
     ServiceName,
 )
 from persimmonusher_model.profile import Profile
+from persimmonusher_node.configuration_client import ConfigurationClient
 from persimmonusher_node.memory import MemoryConfiguration, MemoryDirectory
+from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.ports import Instance
 from persimmonusher_node.services import ServiceBook
+from persimmonusher_node.tiers.entry_daemon import make_follower
 from persimmonusher_node.tiers.entry_ports import FollowedMembership
+from persimmonusher_protocol import control_pb2
 
 SERVICE = ServiceName("entries")
 SERVERS = 12
@@ -69,7 +74,7 @@
     def tell(self, counted: int, numbers: Sequence[int] | None = None) -> None:
         """Tell some entries, or all, how many entries there are."""
         for number in self.entries if numbers is None else numbers:
-            self.entries[number].follower.entries = counted
+            self.entries[number].tell(counted)
 
     def run(self, seconds: float) -> None:
         """Let callers send requests to random entries for some time."""
@@ -107,11 +112,11 @@
         self._fleet = fleet
         own_id = InstanceId(f"entry-{number}")
         domain = FailureDomain(f"d{number % 4}")
-        self.follower = SimpleNamespace(entries=counted)
-        membership = FollowedMembership(
-            Instance(own_id, domain, "10.1.0.1:80", ("entry",)),
-            self.follower,  # type: ignore[arg-type]
-        )
+        settings, channels = make_entry_settings("127.0.0.1:1"), ChannelPool("peers")
+        view = ConfigurationClient(settings, channels, fleet.clock, fleet.random)
+        self._follower = make_follower(settings, view, channels, fleet.clock, fleet.random)
+        own = Instance(own_id, domain, "10.1.0.1:80", ("entry",))
+        membership = FollowedMembership(own, self._follower)
         configuration = MemoryConfiguration({"entries.example": SERVICE}, {SERVICE: fleet.profile})
         directory = MemoryDirectory()
         for server in range(SERVERS):
@@ -120,8 +125,15 @@
         self._services = ServiceBook(
             configuration, directory, membership, own_id, domain, fleet.clock, random
         )
+        self.tell(counted)
         self._services.refresh_entry_count()
 
+    def tell(self, counted: int) -> None:
+        """Take an update of a keeper that counts so many entries; 0 for none."""
+        if counted:
+            update = control_pb2.FollowUpdate(majority_age_ms=1, entries=counted)
+            self._follower.apply_update(update)
+
     def tick(self, refresh: bool) -> None:
         """Do the periodic work; `refresh` once a second."""
         if refresh:
