--- a/packages/decisions/src/persimmonusher_decisions/retries.py
+++ b/packages/decisions/src/persimmonusher_decisions/retries.py
@@ -12,7 +12,7 @@
 """Sliding window over which further attempts are compared with first ones: several times as long as
 the faults that make single requests fail, and short compared with a lasting overload."""
 SLICE_SECONDS: Final = 0.5
-"""First attempts are counted in slices of this length: twenty counters, whatever the rate."""
+"""First attempts are counted in slices of this length: forty counters, whatever the rate."""
 SHARED_SLACK_PART: Final = 0.85
 """Part of the fleet's slack that is shared out; the rest is for processes that start."""
 MAX_SLACK_PER_INSTANCE: Final = 10.0
@@ -31,9 +31,9 @@
     """What one instance may spend on further attempts of one service, and has spent."""
 
     entries: int
-    """Entries among which the fleet's slack is divided; nothing is used while it isn't reliable."""
+    """Entries among which the fleet's slack is divided."""
     slack: float
-    """This instance's part of the slack, in attempts per window."""
+    """Its part of the slack, in attempts per window; 0 while `entries` isn't reliable."""
     first_attempts: int
     """Its first attempts of the last window."""
     allowed: float
@@ -46,28 +46,37 @@
     """All of them since it started, by cause and result: `sent` or `denied`."""
 
 
+class Slice:
+    """The first attempts of a short time from its begin on."""
+
+    __slots__ = ("begin", "count")
+
+    def __init__(self, begin: float) -> None:
+        self.begin = begin
+        self.count = 0
+
+
 class FirstAttempts:
     """The first attempts of this window and of the one before it, by slices of time."""
 
     def __init__(self) -> None:
-        self._slices: deque[list[float]] = deque()
-        """The begin and the count of each slice."""
+        self._slices: deque[Slice] = deque()
         self._since = inf
-        """When the first of them was counted after a time without any."""
+        """When the service came into use: its first attempt after two windows without any."""
 
     def add(self, now: float) -> None:
         """Count a first attempt."""
         self._forget(now)
         if not self._slices:
             self._since = now
-        if not self._slices or now >= self._slices[-1][0] + SLICE_SECONDS:
-            self._slices.append([now, 0.0])
-        self._slices[-1][1] += 1.0
+        if not self._slices or now >= self._slices[-1].begin + SLICE_SECONDS:
+            self._slices.append(Slice(now))
+        self._slices[-1].count += 1
 
     def count(self, now: float) -> int:
         """Return the first attempts of the last window."""
         self._forget(now)
-        return int(sum(count for begin, count in self._slices if begin > now - WINDOW_SECONDS))
+        return sum(one.count for one in self._slices if one.begin > now - WINDOW_SECONDS)
 
     def count_earning(self, now: float) -> float:
         """Return those of the last window that earn further attempts.
@@ -79,11 +88,11 @@
         seconds_before = min(WINDOW_SECONDS, now - WINDOW_SECONDS - self._since)
         if seconds_before < MIN_COMPARED_SECONDS:
             return recent
-        before = sum(count for _, count in self._slices) - recent
+        before = sum(one.count for one in self._slices) - recent
         return min(recent, MAX_GROWTH * before * WINDOW_SECONDS / seconds_before)
 
     def _forget(self, now: float) -> None:
-        while self._slices and self._slices[0][0] <= now - 2.0 * WINDOW_SECONDS:
+        while self._slices and self._slices[0].begin <= now - 2.0 * WINDOW_SECONDS:
             self._slices.popleft()
 
 
--- a/packages/node/src/persimmonusher_node/retry_log.py
+++ b/packages/node/src/persimmonusher_node/retry_log.py
@@ -3,11 +3,11 @@
 from collections import Counter
 from collections.abc import Mapping
 from typing import Final
+from weakref import WeakKeyDictionary
 
 from structlog import get_logger
 
 from persimmonusher_model.clock import Clock
-from persimmonusher_model.identifiers import ServiceName
 from persimmonusher_node.services import LiveService, ServiceBook
 
 INTERVAL_SECONDS: Final = 2.0
@@ -24,7 +24,8 @@
         self._services = services
         self._clock = clock
         self._next_at = 0.0
-        self._written: dict[ServiceName, Mapping[tuple[str, str], int]] = {}
+        self._written: WeakKeyDictionary[LiveService, Mapping[tuple[str, str], int]]
+        self._written = WeakKeyDictionary()
         """The counts at the last line of each service."""
 
     def write(self) -> None:
@@ -39,10 +40,10 @@
 
     def _write_service(self, live: LiveService, now: float) -> None:
         status = live.traffic.describe_retries(now)
-        since = Counter(status.tally) - Counter(self._written.get(live.name, {}))
+        since = Counter(status.tally) - Counter(self._written.get(live, {}))
         if not since:
             return
-        self._written[live.name] = status.tally
+        self._written[live] = status.tally
         _log.info(
             "retry-budget",
             service=live.name,
--- a/packages/node/tests/virtual_retries.py
+++ b/packages/node/tests/virtual_retries.py
@@ -24,6 +24,7 @@
 from persimmonusher_node.peers import ChannelPool
 from persimmonusher_node.ports import Instance
 from persimmonusher_node.services import ServiceBook
+from persimmonusher_node.settings_bounds import USED_RETRY_FRACTION
 from persimmonusher_node.tiers.entry_daemon import make_follower
 from persimmonusher_node.tiers.entry_ports import FollowedMembership
 from persimmonusher_protocol import control_pb2
@@ -46,7 +47,6 @@
     rate: float
     """Requests per second to all entries together."""
     seed: int
-    percent: int = 16
     entries: dict[int, "Entry"] = field(default_factory=dict)
     clock: ManualClock = field(default_factory=lambda: ManualClock(1000.0))
     requests: list[float] = field(default_factory=list)
@@ -57,7 +57,9 @@
     def __post_init__(self) -> None:
         self.random = Random(self.seed)
         self.profile = Profile(
-            retry_budget_percent=self.percent, retry_slack=self.slack, max_retries=1
+            retry_budget_percent=int(100.0 * USED_RETRY_FRACTION * RATIO),
+            retry_slack=self.slack,
+            max_retries=1,
         )
         for number in range(self.count):
             self.start(number, self.count)
