--- a/packages/decisions/src/persimmonusher_decisions/retries.py
+++ b/packages/decisions/src/persimmonusher_decisions/retries.py
@@ -3,7 +3,7 @@
 from collections import Counter, deque
 from collections.abc import Mapping
 from dataclasses import dataclass
-from math import inf
+from math import inf, sqrt
 from typing import Final
 
 from persimmonusher_decisions.entry_count import EntryCount
@@ -20,6 +20,8 @@
 in flight on a server that breaks."""
 MAX_GROWTH: Final = 1.25
 """Growth of an instance's first attempts, from one window to the next, that earns further ones."""
+CHANCE_DEVIATIONS: Final = 2.0
+"""Standard deviations by which a small number of first attempts may exceed the one before it."""
 MIN_COMPARED_SECONDS: Final = 2.0
 """A service has to be in use for this long before the current window for a comparison."""
 STARTING_SHARE: Final = 0.2
@@ -89,7 +91,9 @@
         if seconds_before < MIN_COMPARED_SECONDS:
             return recent
         before = sum(one.count for one in self._slices) - recent
-        return min(recent, MAX_GROWTH * before * WINDOW_SECONDS / seconds_before)
+        by_chance = before + CHANCE_DEVIATIONS * (sqrt(before) + 1.0)
+        most = max(MAX_GROWTH * before, by_chance) * WINDOW_SECONDS / seconds_before
+        return min(recent, most)
 
     def _forget(self, now: float) -> None:
         while self._slices and self._slices[0].begin <= now - 2.0 * WINDOW_SECONDS:
