--- a/packages/node/tests/test_evidence_fleet.py
+++ b/packages/node/tests/test_evidence_fleet.py
@@ -14,6 +14,7 @@
     Outcome,
     OutcomeKind,
     Request,
+    Wait,
 )
 from persimmonusher_model.identifiers import (  # noqa: E402
     CallerId,
@@ -102,6 +103,9 @@
         assert live is not None
         now = SystemClock().monotonic()
         offered = [live.traffic.offer(self.make_request(now), now) for _ in range(BATCH_REQUESTS)]
+        for decision in offered:
+            if isinstance(decision, Wait):
+                live.traffic.withdraw(decision.request)
         for decision in offered:
             if not isinstance(decision, Dispatch):
                 continue
