--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -292,7 +292,7 @@
         self.start_follower(self.keepers[0].address)
         self.wait_until_current(3.0)
         for _ in range(4):
-            followed = next(keeper for keeper in self.keepers if keeper.followers)
+            followed = self.wait_for_followed_keeper(2.0)
             followed.is_silent = True
             eventlet.sleep(3.3)
             followed.is_silent = False
