--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -78,7 +78,6 @@
         self.application = CallersApplication(
             entry, instance_id, clock, limits.body_seconds, self.large_bodies, dialect
         )
-        standing_log = StandingLog(self.services, clock)
         self.count_relayed: Callable[[], int] = int
         """Returns the number of connections that are open for other instances."""
         self.read_fleet_loads: Callable[[], tuple[float, int]] = lambda: (0.0, 0)
@@ -88,8 +87,8 @@
         """Set by the daemon of an entry that follows a keeper."""
         self.quota_calls: Mapping[tuple[str, str], int] = {}
         """Calls for quota by way and result; set by the daemon of an entry."""
-        retry_log = RetryLog(self.services, clock)
-        self.watch = Watch(self.services, self.forwarder, upstream, standing_log, retry_log, clock)
+        logs = (StandingLog(self.services, clock), RetryLog(self.services, clock))
+        self.watch = Watch(self.services, self.forwarder, upstream, logs, clock)
 
     def explain(self, request_id: RequestId) -> RequestRecord | None:
         """Return the record of a recent request at this instance, or None."""
--- a/packages/node/src/persimmonusher_node/retry_log.py
+++ b/packages/node/src/persimmonusher_node/retry_log.py
@@ -7,38 +7,27 @@
 
 from structlog import get_logger
 
+from persimmonusher_decisions.retries import WINDOW_SECONDS
 from persimmonusher_model.clock import Clock
+from persimmonusher_node.service_log import ServiceLog
 from persimmonusher_node.services import LiveService, ServiceBook
 
 INTERVAL_SECONDS: Final = 2.0
-IN_USE_SECONDS: Final = 10.0
-"""Services without requests for this long are skipped: there may be thousands of them."""
 
 _log = get_logger(__name__)
 
 
-class RetryLog:
+class RetryLog(ServiceLog):
     """Writes a `retry-budget` line for each service that wanted further attempts lately."""
 
     def __init__(self, services: ServiceBook, clock: Clock) -> None:
-        self._services = services
-        self._clock = clock
-        self._next_at = 0.0
+        super().__init__(services, clock, INTERVAL_SECONDS, WINDOW_SECONDS)
         self._written: WeakKeyDictionary[LiveService, Mapping[tuple[str, str], int]]
         self._written = WeakKeyDictionary()
         """The counts at the last line of each service."""
 
-    def write(self) -> None:
-        """Write the lines if `INTERVAL_SECONDS` have passed since the last time."""
-        now = self._clock.monotonic()
-        if now < self._next_at:
-            return
-        self._next_at = now + INTERVAL_SECONDS
-        for live in self._services:
-            if now - live.last_used < IN_USE_SECONDS:
-                self._write_service(live, now)
-
-    def _write_service(self, live: LiveService, now: float) -> None:
+    def write_service(self, live: LiveService, now: float) -> None:
+        """Write the line if a further attempt was wanted since the last one."""
         status = live.traffic.describe_retries(now)
         since = Counter(status.tally) - Counter(self._written.get(live, {}))
         if not since:
--- a/packages/node/src/persimmonusher_node/standing_log.py
+++ b/packages/node/src/persimmonusher_node/standing_log.py
@@ -8,6 +8,7 @@
 from persimmonusher_decisions.standing import Standing
 from persimmonusher_model.clock import Clock
 from persimmonusher_node.line_budget import LineBudget
+from persimmonusher_node.service_log import ServiceLog
 from persimmonusher_node.services import LiveService, ServiceBook
 
 INTERVAL_SECONDS: Final = 5.0
@@ -17,26 +18,15 @@
 _log = get_logger(__name__)
 
 
-class StandingLog:
+class StandingLog(ServiceLog):
     """Writes a `server-standings` line for each service in use with a server not in full use."""
 
     def __init__(self, services: ServiceBook, clock: Clock) -> None:
-        self._services = services
-        self._clock = clock
+        super().__init__(services, clock, INTERVAL_SECONDS, INTERVAL_SECONDS)
         self._lines = LineBudget(clock)
-        self._next_at = 0.0
 
-    def write(self) -> None:
-        """Write the lines if `INTERVAL_SECONDS` have passed since the last time."""
-        now = self._clock.monotonic()
-        if now < self._next_at:
-            return
-        self._next_at = now + INTERVAL_SECONDS
-        for live in self._services:
-            if now - live.last_used < INTERVAL_SECONDS:
-                self._write_service(live, now)
-
-    def _write_service(self, live: LiveService, now: float) -> None:
+    def write_service(self, live: LiveService, now: float) -> None:
+        """Write the line unless all servers of the service are in full use."""
         statuses = live.traffic.describe(now)
         partial = [status for status in statuses if status.standing is not Standing.IN_USE]
         if not partial or not self._lines.try_acquire():
--- a/packages/node/src/persimmonusher_node/watch.py
+++ b/packages/node/src/persimmonusher_node/watch.py
@@ -4,6 +4,7 @@
 requests end within one period and then cost nothing.
 """
 
+from collections.abc import Sequence
 from typing import Final
 
 from eventlet import sleep, spawn
@@ -14,9 +15,8 @@
 from persimmonusher_model.clock import Clock
 from persimmonusher_node.component import Component
 from persimmonusher_node.forwarding import Forwarder
-from persimmonusher_node.retry_log import RetryLog
+from persimmonusher_node.service_log import ServiceLog
 from persimmonusher_node.services import ServiceBook
-from persimmonusher_node.standing_log import StandingLog
 from persimmonusher_node.upstream import Upstream
 
 TICK_SECONDS: Final = 0.05
@@ -40,15 +40,13 @@
         services: ServiceBook,
         forwarder: Forwarder,
         upstream: Upstream,
-        standing_log: StandingLog,
-        retry_log: RetryLog,
+        logs: Sequence[ServiceLog],
         clock: Clock,
     ) -> None:
         self._services = services
         self._forwarder = forwarder
         self._upstream = upstream
-        self._standing_log = standing_log
-        self._retry_log = retry_log
+        self._logs = logs
         self._clock = clock
         self._thread: GreenThread | None = None
 
@@ -86,8 +84,8 @@
         if is_housekeeping:
             self._services.refresh_entry_count()
             self._upstream.expire()
-            self._standing_log.write()
-            self._retry_log.write()
+            for log in self._logs:
+                log.write()
         self._services.advance(self._forwarder.deliver_decision, is_housekeeping)
 
     def _end_expired_runs(self) -> None:
