--- a/packages/decisions/src/persimmonusher_decisions/retries.py
+++ b/packages/decisions/src/persimmonusher_decisions/retries.py
@@ -18,8 +18,9 @@
 MAX_SLACK_PER_INSTANCE: Final = 10.0
 """Largest slack of one instance, however few instances share the fleet's: enough for the requests
 in flight on a server that breaks."""
-MAX_GROWTH: Final = 1.25
-"""Growth of an instance's first attempts, from one window to the next, that earns further ones."""
+MAX_GROWTH_FACTOR: Final = 1.25
+"""Factor by which an instance's first attempts may grow from one window to the next and still
+count towards its budget."""
 CHANCE_DEVIATIONS: Final = 2.0
 """Standard deviations by which a small number of first attempts may exceed the one before it."""
 MIN_COMPARED_SECONDS: Final = 2.0
@@ -80,11 +81,11 @@
         self._forget(now)
         return sum(one.count for one in self._slices if one.begin > now - WINDOW_SECONDS)
 
-    def count_earning(self, now: float) -> float:
-        """Return those of the last window that earn further attempts.
+    def count_budgeted(self, now: float) -> float:
+        """Return those of the last window that count towards the budget.
 
-        Callers of an instance that is lost move to the others. If all of their requests earned
-        further attempts there, those that the lost instance has sent would be earned twice.
+        Callers of an instance that fails reconnect to the others. The failed instance may have sent
+        the further attempts that these callers' requests allow, so they don't count again at once.
         """
         recent = self.count(now)
         seconds_before = min(WINDOW_SECONDS, now - WINDOW_SECONDS - self._since)
@@ -92,7 +93,7 @@
             return recent
         before = sum(one.count for one in self._slices) - recent
         by_chance = before + CHANCE_DEVIATIONS * (sqrt(before) + 1.0)
-        most = max(MAX_GROWTH * before, by_chance) * WINDOW_SECONDS / seconds_before
+        most = max(MAX_GROWTH_FACTOR * before, by_chance) * WINDOW_SECONDS / seconds_before
         return min(recent, most)
 
     def _forget(self, now: float) -> None:
@@ -113,9 +114,9 @@
     fleet as a whole has room for dozens. A busy instance may spend the budget of its window at
     once: failures come in clusters, when a server breaks or begins to refuse.
 
-    What a process has spent is lost with it, and its successor runs within the same window. So for
-    the length of a window after its start, an instance uses a small part of its budget only; the
-    others leave room for that.
+    The counts are in memory only, so that a restarted process doesn't know what it sent in the
+    current window. For the length of a window after its start it uses STARTING_SHARE of its budget,
+    for which SHARED_SLACK_PART and the percentage leave room.
     """
 
     def __init__(self, percent: int, started: float = -inf, rank: float = 0.0) -> None:
@@ -193,8 +194,8 @@
     def _find_allowed(self, now: float) -> float:
         if not self._share:
             return 0.0
-        earned = self._find_used_share(now) * self._share * self._firsts.count_earning(now)
-        return self._find_slack(now) + earned
+        proportional = self._find_used_share(now) * self._share * self._firsts.count_budgeted(now)
+        return self._find_slack(now) + proportional
 
     def _find_slack(self, now: float) -> float:
         return self._find_used_share(now) * self._slack
--- a/packages/decisions/tests/test_traffic.py
+++ b/packages/decisions/tests/test_traffic.py
@@ -202,8 +202,7 @@
 
 
 class SharedSlotsTest(unittest.TestCase):
-    # Guards against an instance that keeps all slots of the service as its own after it learned of
-    # the other instances.
+    # Guards against an instance that goes on as if it had all slots of the service.
     def test_slots_are_shared_as_soon_as_the_other_instances_are_known(self) -> None:
         traffic = make_traffic(6, Profile())
         traffic.replace_entry_count(48)
--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -129,10 +129,10 @@
         super().send(data)
 
     def abort(self) -> None:
-        """Reset the connection, so that nothing of a request that is given up arrives later.
+        """Reset the connection, so that a cancelled request is not delivered later.
 
-        While the way to the server is cut, the kernel holds the bytes of a request and would
-        deliver them after a plain close too.
+        During a network partition the kernel buffers the request and retransmits it, also after an
+        ordinary close.
         """
         if self.sock is not None:
             with suppress(OSError):
--- a/packages/node/src/persimmonusher_node/ports.py
+++ b/packages/node/src/persimmonusher_node/ports.py
@@ -120,7 +120,7 @@
         return sum("entry" in instance.roles for instance in self.list_live())
 
     def is_entry_count_reliable(self) -> bool:
-        """Return whether the others count this instance, and it knows about how many there are."""
+        """Return whether `count_entries` is recent and not a first, incomplete count."""
         return True
 
 
--- a/packages/node/src/persimmonusher_node/tiers/entry_ports.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_ports.py
@@ -91,7 +91,7 @@
         return max(1, self._follower.entries)
 
     def is_entry_count_reliable(self) -> bool:
-        """Return whether keepers have told the number for some time, and lately."""
+        """Return whether keepers have reported the number for some time, and recently."""
         return self._follower.is_count_reliable
 
 
--- a/packages/node/tests/test_abandoned_attempts.py
+++ b/packages/node/tests/test_abandoned_attempts.py
@@ -1,4 +1,4 @@
-"""What is left on the way to a backend server of a request that its instance has given up."""
+"""How the connections of requests end that their instance no longer waits for."""
 
 import socket
 import unittest
@@ -32,8 +32,7 @@
                 return
             eventlet.sleep(0.01)
 
-    # Guards against requests that a cut way holds back and delivers to the server after their
-    # instance has given them up: a reset drops what the kernel still holds.
+    # Guards against requests that reach a server after their instance stopped waiting for them.
     def test_a_request_whose_deadline_passed_is_not_delivered_later(self) -> None:
         answer = self.call(headers={"Persimmonusher-Deadline-Ms": "200"})
         self.wait_until_ended(1)
--- a/packages/node/tests/test_every_byte.py
+++ b/packages/node/tests/test_every_byte.py
@@ -91,14 +91,13 @@
 
 
 class EveryByteOfTheHeadTest(EntryTestCase):
-    """Answers may end with their connection, so that a cut one has to be told by its head."""
+    """Answers may end with their connection, as in deployments that accept unframed answers."""
 
     server_names = ("s1",)
     profile = PROFILE.model_copy(update={"max_retries": 0, "retry_budget_percent": 0})
     dialect = Dialect(accepts_unframed=True)
 
-    # Guards against a 200 with an empty or short body, framed as whole, made of an answer whose
-    # server closed in the middle of its head.
+    # Guards against a success made of an answer whose server closed in the middle of its head.
     def test_an_answer_whose_head_is_cut_anywhere_is_never_a_success(self) -> None:
         for raw in (WITH_LENGTH, WITHOUT_BODY, IN_CHUNKS, UNTIL_CLOSE, AFTER_INTERIM):
             for method in ("GET", "POST"):
@@ -111,8 +110,7 @@
                             answer = self.call(method, target, connection=connection)
                             self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
 
-    # Guards against the rest of such an answer, or the next one, reaching the wrong request of a
-    # caller that sends several ahead.
+    # Guards against an answer that is given to the wrong one of two pipelined requests.
     def test_the_next_request_of_the_connection_gets_its_own_answer(self) -> None:
         second = f"GET /b HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n\r\n"
         for raw in (WITH_LENGTH, UNTIL_CLOSE):
--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -142,8 +142,7 @@
         self.assertFalse(self.is_reliable_after(COUNT_SETTLE_SECONDS - 0.1))
         self.assertTrue(self.is_reliable_after(0.1))
 
-    # Guards against an entry that uses its part of the fleet's allowances after the others, whose
-    # keepers count it no more, have shared these out among themselves.
+    # Guards against slack that is used both by an entry without a keeper and by the others.
     def test_the_count_of_a_keeper_that_was_lost_long_ago_is_not_relied_on(self) -> None:
         self.follower.apply_update(control_pb2.FollowUpdate(majority_age_ms=1, entries=40))
         self.assertTrue(self.is_reliable_after(ENTRIES_MEMORY_SECONDS))
--- a/packages/node/tests/test_retry_bound.py
+++ b/packages/node/tests/test_retry_bound.py
@@ -27,13 +27,13 @@
         self.assertGreater(len(self.fleet.further), 60)
         self.assertLessEqual(self.fleet.find_excess(), 0.0)
 
-    # Guards against a bound that a fleet in which nothing else happens exceeds.
+    # Guards against a budget that is too large even while no entry starts or stops.
     def test_a_calm_fleet_keeps_the_bound(self) -> None:
         self.begin_refusing()
         self.fleet.run(15.0)
         self.check()
 
-    # Guards against processes that start with a whole budget after their former ones spent theirs.
+    # Guards against a second budget for entries that are killed and start again.
     def test_killed_entries_that_start_again_keep_the_bound(self) -> None:
         self.begin_refusing()
         self.fleet.run(2.0)
@@ -49,7 +49,7 @@
         self.fleet.run(12.0)
         self.check()
 
-    # Guards against the same where all entries are stopped and started in turn.
+    # Guards against a second budget for entries that are stopped and started in turn.
     def test_a_rolling_restart_keeps_the_bound(self) -> None:
         self.begin_refusing()
         for first in range(0, 40, 4):
@@ -83,7 +83,7 @@
         self.fleet.run(12.0)
         self.check()
 
-    # Guards against entries that earn again what lost ones have spent, once their callers move.
+    # Guards against a second budget for the requests of callers whose entry was lost.
     def test_callers_that_move_to_the_remaining_entries_keep_the_bound(self) -> None:
         self.begin_refusing(rate=400.0)
         self.fleet.run(3.0)
--- a/packages/node/tests/virtual_retries.py
+++ b/packages/node/tests/virtual_retries.py
@@ -108,7 +108,7 @@
 
 
 class Entry:
-    """One entry's process: its services, and what its keeper has told it."""
+    """One entry's process: its services, and the number of entries that its keeper reported."""
 
     def __init__(self, fleet: Fleet, number: int, counted: int) -> None:
         self._fleet = fleet
