Show by a request's id what a stop did to it

A request that the end of a stop cut off was logged as answer-timeout, like one whose deadline passed; nothing said that a stop was going on, and requests that a stop refused left no line. Now each request that a stop meets has steps that say when it came and how much time was left, those that are cut off have the code stop-ended, and stop-effects counts all. Which requests are refused or cut off is unchanged.

--- a/packages/ctl/src/persimmonusher_ctl/request_story.py
+++ b/packages/ctl/src/persimmonusher_ctl/request_story.py
@@ -32,6 +32,8 @@
     "configuration_age",
     "told_by",
     "told_age",
+    "in_flight",
+    "whole",
 )
 CLOSING_EVENTS: Final = frozenset({"server-limit", "server-rest"})
 """Events that close a server to an instance. They are matched by service, since a request for which
@@ -54,6 +56,12 @@
     "quarantined": "the same request had broken several servers",
 }
 """Explanation of each reason that a request's last log line may give."""
+CAUSES_BY_CODE: Final = {
+    "stop-ended": "its instance stopped before its server answered: the outcome is unknown",
+    "stopping": "its instance was about to stop, and another one could serve it",
+}
+"""Explanation of codes that say more than the last reason."""
+_CODE: Final = re.compile(r"\((?P<code>[a-z-]+)\)$")
 
 
 _REASONS_AFTER_ATTEMPTS: Final = frozenset({"retry-budget", "retries-exhausted"})
@@ -180,4 +188,6 @@
     if reason in _REASONS_AFTER_ATTEMPTS and line.text("result").startswith("not-run"):
         reason = "overload"
     ended = f"status {line.text('status')}, {line.text('result')}"
-    return f"{ended}: {CAUSES.get(reason, reason)}"
+    code = _CODE.search(line.text("result"))
+    cause = CAUSES_BY_CODE.get(code["code"]) if code else None
+    return f"{ended}: {cause or CAUSES.get(reason, reason)}"
--- a/packages/ctl/tests/test_request_story.py
+++ b/packages/ctl/tests/test_request_story.py
@@ -58,6 +58,34 @@
 
 
 class RequestStoryTest(unittest.TestCase):
+    # Guards against an explanation that blames the server for a request that a stop cut off.
+    def test_a_request_that_a_stop_cut_off_is_explained_by_the_stop(self) -> None:
+        steps = [
+            "0.0001 dispatch s1: attempt 1",
+            "1.9 stop: cut-off, 5.20 s after the signal, 0.00 s left",
+            "1.9 outcome s1: timeout",
+        ]
+        lines = [
+            make_line(20.0, "entry-1", "stopping", in_flight=3),
+            make_line(
+                25.0,
+                "entry-1",
+                "request",
+                request_id="mine",
+                status=504,
+                result="unknown (stop-ended)",
+                reason="timeout",
+                seconds=1.9,
+                steps=steps,
+            ),
+        ]
+        timeline = build_timeline("mine", lambda: read(lines))
+        assert timeline is not None
+        self.assertIn("its instance stopped before its server answered", timeline.cause)
+        self.assertEqual(
+            [entry.what for entry in timeline.lines], ["stopping", "dispatch", "stop", "outcome"]
+        )
+
     def test_servers_that_asked_for_less_stand_beside_a_request_that_none_took(self) -> None:
         lines = [
             make_line(20.0, "entry-1", "server-rest", server="s1", service="v", seconds=3.0),
--- a/packages/node/src/persimmonusher_node/answers.py
+++ b/packages/node/src/persimmonusher_node/answers.py
@@ -53,6 +53,7 @@
     ANSWER_BROKEN = "answer-broken"
     CALLER_LEFT = "caller-left"
     STOPPING = "stopping"
+    STOP_ENDED = "stop-ended"
     INTERNAL = "internal"
 
 
@@ -101,6 +102,7 @@
     AnswerCode.ANSWER_BROKEN: ErrorForm(502, _UNKNOWN, 1.0),
     AnswerCode.CALLER_LEFT: ErrorForm(499, _UNKNOWN),
     AnswerCode.STOPPING: ErrorForm(503, _NOT_RUN, 1.0),
+    AnswerCode.STOP_ENDED: ErrorForm(504, _UNKNOWN, 1.0),
     AnswerCode.INTERNAL: ErrorForm(500, _UNKNOWN, 1.0),
 }
 
--- a/packages/node/src/persimmonusher_node/caller_reader.py
+++ b/packages/node/src/persimmonusher_node/caller_reader.py
@@ -56,6 +56,10 @@
             # The caller has already closed the connection.
             return
 
+    def end(self) -> None:
+        """Read nothing more from the connection; bytes that were read ahead are still returned."""
+        self._ended = True
+
     def has_caller_left(self) -> bool:
         """Return, without waiting, whether the caller has closed its connection."""
         if self.is_shut:
--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -25,7 +25,7 @@
 from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.logs import describe_freshness
 from persimmonusher_node.protocol import ENVIRON_KEY, HttpProtocol
-from persimmonusher_node.services import LiveService, RoutedService
+from persimmonusher_node.services import RoutedService
 
 HEALTH_PATH: Final = "/.persimmonusher/health"
 """The platform's balancer checks this path. A 503 makes it send no more callers here: while the
@@ -35,8 +35,6 @@
 MAX_DEADLINE_MS: Final = 600_000
 """As in profiles; also bounds how long a graceful stop may take."""
 MAX_NAME_LENGTH: Final = 64
-DEFAULT_TARGET_SECONDS: Final = 1.0
-"""Assumed time to answer a request whose route states no target, for `_check_time_left`."""
 STARTUP_WAIT_SECONDS: Final = 0.7
 """Longest wait for the first configuration after a start: enough for an election and the transfer.
 Callers that abandon a connection do so after a second."""
@@ -88,10 +86,6 @@
         self._sequence = count(1)
         self._startup_waiters = 0
         self._lines = LineBudget(clock)
-        self.stopping = False
-        """Whether the health path answers 503."""
-        self.cut_off_at: float | None = None
-        """Monotonic time at which a stop cuts off the requests in flight; None if it doesn't."""
         self.count_connections: Callable[[], int] = int
         """Returns the number of open connections from callers."""
 
@@ -122,7 +116,9 @@
         return self._large_bodies.write(answer, body, is_bodyless, protocol, request_id)
 
     def _answer_health(self, start_response: Callable[..., Any]) -> Iterable[bytes]:
-        state = "stopping" if self.stopping else "ok" if self._entry.is_ready() else "starting"
+        state = "ok" if self._entry.is_ready() else "starting"
+        if self._entry.is_stopping:
+            state = "stopping"
         status = 200 if state == "ok" else 503
         body = f'{{"status": "{state}"}}\n'.encode()
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
@@ -167,7 +163,6 @@
             routed.rule,
             identity,
         )
-        self._check_time_left(call, live)
         return self._entry.handle(call, live)
 
     def _identify(
@@ -208,18 +203,6 @@
             return CallerId(read_name(environ, self._dialect.caller, request_id))
         return CallerId(UNNAMED) if identity.organisation is None else identity.organisation.name
 
-    def _check_time_left(self, call: Call, live: LiveService) -> None:
-        """Refuse a request that a stop would probably cut off; another instance can serve it."""
-        if self.cut_off_at is None:
-            return
-        target_seconds = (
-            DEFAULT_TARGET_SECONDS if call.rule is None else call.rule.target_ms / 1000.0
-        )
-        needed_seconds = min(target_seconds, call.find_allowed_ms(live.profile) / 1000.0)
-        if self._clock.monotonic() + needed_seconds > self.cut_off_at:
-            message = "this instance stops before the request could be answered"
-            raise RefusedCall(make_error(AnswerCode.STOPPING, message, call.request_id))
-
     def _wait_for_configuration(self) -> None:
         """Wait a short time for the first configuration after a start.
 
--- a/packages/node/src/persimmonusher_node/daemon.py
+++ b/packages/node/src/persimmonusher_node/daemon.py
@@ -65,9 +65,7 @@
             _log.info("started", **listen.model_dump())
             stop.wait()
             forwarder = self.plane.forwarder
-            return GracefulStop(
-                settings, self.plane.application, callers, forwarder, self._clock
-            ).run()
+            return GracefulStop(settings, callers, forwarder, self._clock).run()
 
     def _start_grpc(self, stack: ExitStack) -> None:
         components = self._components
--- a/packages/node/src/persimmonusher_node/entry.py
+++ b/packages/node/src/persimmonusher_node/entry.py
@@ -54,6 +54,11 @@
         """
         return self._services.is_configured()
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether a stop of this instance has begun."""
+        return self._forwarder.stop.is_stopping
+
     def find(self, host: str, path: str) -> RoutedService | None:
         """Return the service that a request is for and the rule of its route, or None."""
         return self._services.match(host, path)
@@ -81,6 +86,9 @@
 
     def handle(self, call: Call, live: LiveService) -> Answer:
         """Answer a whole request within its organisation's quota; waits for the answer."""
+        refusal = self._forwarder.refuse_late(call, live)
+        if refusal is not None:
+            return refusal
         organisation = call.organisation
         if organisation is None or organisation.quota is None:
             return self._forward(call, live)
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -38,9 +38,13 @@
 from persimmonusher_node.records import RecordRing, RequestRecord
 from persimmonusher_node.runs import Run
 from persimmonusher_node.services import LiveService, ServiceBook
+from persimmonusher_node.stop_progress import STOP_STEP, StopEffect, StopProgress
 from persimmonusher_node.streams import AnswerStream
 from persimmonusher_node.upstream import AttemptError, Upstream
 
+DEFAULT_TARGET_SECONDS: Final = 1.0
+"""Assumed time to answer a request whose route states no target, while the instance stops."""
+
 
 class Forwarder:
     """Forwards each request in the green thread of its caller's connection."""
@@ -55,6 +59,7 @@
         note_draining: Callable[[BackendServer], None],
         dialect: Dialect = OWN_DIALECT,
     ) -> None:
+        self.stop = StopProgress(clock)
         self._dialect = dialect
         self._services = services
         self._records = records
@@ -76,9 +81,42 @@
         """List the requests in flight."""
         return list(self._runs.values())
 
+    def begin_stop(self, stop_seconds: float | None) -> None:
+        """Begin a stop, which ends what is left after `stop_seconds`, or doesn't for None."""
+        self.stop.begin(stop_seconds)
+        for run in self._runs.values():
+            self._note_stop(run, StopEffect.IN_FLIGHT)
+
+    def cut_off(self) -> None:
+        """End the requests in flight, as the stop has no time left for them."""
+        for run in self.list_runs():
+            run.is_cut_off = True
+            self._note_stop(run, StopEffect.CUT_OFF)
+            run.stop(OutcomeKind.TIMEOUT)
+
+    def refuse_late(self, call: Call, live: LiveService) -> Answer | None:
+        """Return the refusal of a request that a stop would probably cut off, else None."""
+        left = self.stop.seconds_left
+        if left is None or not self.stop.is_closed:
+            return None
+        target_seconds = (
+            DEFAULT_TARGET_SECONDS if call.rule is None else call.rule.target_ms / 1000.0
+        )
+        needed = min(target_seconds, call.find_allowed_ms(live.profile) / 1000.0)
+        if needed <= left:
+            return None
+        run = self._start(call, live)
+        self._note_stop(run, StopEffect.REFUSED, f", {needed:.2f} s needed")
+        message = "this instance stops before the request could be answered"
+        answer = make_error(AnswerCode.STOPPING, message, call.request_id)
+        self._end(run, answer)
+        return answer
+
     def forward(self, call: Call, live: LiveService) -> Answer:
         """Return the answer to a request; blocks until there is one."""
         run = self._start(call, live)
+        if self.stop.is_stopping:
+            self._note_stop(run, StopEffect.ARRIVED)
         answer: Answer | None = None
         try:
             answer = self._carry_out(run, live.traffic.offer(run.request, self._clock.monotonic()))
@@ -87,6 +125,12 @@
             if answer is None or answer.stream is None:
                 self._end(run, answer)
 
+    def _note_stop(self, run: Run, effect: StopEffect, detail: str = "") -> None:
+        """Record what a stop does to a request, on its record and in the stop's counts."""
+        reason = f"{effect.value}, {self.stop.describe()}{detail}"
+        run.record.add_note(STOP_STEP, reason, self._clock.monotonic(), effect.value)
+        self.stop.count(effect, run.request.request_id)
+
     def deliver_decision(self, live: LiveService, decision: Decision) -> None:
         """Pass a later decision to the queued request that waits for it."""
         run = self._runs.get(decision.request.request_id)
@@ -190,7 +234,11 @@
             known_outcome = None if run.may_have_run else CallerOutcome.NOT_RUN
             if result.kind in NOT_RUN_KINDS and run.may_have_run:
                 known_outcome = CallerOutcome.UNKNOWN
-            return make_error(result.code, str(result), run.call.request_id, outcome=known_outcome)
+            code, message = result.code, str(result)
+            if run.is_cut_off and code is AnswerCode.ANSWER_TIMEOUT:
+                code = AnswerCode.STOP_ENDED
+                message = "this instance stopped before the answer came; the request may have run"
+            return make_error(code, message, run.call.request_id, outcome=known_outcome)
         if classify_answer(result, self._dialect) in NOT_RUN_KINDS:
             known_outcome = CallerOutcome.UNKNOWN if run.may_have_run else CallerOutcome.NOT_RUN
             message = "the backend server refused the request without running it"
@@ -232,6 +280,8 @@
         """Answer a request that was stopped while it waited."""
         known_outcome = CallerOutcome.UNKNOWN if run.may_have_run else CallerOutcome.NOT_RUN
         code = AnswerCode.DEADLINE if run.stopped is OutcomeKind.TIMEOUT else AnswerCode.CALLER_LEFT
+        if run.is_cut_off:
+            code = AnswerCode.STOPPING
         message = "the request was stopped while it waited for a backend server"
         return make_error(code, message, run.call.request_id, outcome=known_outcome)
 
--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -61,6 +61,8 @@
 
     limits: ListenerLimits
     draining: bool = False
+    unread_connections: int = 0
+    """Connections that were closed because of a stop, with bytes from the caller left unread."""
 
 
 class HttpListener:
@@ -103,6 +105,11 @@
         """Return the number of open connections."""
         return len(self._connections)
 
+    @property
+    def unread_connections(self) -> int:
+        """Return how many connections a stop closed with bytes from the caller left unread."""
+        return self._server.unread_connections
+
     def replace_limits(self, limits: ListenerLimits) -> None:
         """Replace the limits; a wait in progress on a connection keeps its old time-out."""
         self._limits = limits
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -24,6 +24,7 @@
 from persimmonusher_node.configuration_ages import ConfigurationAges
 from persimmonusher_node.observer import FinishedRequest, RequestObserver
 from persimmonusher_node.retry_metrics import RetryMetrics
+from persimmonusher_node.stop_progress import STOP_STEP
 
 CLASSES_PER_SERVICE: Final = 16
 OTHER_CLASS: Final = "other"
@@ -32,6 +33,8 @@
 ADDED_BUCKETS: Final = (0.0005, 0.001, 0.002, 0.003, 0.0045, 0.0059, 0.01, 0.02, 0.05, 0.2, 1.0)
 """Seconds. Dense around 5.9 ms, the bound on the time that an instance may add to 99 requests in
 100."""
+SUMMARIZED_STEPS: Final = frozenset({"dispatch", STOP_STEP})
+"""Steps whose reasons have too many values for a label."""
 
 
 @dataclass(frozen=True)
@@ -162,7 +165,7 @@
         code = "" if finished.code is None else finished.code.value
         self._request_tally[record.service, finished.outcome.value, code] += 1
         for step in record.steps:
-            reason = step.summary if step.step == "dispatch" else step.reason
+            reason = step.summary if step.step in SUMMARIZED_STEPS else step.reason
             self._step_tally[record.service, step.step, reason] += 1
 
     def render(self) -> bytes:
--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -157,19 +157,28 @@
         if self.has_unread_bytes or (
             self.closes_after_answer and not self.reader.has_caller_left()
         ):
-            self._linger()
+            left = self._linger()
+            if self.closes_after_answer and (left < LINGER_BYTES or self._has_read_ahead()):
+                self.server.unread_connections += 1
         super().finish()
 
-    def _linger(self) -> None:
+    def _linger(self) -> int:
+        """Read until the caller's end of the connection; return how much of the limit is left."""
+        left = LINGER_BYTES
         try:
             self.wfile.flush()
             self.connection.shutdown(socket.SHUT_WR)
             with eventlet.Timeout(LINGER_SECONDS, False):
-                left = LINGER_BYTES
                 while left > 0 and (data := self.connection.recv(65_536)):
                     left -= len(data)
         except OSError:
-            return
+            return left
+        return left
+
+    def _has_read_ahead(self) -> bool:
+        """Return whether bytes of a further request were read and not used."""
+        self.reader.end()
+        return bool(self.rfile.peek(1))
 
     def _wait_for_bytes(self) -> bytes:
         if self.has_had_request and self.reader.has_caller_left():
--- a/packages/node/src/persimmonusher_node/records.py
+++ b/packages/node/src/persimmonusher_node/records.py
@@ -22,7 +22,7 @@
     reason: str
     server: ServerId | None = None
     summary: str = ""
-    """For a dispatch: the label under which metrics count it, one of a few values."""
+    """For a dispatch or a stop: the label under which metrics count it, one of a few values."""
 
 
 @dataclass
@@ -67,9 +67,12 @@
         step = DecisionStep(now - self.arrived, "outcome", outcome.kind.value, server)
         self.steps.append(step)
 
-    def add_note(self, step: str, reason: str, now: float) -> None:
-        """Append a step that is not a decision, such as the caller's departure."""
-        self.steps.append(DecisionStep(now - self.arrived, step, reason))
+    def add_note(self, step: str, reason: str, now: float, summary: str = "") -> None:
+        """Append a step that is not a decision, such as the caller's departure.
+
+        Metrics count it under `summary`, where one is given.
+        """
+        self.steps.append(DecisionStep(now - self.arrived, step, reason, summary=summary))
 
 
 def describe_asked(dispatch: Dispatch) -> str:
--- a/packages/node/src/persimmonusher_node/runs.py
+++ b/packages/node/src/persimmonusher_node/runs.py
@@ -42,6 +42,8 @@
         """Attempt number of the hedged copy; 1 where none was sent."""
         self.has_winner = False
         """Whether one copy of a hedged request has won."""
+        self.is_cut_off = False
+        """Whether the end of a stop ended the request."""
         self.caller_left = False
         """Whether the caller was seen to have left."""
         self._release: Event | None = None
--- a/packages/node/src/persimmonusher_node/shutdown.py
+++ b/packages/node/src/persimmonusher_node/shutdown.py
@@ -13,13 +13,13 @@
 from eventlet.event import Event
 from structlog import get_logger
 
-from persimmonusher_decisions.work import OutcomeKind
 from persimmonusher_model.clock import Clock
-from persimmonusher_node.callers import MAX_DEADLINE_MS, CallersApplication
+from persimmonusher_node.callers import MAX_DEADLINE_MS
 from persimmonusher_node.forwarding import Forwarder
 from persimmonusher_node.listener import HttpListener
 from persimmonusher_node.relay_listener import RelayListener
 from persimmonusher_node.settings import Settings
+from persimmonusher_node.stop_progress import StopEffect
 
 POLL_SECONDS: Final = 0.05
 LAST_ANSWERS_SECONDS: Final = 0.2
@@ -67,7 +67,6 @@
     def __init__(
         self,
         settings: Settings,
-        application: CallersApplication,
         listener: HttpListener,
         forwarder: Forwarder,
         clock: Clock,
@@ -75,47 +74,50 @@
     ) -> None:
         self._relay = relay
         self._settings = settings
-        self._application = application
         self._listener = listener
         self._forwarder = forwarder
         self._clock = clock
-        self._signalled_at = clock.monotonic()
 
     def run(self) -> bool:
         """Carry out the stop; return True if no connection had to be cut off."""
-        self._signalled_at = self._clock.monotonic()
-        self._application.stopping = True
+        self._forwarder.begin_stop(self._settings.stop_seconds)
         self._listener.close_after_answers()
         if self._relay is not None:
             self._relay.stopping = True
         _log.info("stopping", in_flight=self._forwarder.in_flight)
         eventlet.sleep(self._settings.stop_delay_seconds)
         self._listener.stop_accepting()
-        if self._settings.stop_seconds is not None:
-            self._application.cut_off_at = self._signalled_at + self._settings.stop_seconds
+        self._forwarder.stop.is_closed = True
         started = self._clock.monotonic()
         is_idle = self._listener.wait_until_idle(lambda: self._is_overdue(started))
         if not is_idle:
             self._answer_overdue()
-            _log.warning("cut off callers that neither sent nor read")
             self._listener.abort()
         if self._relay is not None:
             self._relay.wait_until_idle(lambda: self._is_overdue(started))
+        self._log_effects(is_idle)
         return is_idle
 
+    def _log_effects(self, is_idle: bool) -> None:
+        """Log what the stop did to requests and connections, as a warning if it cut any off."""
+        progress = self._forwarder.stop
+        counts = {effect.name.lower(): progress.counts[effect] for effect in StopEffect}
+        counts["unread"] = self._listener.unread_connections
+        write = _log.info if is_idle else _log.warning
+        write("stop-effects", **counts, cut_off_ids=progress.cut_off_ids, seconds=progress.seconds)
+
     def _answer_overdue(self) -> None:
         """Answer the requests that no server answered: a timeout says more than a reset."""
-        for run in self._forwarder.list_runs():
-            run.stop(OutcomeKind.TIMEOUT)
+        self._forwarder.cut_off()
         until = self._clock.monotonic() + LAST_ANSWERS_SECONDS
         self._listener.wait_until_idle(lambda: self._clock.monotonic() > until)
 
     def _is_overdue(self, started: float) -> bool:
-        stop_seconds = self._settings.stop_seconds
-        if stop_seconds is not None:
+        left = self._forwarder.stop.seconds_left
+        if left is not None:
             # The supervisor kills the process soon after this, and its callers would not even get
             # a reset.
-            return self._clock.monotonic() - self._signalled_at > stop_seconds
+            return left < 0.0
         limits = self._settings.limits
         grace = limits.head_seconds + limits.body_seconds + limits.write_seconds
         waited = self._clock.monotonic() - started
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -180,9 +180,8 @@
             callers.start()
             _log.info("started", role=settings.role.value, **listen.model_dump())
             stop.wait()
-            whole = GracefulStop(
-                settings, application, callers, self.plane.forwarder, self._clock, relay
-            ).run()
+            forwarder = self.plane.forwarder
+            whole = GracefulStop(settings, callers, forwarder, self._clock, relay).run()
         _log.info("stopped", whole=whole)
         return whole
 
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -24,10 +24,9 @@
     stall,
 )
 from lone_instance import HOST
+from stopping_entry import StoppingEntryTestCase
 
-from persimmonusher_node.clock import SystemClock
 from persimmonusher_node.settings import Limits, Listeners, Settings
-from persimmonusher_node.shutdown import GracefulStop
 
 SCRIPT = Path(__file__).with_name("lone_instance.py")
 NUMBERS = itertools.count(1)
@@ -62,25 +61,7 @@
         self.assertEqual(len(self.ran), 1)
 
 
-class StoppingEntryTestCase(EntryTestCase):
-    server_names = ("s1",)
-
-    def make_stop(self, stop_seconds: float) -> GracefulStop:
-        settings = Settings(
-            instance_id="e1",
-            failure_domain="a",
-            listen=Listeners(**dict.fromkeys(Listeners.model_fields, "127.0.0.1:0")),
-            peer_token="secret",
-            stop_delay_seconds=0.2,
-            stop_seconds=stop_seconds,
-        )
-        return GracefulStop(
-            settings, self.plane.application, self.listener, self.plane.forwarder, SystemClock()
-        )
-
-
 class LateRequestTest(StoppingEntryTestCase):
-
     # Guards against accepting a request that the end of the stop would cut off.
     def test_a_request_for_which_no_time_is_left_is_refused_at_once(self) -> None:
         self.script(stall(0.8, answer(b"first")), stall(2.0, answer(b"second")))
