Red: requests that a stop passes on and cuts off

Four tests that fail on this code. One entry: a request whose whole time is longer than what the stop leaves is passed on; an answer written after the signal promises to keep its connection; a request whose head arrives as idle connections are shut is answered 400.

--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -26,8 +26,10 @@
 from lone_instance import HOST
 from stopping_entry import StoppingEntryTestCase
 
+from persimmonusher_node.dialect import OWN_DIALECT
 from persimmonusher_node.settings import Limits, Listeners, Settings
 
+DEADLINE = OWN_DIALECT.deadline
 SCRIPT = Path(__file__).with_name("lone_instance.py")
 NUMBERS = itertools.count(1)
 LIMITS = Limits(head_seconds=1.0, body_seconds=1.0, write_seconds=1.0)
@@ -76,6 +78,38 @@
         self.assertEqual([heard.target for heard in self.ran], ["/1"])
         self.assertTrue(stopping.wait())
 
+    # Guards against a request that is passed on although the stop may end before its answer comes.
+    def test_a_request_that_may_outlast_the_stop_is_not_passed_on(self) -> None:
+        self.script(stall(2.0, answer(b"too late")))
+        connection = self.connect()
+        connection.connect()
+        eventlet.sleep(0.05)
+        self.plane.forwarder.begin_stop(1.5)
+        self.plane.forwarder.stop.is_closed = True
+        reply = self.call("POST", "/1", headers={DEADLINE: "8000"}, connection=connection)
+        self.assertEqual((reply.status, reply.outcome), (503, "not-run"))
+        self.assertEqual(self.ran, [])
+
+    # Guards against refusing a request for which the stop leaves all the time that it may take.
+    def test_a_request_that_ends_before_the_stop_is_passed_on(self) -> None:
+        self.script(answer(b"in time"))
+        self.plane.forwarder.begin_stop(1.5)
+        self.plane.forwarder.stop.is_closed = True
+        reply = self.call("POST", "/1", headers={DEADLINE: "1000"})
+        self.assertEqual(reply.body, b"in time")
+
+
+class AnnouncedCloseTest(StoppingEntryTestCase):
+    # Guards against an answer that promises, after the signal, to keep its connection open.
+    def test_an_answer_written_during_a_stop_announces_the_close(self) -> None:
+        self.script(stall(0.4, answer(b"lodged")))
+        waiting = eventlet.spawn(self.call, "POST", "/1")
+        eventlet.sleep(0.1)
+        stopping = eventlet.spawn(self.make_stop(3.0).run)
+        reply = waiting.wait()
+        self.assertEqual((reply.body, reply.headers.get("connection")), (b"lodged", "close"))
+        self.assertTrue(stopping.wait())
+
 
 class SwallowedRequestTest(StoppingEntryTestCase):
     # Guards against a reset instead of an answer for a request that a server never answers.
@@ -89,6 +123,31 @@
         self.assertEqual((reply.status, reply.outcome), (504, "unknown"))
 
 
+class SplitRequestTest(EntryTestCase):
+    # Guards against a close of idle connections that cuts a request of which a part has arrived.
+    def test_a_request_that_begins_to_arrive_as_the_listener_closes_is_read_whole(self) -> None:
+        plain = eventlet.patcher.original("socket")
+        accept_last = self.listener._accept_pending
+        with plain.create_connection(("127.0.0.1", self.listener.port)) as caller:
+            eventlet.sleep(0.1)
+
+            def send_head_after_the_last_accept() -> None:
+                self.listener._accept_pending = accept_last  # type: ignore[method-assign]
+                accept_last()
+                caller.sendall(
+                    f"POST /e HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 4\r\n\r\n".encode()
+                )
+
+            self.listener._accept_pending = send_head_after_the_last_accept  # type: ignore[method-assign]
+            self.listener.stop_accepting()
+            eventlet.sleep(0.1)
+            caller.sendall(b"body")
+            eventlet.sleep(0.1)
+            caller.settimeout(5.0)
+            self.assertTrue(caller.recv(65_536).startswith(b"HTTP/1.1 200 "))
+        self.assertEqual([heard.body for heard in self.ran], [b"body"])
+
+
 class AcceptGapTest(EntryTestCase):
     def test_no_caller_is_let_in_between_the_last_accept_and_the_close(self) -> None:
         """A caller connects and sends a request just after the stop's last accept.
