Announce the close of a stop when the answer is written

What callers saw: an answer written after SIGTERM to a request read before it promised to keep its connection; the caller's next request came seconds later, was passed on and cut off, or met the close. Cause: the close was decided as a request was read and not again when the answer's head took effect. Now it is decided as the answer begins. test_an_answer_written_during_a_stop_announces_the_close failed before.

--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -16,7 +16,7 @@
 
 from persimmonusher_node.caller_reader import CallerReader
 from persimmonusher_node.connection_filter import drop_new_connections
-from persimmonusher_node.protocol import LAST_REQUEST_SECONDS, HttpProtocol
+from persimmonusher_node.protocol import ENVIRON_KEY, LAST_REQUEST_SECONDS, HttpProtocol
 
 WsgiApplication: TypeAlias = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -85,7 +85,7 @@
         self._server = LimitedServer(
             self._socket,
             self._socket.getsockname(),
-            application,
+            announce_closes(application),
             protocol=HttpProtocol,
             max_http_version="HTTP/1.1",
             log_output=False,
@@ -202,6 +202,19 @@
             state[1].close()
 
 
+def announce_closes(application: WsgiApplication) -> WsgiApplication:
+    """Return the application with answers that announce the close of a stop as they are written."""
+
+    def answer(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
+        def begin(*arguments: Any) -> Any:
+            environ[ENVIRON_KEY].announce_close()
+            return start_response(*arguments)
+
+        return application(environ, begin)
+
+    return answer
+
+
 def bind(address: str) -> socket.socket:
     """Listen on an `ip:port`; raise an OSError that names the address if that fails."""
     host, _, port = address.rpartition(":")
--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -88,13 +88,19 @@
         """Make the WSGI environment; called once the head is read."""
         self._stop_head_timer()
         self.has_had_request = True
-        if self.server.draining and not self.close_connection:
-            self.close_connection = 1
-            self.closes_after_answer = True
         environ: dict[str, Any] = super().get_environ()
         environ[ENVIRON_KEY] = self
         return environ
 
+    def announce_close(self) -> None:
+        """Close the connection after this answer if the listener stops; call it before the head.
+
+        The answer that is written announces it, also to a request that was read before the stop.
+        """
+        if self.server.draining and not self.close_connection:
+            self.close_connection = 1
+            self.closes_after_answer = True
+
     def parse_request(self) -> bool:
         """Parse the head; refuse one that is too long, malformed or ambiguously framed."""
         if not super().parse_request():
