A stop shuts no connection on which a request has begun to arrive

What callers saw: a request whose head arrived as the listener closed, its body a moment later, was answered 400. Cause: a connection counted as idle until its green thread had run, and was shut for reading, which cut the request in two.

--- a/packages/node/src/persimmonusher_node/caller_reader.py
+++ b/packages/node/src/persimmonusher_node/caller_reader.py
@@ -6,6 +6,8 @@
 
 from eventlet.patcher import original
 
+from persimmonusher_node.sockets import Pending, peek
+
 MAX_READ_AHEAD_BYTES: Final = 65_536
 """Most bytes kept of requests that a caller sends early: several heads of the largest size.
 The kernel buffers what a caller sends beyond it; while the kernel has room for that, a departure of
@@ -47,8 +49,10 @@
             return len(taken)
         return 0 if self._ended else self._connection.recv_into(buffer)
 
-    def shut(self) -> None:
-        """Shut down reading; bytes that have arrived are still read, followed by the end."""
+    def shut_if_silent(self) -> None:
+        """Shut down reading if no byte waits to be read, so that no request is cut in two."""
+        if self._buffered or peek(self._connection) is Pending.BYTES:
+            return
         self.is_shut = True
         try:
             self._connection.shutdown(socket.SHUT_RD)
--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -129,8 +129,8 @@
         Connections in the kernel's accept queue are accepted first: closing the socket would reset
         them, and lose requests that their callers may have sent. No connection can arrive between
         the last accept and the close, as the packets that open new ones are dropped from here on,
-        where the kernel supports that. Idle connections are shut down for reading only: a request
-        whose bytes have arrived is still read and answered.
+        where the kernel supports that. Idle connections are shut down for reading, except for those
+        on which a request has begun to arrive: it is still read and answered.
         """
         self.close_after_answers()
         if drop_new_connections(self._socket):
@@ -142,7 +142,7 @@
         self._accept_pending()
         self._socket.close()
         for state in idle:
-            state[3].shut()
+            state[3].shut_if_silent()
         eventlet.spawn_after(LAST_REQUEST_SECONDS, self._shut_idle)
 
     def wait_until_idle(self, deadline: Callable[[], bool]) -> bool:
@@ -190,7 +190,7 @@
     def _shut_idle(self) -> None:
         for state in list(self._connections.values()):
             if state[2] == STATE_IDLE:
-                state[3].shut()
+                state[3].shut_if_silent()
 
     def _serve(self, state: list[Any]) -> None:
         try:
--- a/packages/node/tests/test_caller_reader.py
+++ b/packages/node/tests/test_caller_reader.py
@@ -49,16 +49,29 @@
         self.assertLess(sent, MAX_READ_AHEAD_BYTES * 20)
         self.assertEqual(self.file.read(sent), b"x" * sent)
 
+    # Guards against a stop that takes the end that it made itself for the caller's departure.
     def test_an_end_made_on_this_side_is_not_taken_for_the_callers(self) -> None:
-        """A stop shuts down reading of an idle connection just as a lookup arrives.
+        plain = eventlet.patcher.original("socket")
+        with plain.create_server(("127.0.0.1", 0)) as listening:
+            caller = plain.create_connection(listening.getsockname())
+            self.addCleanup(caller.close)
+            ours = GreenSocket(listening.accept()[0])
+            self.addCleanup(ours.close)
+        reader = CallerReader(ours)
+        reader.shut_if_silent()
+        caller.sendall(b"lookup\n")
+        self.assertEqual(BufferedReader(reader).readline(), b"lookup\n")
+        self.assertFalse(reader.has_caller_left())
 
-        The lookup is still read and forwarded. If the shutdown were mistaken for the caller's
-        departure, the lookup would be cancelled.
-        """
-        self.caller.sendall(b"lookup\n")
-        self.reader.shut()
-        self.assertEqual(self.file.readline(), b"lookup\n")
+    # Guards against a stop that cuts a request of which a part has arrived.
+    def test_a_request_that_has_begun_is_read_on(self) -> None:
+        self.caller.sendall(b"look")
+        self.reader.shut_if_silent()
         self.assertFalse(self.reader.has_caller_left())
+        self.caller.sendall(b"up\n")
+        self.assertEqual(self.file.readline(), b"lookup\n")
+        self.caller.close()
+        self.assertTrue(self.reader.has_caller_left())
 
 
 if __name__ == "__main__":
