A body that a stop kept from arriving is refused as not run

What callers saw: 400 body-incomplete, which callers don't send again, for a request of which a part arrived between the check of its connection and the end of reading. Cause: the end that the stop itself had made was taken for the caller's. Now it is answered 503 stopping. test_a_request_cut_by_the_close_of_idle_connections_is_refused_as_not_run failed before.

--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -275,6 +275,9 @@
             raise RefusedCall(make_error(code, str(error), request_id)) from error
         except BodyError as error:
             code = _BODY_CODES[error.problem]
+            if error.problem is BodyProblem.BROKEN_OFF and environ[ENVIRON_KEY].reader.is_shut:
+                # The end that was read is this instance's own.
+                code = AnswerCode.STOPPING
             raise RefusedCall(make_error(code, str(error), request_id)) from error
 
 
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -156,6 +156,22 @@
             self.assertTrue(caller.recv(65_536).startswith(b"HTTP/1.1 200 "))
         self.assertEqual([heard.body for heard in self.ran], [b"body"])
 
+    # Guards against a 400, which is final, for a body that the stop itself kept from arriving.
+    def test_a_request_cut_by_the_close_of_idle_connections_is_refused_as_not_run(self) -> None:
+        plain = eventlet.patcher.original("socket")
+        with plain.create_connection(("127.0.0.1", self.listener.port)) as caller:
+            eventlet.sleep(0.1)
+            self.listener.stop_accepting()
+            caller.sendall(
+                f"POST /e HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 4\r\n\r\nbo".encode()
+            )
+            eventlet.sleep(0.1)
+            caller.settimeout(5.0)
+            received = caller.recv(65_536)
+        self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received)
+        self.assertIn(b'"code": "stopping"', received)
+        self.assertEqual(self.ran, [])
+
 
 class AcceptGapTest(EntryTestCase):
     def test_no_caller_is_let_in_between_the_last_accept_and_the_close(self) -> None:
