A keeper that stops lets calls in progress end

What callers saw: an operator's change that a keeper was deciding at SIGTERM, or accepted in the 0.8 s after it, ended without an answer, though a decision may take 2 s. Cause: the stop waited for the usual time of a registration and then closed all connections. Now the keeper announces the close, closes its listener and waits until the calls in progress have their answers, as long as the longest may take. test_a_change_in_progress_at_a_stop_is_answered failed before (no answer).

--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -19,15 +19,21 @@
 from persimmonusher_node.grpc_listener import GrpcListener
 from persimmonusher_node.keeper import KeeperRole
 from persimmonusher_node.keeper_seeds import SeededFormation
+from persimmonusher_node.listener import HttpListener
 from persimmonusher_node.metrics import MetricsApplication
 from persimmonusher_node.peers import ChannelPool
+from persimmonusher_node.protocol import LAST_REQUEST_SECONDS
 from persimmonusher_node.refusal_log import RefusalLog
 from persimmonusher_node.settings import Settings
 from persimmonusher_node.settings_bounds import make_quota_terms
 from persimmonusher_node.shutdown import StopSignal
 from persimmonusher_node.tiers.edge import Edge
 from persimmonusher_node.tiers.follow_service import FollowService
-from persimmonusher_node.tiers.keeper_control import REGISTER_TIMEOUT_SECONDS, KeeperControl
+from persimmonusher_node.tiers.keeper_control import (
+    DOCUMENT_TIMEOUT_SECONDS,
+    REGISTER_TIMEOUT_SECONDS,
+    KeeperControl,
+)
 from persimmonusher_node.tiers.keeper_metrics import (
     KeeperGauges,
     KeeperMetrics,
@@ -126,11 +132,24 @@
             grpc.start()
             stack.callback(grpc.stop)
             stack.enter_context(self._role)
-            start_http(stack, listen.control, self._control)
+            control = HttpListener(listen.control, self._control)
+            control.start()
+            stack.callback(control.abort)
             start_http(stack, listen.metrics, MetricsApplication(self._metrics))
             _log.info("started", role=settings.role.value, **listen.model_dump())
             stop.wait()
-            _log.info("stopping")
-            eventlet.sleep(REGISTER_TIMEOUT_SECONDS)
-        _log.info("stopped")
-        return True
+            whole = self._end_calls(control)
+        _log.info("stopped", whole=whole)
+        return whole
+
+    def _end_calls(self, control: HttpListener) -> bool:
+        """Stop accepting calls and let those in progress end; return whether all had an answer."""
+        _log.info("stopping", connections=control.connections)
+        control.close_after_answers()
+        eventlet.sleep(REGISTER_TIMEOUT_SECONDS)
+        control.stop_accepting()
+        until = self._clock.monotonic() + DOCUMENT_TIMEOUT_SECONDS + LAST_REQUEST_SECONDS
+        whole = control.wait_until_idle(lambda: self._clock.monotonic() > until)
+        if not whole:
+            _log.warning("calls-cut-off", connections=control.connections)
+        return whole
