A connection opened during a stop may stay unused until the listener closes

What callers saw: a connection opened after SIGTERM was closed after a second without a request, unannounced and while the listener was open, so that a request sent then was lost unread. Cause: the short wait that is meant for one more request as the listener closes began with the signal. test_a_connection_opened_during_a_stop_may_be_used_until_the_listener_closes failed before.

--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -61,6 +61,9 @@
 
     limits: ListenerLimits
     draining: bool = False
+    """Whether answers announce the close of their connections."""
+    closed: bool = False
+    """Whether the listening socket is closed, or about to be."""
     unread_connections: int = 0
     """Connections that were closed because of a stop, with bytes from the caller left unread."""
 
@@ -133,6 +136,7 @@
         on which a request has begun to arrive: it is still read and answered.
         """
         self.close_after_answers()
+        self._server.closed = True
         if drop_new_connections(self._socket):
             eventlet.sleep(HANDSHAKE_WAIT_SECONDS)
         if self._thread is not None:
--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -202,10 +202,10 @@
         """Return how long the connection may stay without a request.
 
         An answer begun before a stop did not announce the close, so one more request may be on its
-        way. The stop waits for that one, but no longer.
+        way as the listener closes. The stop waits for that one, but no longer.
         """
         idle_seconds: float = self.server.limits.idle_seconds
-        return min(idle_seconds, LAST_REQUEST_SECONDS) if self.server.draining else idle_seconds
+        return min(idle_seconds, LAST_REQUEST_SECONDS) if self.server.closed else idle_seconds
 
     def _stop_head_timer(self) -> None:
         timer, self._head_timer = self._head_timer, None
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -27,6 +27,7 @@
 from stopping_entry import StoppingEntryTestCase
 
 from persimmonusher_node.dialect import OWN_DIALECT
+from persimmonusher_node.protocol import LAST_REQUEST_SECONDS
 from persimmonusher_node.settings import Limits, Listeners, Settings
 
 DEADLINE = OWN_DIALECT.deadline
@@ -120,6 +121,18 @@
         self.assertTrue(stopping.wait())
 
 
+class UnusedConnectionTest(EntryTestCase):
+    # Guards against a stop that closes, before the listener, a connection opened after the signal.
+    def test_a_connection_opened_during_a_stop_may_be_used_until_the_listener_closes(self) -> None:
+        self.script(answer(b"lodged"))
+        self.listener.close_after_answers()
+        connection = self.connect()
+        connection.connect()
+        eventlet.sleep(LAST_REQUEST_SECONDS + 0.3)
+        connection.auto_open = 0
+        self.assertEqual(self.call("POST", "/1", connection=connection).body, b"lodged")
+
+
 class SwallowedRequestTest(StoppingEntryTestCase):
     # Guards against a reset instead of an answer for a request that a server never answers.
     def test_a_request_that_outlasts_the_stop_is_answered(self) -> None:
