A raised idle limit holds for connections that wait already

What callers saw: after a configuration that raised the idle limit, a connection was closed by the former, shorter one, and a request sent within the limit in force was lost unread. Cause: the limit was read as the wait began, and not again when it took effect. test_an_idle_connection_stays_open_for_a_raised_limit failed before.

--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -114,7 +114,7 @@
         return self._server.unread_connections
 
     def replace_limits(self, limits: ListenerLimits) -> None:
-        """Replace the limits; a wait in progress on a connection keeps its old time-out."""
+        """Replace the limits; a wait in progress for a request is prolonged, but not shortened."""
         self._limits = limits
         self._server.limits = limits
 
--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -190,13 +190,20 @@
         if self.has_had_request and self.reader.has_caller_left():
             # Requests that it sent ahead are not run, as nothing would read their answers.
             return b""
-        self.connection.settimeout(self._find_idle_seconds())
-        try:
-            head: bytes = self.rfile.peek(1)
-        except OSError:
-            return b""
-        self.connection.settimeout(self.server.socket_timeout)
-        return head
+        waited = 0.0
+        while (seconds := self._find_idle_seconds() - waited) > 0.0:
+            self.connection.settimeout(seconds)
+            try:
+                head: bytes = self.rfile.peek(1)
+            except TimeoutError:
+                # The limit may have been raised meanwhile.
+                waited += seconds
+                continue
+            except OSError:
+                break
+            self.connection.settimeout(self.server.socket_timeout)
+            return head
+        return b""
 
     def _find_idle_seconds(self) -> float:
         """Return how long the connection may stay without a request.
--- a/packages/node/tests/test_listener_limits.py
+++ b/packages/node/tests/test_listener_limits.py
@@ -57,6 +57,17 @@
         self.assertEqual(connection.recv(4_096), b"")
         self.assertLess(time.monotonic() - began, 2.0)
 
+    # Guards against a raised limit that idle connections don't get, and callers rely on.
+    def test_an_idle_connection_stays_open_for_a_raised_limit(self) -> None:
+        self.limit(idle_seconds=0.3)
+        connection = self.connect()
+        connection.sendall(REQUEST + b"\r\n")
+        self.assertIn(b"200 OK", connection.recv(4_096))
+        self.limit(idle_seconds=3.0)
+        time.sleep(0.6)
+        connection.sendall(REQUEST + b"\r\n")
+        self.assertIn(b"200 OK", connection.recv(4_096))
+
     def test_a_slow_head_gets_its_answer_after_the_document_s_time(self) -> None:
         self.limit(head_seconds=0.2)
         connection = self.connect()
