Callers that a stop refuses may go to another instance at once

Retry-After of a request that a stop refuses was 1 s, beyond the target of many routes, though other instances can serve it at once. Now it is 0.05 s where the dialect's callers read decimals.

--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -42,6 +42,9 @@
 from persimmonusher_node.streams import AnswerStream
 from persimmonusher_node.upstream import AttemptError, Upstream
 
+STOPPING_RETRY_SECONDS: Final = 0.05
+"""Retry-After of a request that a stop refuses: other instances can serve it at once."""
+
 
 class Forwarder:
     """Forwards each request in the green thread of its caller's connection."""
@@ -107,7 +110,13 @@
         run = self._start(call, live)
         self._note_stop(run, StopEffect.REFUSED, f", {needed:.2f} s needed")
         message = "this instance stops before the request could be answered"
-        answer = make_error(AnswerCode.STOPPING, message, call.request_id)
+        answer = make_error(
+            AnswerCode.STOPPING,
+            message,
+            call.request_id,
+            retry_after=STOPPING_RETRY_SECONDS,
+            decimals=self._dialect.retry_after_decimals,
+        )
         self._end(run, answer)
         return answer
 
--- a/packages/node/tests/test_stop_effects.py
+++ b/packages/node/tests/test_stop_effects.py
@@ -1,16 +1,21 @@
 """What a stop did to a request is told by the request's record, the log and the metrics."""
 
+from dataclasses import replace
+
 import eventlet
 import structlog
 from entry_harness import answer, stall
 from stopping_entry import StoppingEntryTestCase
 
 from persimmonusher_node.answers import AnswerCode
+from persimmonusher_node.dialect import OWN_DIALECT
 from persimmonusher_node.logs import is_uneventful
 from persimmonusher_node.stop_progress import STOP_STEP, StopEffect
 
 
 class StopEffectsTest(StoppingEntryTestCase):
+    dialect = replace(OWN_DIALECT, retry_after_decimals=2)
+
     def list_effects(self, path: str) -> list[str]:
         """Return the stop's effects on the request to a path, as the metrics count them."""
         finished = next(one for one in self.observer.finished if one.record.path == path)
@@ -50,6 +55,13 @@
         self.assertEqual((reply.status, reply.outcome), (503, "not-run"))
         self.assertEqual(self.list_effects("/refused"), ["refused"])
 
+    # Guards against callers that wait a second although other instances can serve them at once.
+    def test_a_refused_request_may_come_back_at_once(self) -> None:
+        self.plane.forwarder.begin_stop(0.5)
+        self.plane.forwarder.stop.is_closed = True
+        reply = self.call("POST", "/refused")
+        self.assertEqual(reply.headers["retry-after"], "0.05")
+
     # Guards against metrics with a label value for each request that a stop met.
     def test_metrics_count_the_effects_without_their_times(self) -> None:
         self.script(stall(0.1, answer(b"done")))
