Run the tests of ctl and lab beside those of node and platform

The packages with virtual time end after 280 s; lab's 165 s follow there in place of after platform's 537 s.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -17,13 +17,14 @@
 from typing import Final
 
 ROOT: Final = Path(__file__).resolve().parent.parent
-VIRTUAL_TIME_PACKAGES: Final = ("model", "decisions", "agreement", "protocol")
-"""Packages whose tests use virtual time; they run in parallel to those in IO_PACKAGES."""
-IO_PACKAGES: Final = ("node", "platform", "ctl", "lab")
+FIRST_PACKAGES: Final = ("model", "decisions", "agreement", "protocol", "ctl", "lab")
+"""Packages whose tests use virtual time, followed by two with few processes and sockets; they run
+one after the other, in parallel to LONG_PACKAGES."""
+LONG_PACKAGES: Final = ("node", "platform")
 """Packages whose tests have processes and sockets with deadlines; they run one after the other."""
 FOLDERS: Final = {"platform": ROOT / "platform"}
 """Folders of the packages that are not under packages/."""
-PACKAGES: Final = (*VIRTUAL_TIME_PACKAGES, *IO_PACKAGES)
+PACKAGES: Final = (*FIRST_PACKAGES, *LONG_PACKAGES)
 KNOWN_RED: Final = ROOT / "KNOWN-RED.txt"
 PACKAGE_TIMEOUT_SECONDS: Final = 900
 """Time after which a package's tests count as hanging."""
@@ -126,7 +127,7 @@
     skipped: list[str] = []
     pattern = patterns[0] if patterns else "test*.py"
     groups = [
-        [name for name in group if name in chosen] for group in (VIRTUAL_TIME_PACKAGES, IO_PACKAGES)
+        [name for name in group if name in chosen] for group in (FIRST_PACKAGES, LONG_PACKAGES)
     ]
     with ThreadPoolExecutor(len(groups)) as pool:
         found = pool.map(lambda group: [start_package(name, pattern) for name in group], groups)
