Begin no attempt of an unsafe request that the stop is about to cut off

What callers saw: a request that was accepted early in a stop and then refused by its server, or that had waited in the queue, was sent to a server just before the end of the stop and answered 504, its outcome unknown. Cause: the time left was compared as the request was accepted, and not again as an attempt began. Now a request that isn't idempotent is refused, not run, if less than its target is left. test_a_refused_request_is_not_tried_again_when_the_stop_is_nearly_over failed before.

--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -38,7 +38,7 @@
 from persimmonusher_node.records import RecordRing, RequestRecord
 from persimmonusher_node.runs import Run
 from persimmonusher_node.services import LiveService, ServiceBook
-from persimmonusher_node.stop_progress import STOP_STEP, StopEffect, StopProgress
+from persimmonusher_node.stop_progress import StopEffect, StopProgress
 from persimmonusher_node.streams import AnswerStream
 from persimmonusher_node.upstream import AttemptError, Upstream
 
@@ -85,14 +85,12 @@
         """Begin a stop, which ends what is left after `stop_seconds`, or doesn't for None."""
         self.stop.begin(stop_seconds)
         for run in self._runs.values():
-            self._note_stop(run, StopEffect.IN_FLIGHT)
+            run.note_stop(StopEffect.IN_FLIGHT, self._clock.monotonic())
 
     def cut_off(self) -> None:
         """End the requests in flight, as the stop has no time left for them."""
         for run in self.list_runs():
-            run.is_cut_off = True
-            self._note_stop(run, StopEffect.CUT_OFF)
-            run.stop(OutcomeKind.TIMEOUT)
+            run.cut_off(StopEffect.CUT_OFF, self._clock.monotonic())
 
     def refuse_late(self, call: Call, live: LiveService) -> Answer | None:
         """Return the refusal of a request that the end of a stop may cut off, else None.
@@ -108,15 +106,8 @@
         if needed <= left:
             return None
         run = self._start(call, live)
-        self._note_stop(run, StopEffect.REFUSED, f", {needed:.2f} s needed")
-        message = "this instance stops before the request could be answered"
-        answer = make_error(
-            AnswerCode.STOPPING,
-            message,
-            call.request_id,
-            retry_after=STOPPING_RETRY_SECONDS,
-            decimals=self._dialect.retry_after_decimals,
-        )
+        run.note_stop(StopEffect.REFUSED, self._clock.monotonic(), f", {needed:.2f} s needed")
+        answer = self._refuse_for_stop(run)
         self._end(run, answer)
         return answer
 
@@ -124,7 +115,7 @@
         """Return the answer to a request; blocks until there is one."""
         run = self._start(call, live)
         if self.stop.is_stopping:
-            self._note_stop(run, StopEffect.ARRIVED)
+            run.note_stop(StopEffect.ARRIVED, self._clock.monotonic())
         answer: Answer | None = None
         try:
             answer = self._carry_out(run, live.traffic.offer(run.request, self._clock.monotonic()))
@@ -133,12 +124,6 @@
             if answer is None or answer.stream is None:
                 self._end(run, answer)
 
-    def _note_stop(self, run: Run, effect: StopEffect, detail: str = "") -> None:
-        """Record what a stop does to a request, on its record and in the stop's counts."""
-        reason = f"{effect.value}, {self.stop.describe()}{detail}"
-        run.record.add_note(STOP_STEP, reason, self._clock.monotonic(), effect.value)
-        self.stop.count(effect, run.request.request_id)
-
     def deliver_decision(self, live: LiveService, decision: Decision) -> None:
         """Pass a later decision to the queued request that waits for it."""
         run = self._runs.get(decision.request.request_id)
@@ -179,7 +164,7 @@
             self._services.revision(),
             self._services.find_freshness(),
         )
-        run = Run(call, live, request, record)
+        run = Run(call, live, request, record, self.stop)
         self._runs[request_id] = run
         self._records.add(record)
         live.in_flight += 1
@@ -222,7 +207,10 @@
         answer = self._make_answer(run, ended.result)
         if ended.is_streaming:
             return self._stream(run, ended, answer), None
-        return answer, self._decide_again(run, ended.dispatch, ended.outcome)
+        next_decision = self._decide_again(run, ended.dispatch, ended.outcome)
+        if run.is_cut_off and answer.outcome is CallerOutcome.NOT_RUN:
+            return self._refuse_for_stop(run), None
+        return answer, next_decision
 
     def _stream(self, run: Run, ended: EndedAttempt, answer: Answer) -> Answer:
         """Keep the request in flight until the rest of its long answer has been passed on."""
@@ -284,12 +272,23 @@
             decimals=self._dialect.retry_after_decimals,
         )
 
+    def _refuse_for_stop(self, run: Run) -> Answer:
+        """Answer a request that a stop has no time for and that is at no server."""
+        return make_error(
+            AnswerCode.STOPPING,
+            "this instance stops before the request could be answered",
+            run.call.request_id,
+            retry_after=STOPPING_RETRY_SECONDS,
+            outcome=CallerOutcome.UNKNOWN if run.may_have_run else None,
+            decimals=self._dialect.retry_after_decimals,
+        )
+
     def _abandon(self, run: Run) -> Answer:
         """Answer a request that was stopped while it waited."""
         known_outcome = CallerOutcome.UNKNOWN if run.may_have_run else CallerOutcome.NOT_RUN
-        code = AnswerCode.DEADLINE if run.stopped is OutcomeKind.TIMEOUT else AnswerCode.CALLER_LEFT
         if run.is_cut_off:
-            code = AnswerCode.STOPPING
+            return self._refuse_for_stop(run)
+        code = AnswerCode.DEADLINE if run.stopped is OutcomeKind.TIMEOUT else AnswerCode.CALLER_LEFT
         message = "the request was stopped while it waited for a backend server"
         return make_error(code, message, run.call.request_id, outcome=known_outcome)
 
--- a/packages/node/src/persimmonusher_node/runs.py
+++ b/packages/node/src/persimmonusher_node/runs.py
@@ -13,25 +13,37 @@
 run, so that a resend runs at once, and nothing runs later for a caller that has left.
 """
 
+from typing import Final
+
 from eventlet.event import Event
 
 from persimmonusher_decisions.work import Decision, Dispatch, OutcomeKind, Request
 from persimmonusher_node.calls import Call
 from persimmonusher_node.records import RequestRecord
 from persimmonusher_node.services import LiveService
+from persimmonusher_node.stop_progress import STOP_STEP, StopEffect, StopProgress
 from persimmonusher_node.upstream import Attempt
 
+DEFAULT_TARGET_SECONDS: Final = 1.0
+"""Assumed time of a server for a request whose route states no target."""
+
 
 class Run:
     """One request in flight at this instance, in the green thread of its caller's connection."""
 
     def __init__(
-        self, call: Call, live: LiveService, request: Request, record: RequestRecord
+        self,
+        call: Call,
+        live: LiveService,
+        request: Request,
+        record: RequestRecord,
+        progress: StopProgress,
     ) -> None:
         self.call = call
         self.live = live
         self.request = request
         self.record = record
+        self._progress = progress
         self._attempts: dict[int, Attempt] = {}
         self.may_have_run = False
         """Whether some attempt ended without proof that the server did not run the request."""
@@ -43,7 +55,7 @@
         self.has_winner = False
         """Whether one copy of a hedged request has won."""
         self.is_cut_off = False
-        """Whether the end of a stop ended the request."""
+        """Whether a stop ended the request, for want of time."""
         self.caller_left = False
         """Whether the caller was seen to have left."""
         self._release: Event | None = None
@@ -96,6 +108,18 @@
             self.release(None)
         self.cancel_attempts(kind)
 
+    def note_stop(self, effect: StopEffect, now: float, detail: str = "") -> None:
+        """Record what a stop does to the request, on its record and in the stop's counts."""
+        reason = f"{effect.value}, {self._progress.describe()}{detail}"
+        self.record.add_note(STOP_STEP, reason, now, effect.value)
+        self._progress.count(effect, self.request.request_id)
+
+    def cut_off(self, effect: StopEffect, now: float) -> None:
+        """End the request early, as the stop has no time left for it."""
+        self.is_cut_off = True
+        self.note_stop(effect, now)
+        self.stop(OutcomeKind.TIMEOUT)
+
     def may_begin(self, now: float) -> bool:
         """Return whether an attempt may begin now; stops the request where it may not.
 
@@ -103,10 +127,25 @@
         """
         if now >= self.request.deadline:
             self.stop(OutcomeKind.TIMEOUT)
+        elif self.stopped is None and self._is_too_late(now):
+            self.cut_off(StopEffect.REFUSED, now)
         elif not self.caller_left and self.call.has_caller_left():
             self.handle_departure(now)
         return self.stopped is None and not self.caller_left
 
+    def _is_too_late(self, now: float) -> bool:
+        """Return whether a stop would probably end an attempt that begins now.
+
+        The request was accepted when more time was left. If it isn't idempotent, being refused is
+        better for its caller than an unknown outcome.
+        """
+        left = self._progress.seconds_left
+        if left is None or not self._progress.is_closed or self.request.idempotent:
+            return False
+        rule = self.call.rule
+        target_seconds = DEFAULT_TARGET_SECONDS if rule is None else rule.target_ms / 1000.0
+        return left < min(target_seconds, self.request.deadline - now)
+
     def handle_departure(self, now: float) -> None:
         """Record that the caller left; cancel the request if it is idempotent or queued."""
         if not self.caller_left:
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -16,8 +16,10 @@
 import eventlet
 from entry_harness import (
     PROFILE,
+    SHED,
     CallerAnswer,
     EntryTestCase,
+    Heard,
     ScriptedServer,
     answer,
     read_answer,
@@ -100,6 +102,26 @@
         self.assertEqual((reply.status, reply.outcome), (503, "not-run"))
         self.assertEqual(self.ran, [])
 
+    # Guards against a further attempt that the stop is about to cut off, its outcome unknown.
+    def test_a_refused_request_is_not_tried_again_when_the_stop_is_nearly_over(self) -> None:
+        self.servers.append(self.add_server("s2"))
+        acts = [stall(0.9, SHED), stall(5.0, answer(b"too late"))]
+        arrived: list[str] = []
+
+        def act(connection: socket.socket, heard: Heard) -> bool:
+            arrived.append(heard.target)
+            return acts[len(arrived) - 1](connection, heard)
+
+        for server in self.servers:
+            server.default = act
+        waiting = eventlet.spawn(self.call, "POST", "/1")
+        eventlet.sleep(0.05)
+        self.assertTrue(self.make_stop(1.3).run())
+        reply = waiting.wait()
+        self.assertEqual((reply.status, reply.outcome), (503, "not-run"))
+        self.assertIn(b'"code": "stopping"', reply.body)
+        self.assertEqual(arrived, ["/1"])
+
     # Guards against refusing a request for which the stop leaves all the time that it may take.
     def test_a_request_that_ends_before_the_stop_is_passed_on(self) -> None:
         self.script(answer(b"in time"))
