A stop counts its time from the signal

A cause that was shown: a stop counted its time from the moment at which its green thread ran, while the supervisor counts from the signal, so a process that is behind stopped as much later. Now the signal's handler takes the time. test_a_stop_counts_its_time_from_the_signal fails with a stop that counts from when it runs (1.62 s, 1.3 s allowed).

--- a/packages/node/src/persimmonusher_node/daemon.py
+++ b/packages/node/src/persimmonusher_node/daemon.py
@@ -63,9 +63,9 @@
             start_http(stack, listen.metrics, MetricsApplication(self.plane.metrics))
             callers.start()
             _log.info("started", **listen.model_dump())
-            stop.wait()
+            signalled_at = stop.wait()
             forwarder = self.plane.forwarder
-            return GracefulStop(settings, callers, forwarder, self._clock).run()
+            return GracefulStop(settings, callers, forwarder, self._clock).run(signalled_at)
 
     def _start_grpc(self, stack: ExitStack) -> None:
         components = self._components
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -81,9 +81,9 @@
         """List the requests in flight."""
         return list(self._runs.values())
 
-    def begin_stop(self, stop_seconds: float | None) -> None:
-        """Begin a stop, which ends what is left after `stop_seconds`, or doesn't for None."""
-        self.stop.begin(stop_seconds)
+    def begin_stop(self, stop_seconds: float | None, signalled_at: float) -> None:
+        """Begin a stop; see `StopProgress.begin`."""
+        self.stop.begin(stop_seconds, signalled_at)
         for run in self._runs.values():
             run.note_stop(StopEffect.IN_FLIGHT, self._clock.monotonic())
 
--- a/packages/node/src/persimmonusher_node/process.py
+++ b/packages/node/src/persimmonusher_node/process.py
@@ -20,7 +20,7 @@
         raise UsherError(ErrorCode.BAD_VALUE, message)
     configure_logs(settings)
     clock = SystemClock()
-    stop = StopSignal()
+    stop = StopSignal(clock)
     stop.install()
     with ChannelPool(settings.peer_token) as channels:
         parts = FleetParts(settings, channels, clock).make()
--- a/packages/node/src/persimmonusher_node/shutdown.py
+++ b/packages/node/src/persimmonusher_node/shutdown.py
@@ -36,9 +36,12 @@
     off the requests that the first signal lets end. SIGKILL still ends the process at once.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._event = Event()
-        self._count = 0
+        self._clock = clock
+        self.signalled_at: float | None = None
+        """Monotonic time of the first signal; the supervisor counts its time from there, also where
+        a busy process begins to stop later."""
 
     def install(self) -> None:
         """Install the handlers for SIGTERM and SIGINT."""
@@ -47,15 +50,17 @@
 
     def request(self) -> None:
         """Request the stop, as a signal does."""
-        self._count += 1
-        if self._count == 1:
+        if self.signalled_at is None:
+            self.signalled_at = self._clock.monotonic()
             # A signal handler runs between any two instructions, where a switch of green threads is
             # unsafe, so the hub sends the event.
             eventlet.hubs.get_hub().schedule_call_global(0, self._event.send)
 
-    def wait(self) -> None:
-        """Wait for the first signal."""
+    def wait(self) -> float:
+        """Wait for the first signal and return its monotonic time."""
         self._event.wait()
+        assert self.signalled_at is not None
+        return self.signalled_at
 
     def _handle(self, number: int, frame: FrameType | None) -> None:
         self.request()
@@ -78,14 +83,20 @@
         self._forwarder = forwarder
         self._clock = clock
 
-    def run(self) -> bool:
-        """Carry out the stop; return True if no connection had to be cut off."""
-        self._forwarder.begin_stop(self._settings.stop_seconds)
+    def run(self, signalled_at: float | None = None) -> bool:
+        """Carry out the stop; return True if no connection had to be cut off.
+
+        `signalled_at` is the monotonic time from which the supervisor counts, by default now.
+        """
+        if signalled_at is None:
+            signalled_at = self._clock.monotonic()
+        self._forwarder.begin_stop(self._settings.stop_seconds, signalled_at)
         self._listener.close_after_answers()
         if self._relay is not None:
             self._relay.stopping = True
         _log.info("stopping", in_flight=self._forwarder.in_flight)
-        eventlet.sleep(self._settings.stop_delay_seconds)
+        delay_left = self._settings.stop_delay_seconds - self._forwarder.stop.seconds
+        eventlet.sleep(max(0.0, delay_left))
         self._listener.stop_accepting()
         self._forwarder.stop.is_closed = True
         started = self._clock.monotonic()
--- a/packages/node/src/persimmonusher_node/stop_progress.py
+++ b/packages/node/src/persimmonusher_node/stop_progress.py
@@ -53,11 +53,14 @@
         """Return the time until the stop ends what is left; None where it doesn't."""
         return None if self._ends_at is None else self._ends_at - self._clock.monotonic()
 
-    def begin(self, stop_seconds: float | None) -> None:
-        """Begin the stop; it ends what is left after `stop_seconds`, or doesn't for None."""
-        self._signalled_at = self._clock.monotonic()
+    def begin(self, stop_seconds: float | None, signalled_at: float) -> None:
+        """Begin a stop that was signalled at a time, at most now.
+
+        It ends what is left `stop_seconds` after the signal, or doesn't for None.
+        """
+        self._signalled_at = signalled_at
         if stop_seconds is not None:
-            self._ends_at = self._signalled_at + stop_seconds
+            self._ends_at = signalled_at + stop_seconds
 
     def count(self, effect: StopEffect, request_id: str = "") -> None:
         """Count an effect; list the request if it was cut off."""
--- a/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/entry_daemon.py
@@ -179,9 +179,10 @@
             start_http(stack, listen.metrics, MetricsApplication(self.plane.metrics))
             callers.start()
             _log.info("started", role=settings.role.value, **listen.model_dump())
-            stop.wait()
+            signalled_at = stop.wait()
             forwarder = self.plane.forwarder
-            whole = GracefulStop(settings, callers, forwarder, self._clock, relay).run()
+            graceful = GracefulStop(settings, callers, forwarder, self._clock, relay)
+            whole = graceful.run(signalled_at)
         _log.info("stopped", whole=whole)
         return whole
 
--- a/packages/node/src/persimmonusher_node/tiers/process.py
+++ b/packages/node/src/persimmonusher_node/tiers/process.py
@@ -28,7 +28,7 @@
     settings = load_settings(path)
     configure_logs(settings)
     clock = SystemClock()
-    stop = StopSignal()
+    stop = StopSignal(clock)
     stop.install()
     with ChannelPool(settings.peer_token, clock=clock) as channels:
         daemon = make_daemon(settings, edge, channels, clock, SystemRandom())
--- a/packages/node/tests/lone_instance.py
+++ b/packages/node/tests/lone_instance.py
@@ -50,9 +50,9 @@
         MemoryMembership([instance]),
         MemoryClaims(),
     )
-    stop = StopSignal()
-    stop.install()
     clock = SystemClock()
+    stop = StopSignal(clock)
+    stop.install()
     observer = LoggingObserver(clock, settings.log_level)
     daemon = Daemon(settings, parts, observer, clock, Random(1))
     sys.exit(0 if daemon.run(stop) else 3)
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -28,9 +28,11 @@
 from lone_instance import HOST
 from stopping_entry import StoppingEntryTestCase
 
+from persimmonusher_node.clock import SystemClock
 from persimmonusher_node.dialect import OWN_DIALECT
 from persimmonusher_node.protocol import LAST_REQUEST_SECONDS
 from persimmonusher_node.settings import Limits, Listeners, Settings
+from persimmonusher_node.shutdown import StopSignal
 
 DEADLINE = OWN_DIALECT.deadline
 SCRIPT = Path(__file__).with_name("lone_instance.py")
@@ -96,7 +98,7 @@
         connection = self.connect()
         connection.connect()
         eventlet.sleep(0.05)
-        self.plane.forwarder.begin_stop(1.5)
+        self.plane.forwarder.begin_stop(1.5, time.monotonic())
         self.plane.forwarder.stop.is_closed = True
         reply = self.call("POST", "/1", headers={DEADLINE: "8000"}, connection=connection)
         self.assertEqual((reply.status, reply.outcome), (503, "not-run"))
@@ -125,7 +127,7 @@
     # Guards against refusing a request for which the stop leaves all the time that it may take.
     def test_a_request_that_ends_before_the_stop_is_passed_on(self) -> None:
         self.script(answer(b"in time"))
-        self.plane.forwarder.begin_stop(1.5)
+        self.plane.forwarder.begin_stop(1.5, time.monotonic())
         self.plane.forwarder.stop.is_closed = True
         reply = self.call("POST", "/1", headers={DEADLINE: "1000"})
         self.assertEqual(reply.body, b"in time")
@@ -167,6 +169,21 @@
         self.assertEqual((reply.status, reply.outcome), (504, "unknown"))
 
 
+class BusyProcessTest(StoppingEntryTestCase):
+    # Guards against a stop that outlasts the supervisor's patience as its process was busy before.
+    def test_a_stop_counts_its_time_from_the_signal(self) -> None:
+        self.script(stall(10.0, answer(b"never")))
+        signal_event = StopSignal(SystemClock())
+        waiting = eventlet.spawn(self.call, "GET", "/search")
+        eventlet.sleep(0.1)
+        signalled_at = time.monotonic()
+        signal_event.request()
+        eventlet.patcher.original("time").sleep(0.6)
+        self.assertFalse(self.make_stop(1.0).run(signal_event.wait()))
+        self.assertLess(time.monotonic() - signalled_at, 1.0 + 0.3)
+        self.assertEqual(waiting.wait().status, 504)
+
+
 class SplitRequestTest(EntryTestCase):
     # Guards against a close of idle connections that cuts a request of which a part has arrived.
     def test_a_request_that_begins_to_arrive_as_the_listener_closes_is_read_whole(self) -> None:
--- a/packages/node/tests/test_stop_effects.py
+++ b/packages/node/tests/test_stop_effects.py
@@ -1,5 +1,6 @@
 """What a stop did to a request is told by the request's record, the log and the metrics."""
 
+import time
 from dataclasses import replace
 
 import eventlet
@@ -49,7 +50,7 @@
 
     # Guards against refusals of a stop that leave no line.
     def test_a_refused_request_tells_that_a_stop_refused_it(self) -> None:
-        self.plane.forwarder.begin_stop(0.5)
+        self.plane.forwarder.begin_stop(0.5, time.monotonic())
         self.plane.forwarder.stop.is_closed = True
         reply = self.call("POST", "/refused")
         self.assertEqual((reply.status, reply.outcome), (503, "not-run"))
@@ -57,7 +58,7 @@
 
     # Guards against callers that wait a second although other instances can serve them at once.
     def test_a_refused_request_may_come_back_at_once(self) -> None:
-        self.plane.forwarder.begin_stop(0.5)
+        self.plane.forwarder.begin_stop(0.5, time.monotonic())
         self.plane.forwarder.stop.is_closed = True
         reply = self.call("POST", "/refused")
         self.assertEqual(reply.headers["retry-after"], "0.05")
