Refuse a request whose head was cut, also by a stop's own close

Callers saw: a request whose head arrived in two parts around the close of idle connections ran with the first part alone, so without its later headers and its body, or was answered 400, which is final. Cause: the standard parser takes the end of a connection for the end of the head. Evidence: the new test fails without the change in its three cases: 400 for a part of the request line; 200 with the request run at the server for a head cut at the end of a line and for one cut inside a header's value. It can happen from the shutdown of a connection until its green thread runs. Why this works: a head is whole only if its last line is empty. On a connection that a stop shut, what can't be read is refused as not run, for another instance.

--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -21,6 +21,10 @@
 """How long a connection may take to send one more request while the listener stops."""
 LINGER_BYTES: Final = 262_144
 LINGER_SECONDS: Final = 1.0
+_ERROR_KINDS: Final = {
+    HTTPStatus.REQUEST_TIMEOUT: "slow-request",
+    HTTPStatus.SERVICE_UNAVAILABLE: "stopping",
+}
 _TOKEN: Final = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
 _VISIBLE_ASCII: Final = re.compile(r"[!-~]+")
 _FORBIDDEN_IN_VALUE: Final = re.compile(r"[\r\n\0]")
@@ -46,6 +50,25 @@
         return "text"
 
 
+class HeadLines:
+    """The lines of a head; the standard parser takes the end of a connection for the head's end."""
+
+    def __init__(self, lines: Any) -> None:
+        self._lines = lines
+        self._last = b""
+
+    def readline(self, size: int = -1) -> bytes:
+        """Read one line."""
+        line: bytes = self._lines.readline(size)
+        self._last = line
+        return line
+
+    @property
+    def is_cut(self) -> bool:
+        """Return whether the connection ended before the empty line that ends a head."""
+        return self._last not in (b"\r\n", b"\n")
+
+
 class HttpProtocol(wsgi.HttpProtocol):  # type: ignore[misc]
     """One connection from a caller."""
 
@@ -102,9 +125,14 @@
             self.closes_after_answer = True
 
     def parse_request(self) -> bool:
-        """Parse the head; refuse one that is too long, malformed or ambiguously framed."""
+        """Parse the head; refuse one that is cut, too long, malformed or ambiguously framed."""
+        lines = HeadLines(self.rfile)
+        self.rfile = lines  # type: ignore[assignment]
         if not super().parse_request():
             return False
+        if lines.is_cut:
+            self.send_error(HTTPStatus.BAD_REQUEST, "the request's head broke off")
+            return False
         if measure_head(self.requestline, self.headers) > self.server.limits.head_bytes:
             self.send_error(
                 HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the request's head is too long"
@@ -121,7 +149,10 @@
         self.close_connection = 1
         self.has_unread_bytes = True
         status = HTTPStatus(code)
-        kind = "slow-request" if status is HTTPStatus.REQUEST_TIMEOUT else "bad-request"
+        if status is HTTPStatus.BAD_REQUEST and self.reader.is_shut:
+            # The end that was read may be this instance's own.
+            status, message = HTTPStatus.SERVICE_UNAVAILABLE, "this instance stops"
+        kind = _ERROR_KINDS.get(status, "bad-request")
         document = {"code": kind, "message": message or status.phrase, "outcome": "not-run"}
         body = json.dumps(document).encode() + b"\n"
         head = (
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -30,6 +30,7 @@
 
 from persimmonusher_node.clock import SystemClock
 from persimmonusher_node.dialect import OWN_DIALECT
+from persimmonusher_node.listener import HttpListener
 from persimmonusher_node.protocol import LAST_REQUEST_SECONDS
 from persimmonusher_node.settings import Limits, Listeners, Settings
 from persimmonusher_node.shutdown import StopSignal
@@ -224,6 +225,39 @@
         self.assertIn(b'"code": "stopping"', received)
         self.assertEqual(self.ran, [])
 
+    # Guards against running a request of whose head the stop itself kept a part from arriving.
+    def test_a_request_whose_head_is_cut_by_the_close_is_refused_as_not_run(self) -> None:
+        for part in (
+            "PO",
+            f"POST /e HTTP/1.1\r\nHost: {HOST}\r\n",
+            f"GET /search HTTP/1.1\r\nHost: {HOST}\r\nX-A: 1",
+        ):
+            with self.subTest(part=part):
+                received = self.send_after_the_close(part.encode())
+                self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received)
+                self.assertIn(b'"code": "stopping"', received)
+                self.assertEqual(self.ran, [])
+
+    def send_after_the_close(self, data: bytes) -> bytes:
+        """Send bytes on a connection just shut for reading by the close; return the answer."""
+        listener = self.add_listener()
+        plain = eventlet.patcher.original("socket")
+        with plain.create_connection(("127.0.0.1", listener.port)) as caller:
+            eventlet.sleep(0.1)
+            listener.stop_accepting()
+            caller.sendall(data)
+            eventlet.sleep(0.1)
+            caller.settimeout(5.0)
+            received: bytes = caller.recv(65_536)
+        return received
+
+    def add_listener(self) -> HttpListener:
+        """Return a further listener of the entry, as one can be closed only once."""
+        listener = HttpListener("127.0.0.1:0", self.plane.application)
+        listener.start()
+        self.addCleanup(listener.abort)
+        return listener
+
 
 class AcceptGapTest(EntryTestCase):
     def test_no_caller_is_let_in_between_the_last_accept_and_the_close(self) -> None:
