Reset connections whose answers a stop cuts off

Callers saw: an HTTP/1.0 caller that reads a long answer without length slowly got an orderly end in the middle of it when the stop was over, and had to take it for whole. Cause: the abort at the end of a stop shuts connections down in order. An answer that breaks at its server is ended by a reset, but the green thread of a slow reader waits in a write and doesn't get that far. Why this works: the close of a connection on which an answer isn't written whole is now a reset.

--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -6,17 +6,19 @@
 
 import socket
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, Final, TypeAlias
 
 import eventlet
 from eventlet.greenio import GreenSocket
 from eventlet.greenthread import GreenThread
-from eventlet.wsgi import STATE_IDLE, Server
+from eventlet.wsgi import STATE_IDLE, STATE_REQUEST, Server
 
 from persimmonusher_node.caller_reader import CallerReader
 from persimmonusher_node.connection_filter import drop_new_connections
 from persimmonusher_node.protocol import ENVIRON_KEY, LAST_REQUEST_SECONDS, HttpProtocol
+from persimmonusher_node.sockets import RESET_ON_CLOSE
 
 WsgiApplication: TypeAlias = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -158,8 +160,13 @@
         return True
 
     def abort(self) -> None:
-        """Cut off the remaining connections."""
+        """Cut off the remaining connections, with a reset where an answer isn't whole.
+
+        After a normal close, an HTTP/1.0 caller would take an answer without length for whole.
+        """
         for state in list(self._connections.values()):
+            if state[2] == STATE_REQUEST:
+                set_reset_on_close(state[1])
             shut(state[1])
 
     def _accept(self) -> None:
@@ -245,6 +252,12 @@
         connection.close()
 
 
+def set_reset_on_close(connection: socket.socket) -> None:
+    """Make the close of a socket a reset; do nothing if it is already closed."""
+    with suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def shut(connection: socket.socket) -> None:
     """Shut a socket down; do nothing if it is already closed."""
     try:
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -51,6 +51,13 @@
     return Listeners(**{name: f"{host}:{port}" for name, port in PORTS.items()})
 
 
+def send_endlessly(connection: socket.socket, heard: Heard) -> bool:
+    """Send chunks until the connection ends."""
+    connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    while True:
+        connection.sendall(b"1000\r\n" + bytes(0x1000) + b"\r\n")
+
+
 class AcceptQueueTest(EntryTestCase):
     def test_a_request_in_the_kernels_queue_is_answered(self) -> None:
         """A caller connects and sends a request, and the listener closes before it accepts.
@@ -259,6 +266,22 @@
         return listener
 
 
+class CutAnswerTest(StoppingEntryTestCase):
+    # Guards against an answer that a stop cuts off and that looks whole to an HTTP/1.0 caller.
+    def test_an_answer_without_length_that_a_stop_cuts_off_ends_with_a_reset(self) -> None:
+        self.script(send_endlessly)
+        plain = eventlet.patcher.original("socket")
+        with plain.create_connection(("127.0.0.1", self.listener.port)) as caller:
+            caller.sendall(f"GET /search HTTP/1.0\r\nHost: {HOST}\r\n\r\n".encode())
+            eventlet.sleep(0.3)
+            self.assertFalse(self.make_stop(0.5).run())
+            eventlet.sleep(0.1)
+            caller.settimeout(5.0)
+            with self.assertRaises(ConnectionResetError):
+                while caller.recv(65_536):
+                    pass
+
+
 class AcceptGapTest(EntryTestCase):
     def test_no_caller_is_let_in_between_the_last_accept_and_the_close(self) -> None:
         """A caller connects and sends a request just after the stop's last accept.
