End a keeper's stop before its supervisor kills it

Operators saw: a call that doesn't end, such as half a head, held the stop of a keeper for 3.98 s, whatever bounds.kill_after_seconds and stop_seconds say. With a bound of 3 s the keeper would have been killed, and its other callers got no answer at all. Cause: waits as long as the longest call takes, from the close of the listener on, and doesn't look at stop_seconds. Why this works: the wait ends after stop_seconds from the signal, as at an entry.

--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -145,10 +145,13 @@
     def _end_calls(self, control: HttpListener) -> bool:
         """Stop accepting calls and let those in progress end; return whether all had an answer."""
         _log.info("stopping", connections=control.connections)
+        signalled = self._clock.monotonic()
         control.close_after_answers()
         eventlet.sleep(REGISTER_TIMEOUT_SECONDS)
         control.stop_accepting()
         until = self._clock.monotonic() + DOCUMENT_TIMEOUT_SECONDS + LAST_REQUEST_SECONDS
+        if self._settings.stop_seconds is not None:
+            until = min(until, signalled + self._settings.stop_seconds)
         whole = control.wait_until_idle(lambda: self._clock.monotonic() > until)
         if not whole:
             _log.warning("calls-cut-off", connections=control.connections)
