A stop answers what callers had sent ahead until the listener closes

What callers saw: with the close announced as an answer is written, a request that was read before the signal, behind another one on its connection, was neither run nor answered; serves it. Now an answer announces the close only where nothing more has arrived, or once the listener is closed. test_a_request_that_was_sent_ahead_before_the_signal_is_answered failed before.

--- a/packages/node/src/persimmonusher_node/caller_reader.py
+++ b/packages/node/src/persimmonusher_node/caller_reader.py
@@ -1,6 +1,8 @@
 """Reads a caller's connection ahead while one of its requests is being answered."""
 
 import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 from io import RawIOBase
 from typing import Any, Final
 
@@ -30,6 +32,7 @@
         self._connection = connection
         self._buffered = bytearray()
         self._ended = False
+        self._may_wait = True
         self.max_ahead_bytes = MAX_READ_AHEAD_BYTES
         """Most bytes read ahead; 0 while a body is sent on as it arrives."""
         self.is_shut = False
@@ -40,8 +43,15 @@
         """Return True; io.RawIOBase's default is False."""
         return True
 
-    def readinto(self, buffer: Any) -> int:
-        """Read buffered bytes, or else wait for more; return 0 at the end."""
+    def readinto(self, buffer: Any) -> int | None:
+        """Read buffered bytes, or else wait for more; return 0 at the end.
+
+        Returns None if there is nothing to read and `without_waiting` is in force.
+        """
+        if not self._may_wait:
+            self._read_ahead()
+            if not self._buffered and not self._ended:
+                return None
         if self._buffered:
             taken = self._buffered[: len(buffer)]
             buffer[: len(taken)] = taken
@@ -60,9 +70,14 @@
             # The caller has already closed the connection.
             return
 
-    def end(self) -> None:
-        """Read nothing more from the connection; bytes that were read ahead are still returned."""
-        self._ended = True
+    @contextmanager
+    def without_waiting(self) -> Iterator[None]:
+        """Let reads return only what has arrived."""
+        self._may_wait = False
+        try:
+            yield
+        finally:
+            self._may_wait = True
 
     def has_caller_left(self) -> bool:
         """Return, without waiting, whether the caller has closed its connection."""
--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -119,8 +119,11 @@
         """Close the connection after this answer if the listener stops; call it before the head.
 
         The answer that is written announces it, also to a request that was read before the stop.
+        Requests that the caller has sent ahead are answered first, until the listener closes.
         """
-        if self.server.draining and not self.close_connection:
+        if not self.server.draining or self.close_connection:
+            return
+        if self.server.closed or not self._has_read_ahead():
             self.close_connection = 1
             self.closes_after_answer = True
 
@@ -213,9 +216,9 @@
         return left
 
     def _has_read_ahead(self) -> bool:
-        """Return whether bytes of a further request were read and not used."""
-        self.reader.end()
-        return bool(self.rfile.peek(1))
+        """Return, without waiting, whether bytes of a further request have arrived."""
+        with self.reader.without_waiting():
+            return bool(self.rfile.peek(1))
 
     def _wait_for_bytes(self) -> bytes:
         if self.has_had_request and self.reader.has_caller_left():
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -282,6 +282,26 @@
                     pass
 
 
+class SentAheadTest(EntryTestCase):
+    server_names = ("s1",)
+
+    # Guards against a stop that drops a request that was read before the signal.
+    def test_a_request_that_was_sent_ahead_before_the_signal_is_answered(self) -> None:
+        self.script(stall(0.5, answer(b"first")), answer(b"second"))
+        plain = eventlet.patcher.original("socket")
+        request = f"POST /e HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n\r\n".encode()
+        with plain.create_connection(("127.0.0.1", self.listener.port)) as caller:
+            caller.sendall(2 * request)
+            eventlet.sleep(0.3)
+            self.listener.close_after_answers()
+            eventlet.sleep(0.5)
+            caller.settimeout(5.0)
+            received = b""
+            while data := caller.recv(65_536):
+                received += data
+        self.assertEqual(received.count(b"HTTP/1.1 200 "), 2)
+
+
 class AcceptGapTest(EntryTestCase):
     def test_no_caller_is_let_in_between_the_last_accept_and_the_close(self) -> None:
         """A caller connects and sends a request just after the stop's last accept.
