--- a/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_daemon.py
@@ -137,21 +137,19 @@
             stack.callback(control.abort)
             start_http(stack, listen.metrics, MetricsApplication(self._metrics))
             _log.info("started", role=settings.role.value, **listen.model_dump())
-            stop.wait()
-            whole = self._end_calls(control)
+            whole = self._end_calls(control, stop.wait())
         _log.info("stopped", whole=whole)
         return whole
 
-    def _end_calls(self, control: HttpListener) -> bool:
+    def _end_calls(self, control: HttpListener, signalled_at: float) -> bool:
         """Stop accepting calls and let those in progress end; return whether all had an answer."""
         _log.info("stopping", connections=control.connections)
-        signalled = self._clock.monotonic()
         control.close_after_answers()
         eventlet.sleep(REGISTER_TIMEOUT_SECONDS)
         control.stop_accepting()
         until = self._clock.monotonic() + DOCUMENT_TIMEOUT_SECONDS + LAST_REQUEST_SECONDS
         if self._settings.stop_seconds is not None:
-            until = min(until, signalled + self._settings.stop_seconds)
+            until = min(until, signalled_at + self._settings.stop_seconds)
         whole = control.wait_until_idle(lambda: self._clock.monotonic() > until)
         if not whole:
             _log.warning("calls-cut-off", connections=control.connections)
