A connection carries each request id once

What callers saw: a request that isn't idempotent was answered 503 (or 502 with "not run" in other dialects' terms: the promise that it did not run) although a server ran it; with three attempts on the route some ran twice.

Cause: a server that rejects a request may send the rejection a second time, at the point where the connection's next answer is expected. The pool gives its newest connection first, so a retry at the same server went out on the connection of the attempt before it. The look for pending bytes comes before the copy does. An answer is told from another one by the request's id, which all attempts of a request share, so the copy passed for the retry's answer.

Ruled out: closing after a rejection (leaves copies of 5xx answers, and costs an opening for each rejection of a full server), remembering the last id only (another request may be answered in between), remembering the connections at the request (a caller's resend under the same id is another request).

Now a connection remembers the ids of all requests that it carried, and the pool leaves it for other requests. So that the memory is bounded without forgetting, a connection is closed after 256 requests. The rule holds for idempotent requests, copies and resends alike.

Why it works: between two requests of one connection with different ids, the check of the id that was there already tells a late answer from the current one; two with the same id no longer exist.

--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -24,6 +24,8 @@
 """Longest idle time of a connection that may still carry a non-idempotent request."""
 MAX_IDLE_CONNECTIONS: Final = 32
 """Per backend server; more would occupy connections that other entries need."""
+MAX_REQUESTS: Final = 256
+"""Requests on one connection, after which it is closed: it remembers the ids of all of them."""
 POOL_RETENTION_SECONDS: Final = 700.0
 """Longer than the longest deadline: no attempt from before is still in flight."""
 
@@ -123,6 +125,28 @@
     may_have_sent: bool = False
     """Whether a byte of the current request may have been sent."""
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._request_ids: set[str] = set()
+
+    def begin_request(self, request_id: str) -> None:
+        """Record the id of a request that is about to be sent."""
+        self.may_have_sent = False
+        self._request_ids.add(request_id)
+
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether no request with this id was sent on the connection before.
+
+        An answer is matched with its request by the id, which all attempts of a request share. So
+        a late copy of the answer to one attempt would pass for the answer to the next one.
+        """
+        return request_id not in self._request_ids
+
+    @property
+    def is_used_up(self) -> bool:
+        """Return whether the connection has carried as many requests as it may."""
+        return len(self._request_ids) >= MAX_REQUESTS
+
     def send(self, data: Any) -> None:
         """Write to the socket; sets `may_have_sent` first."""
         self.may_have_sent = True
@@ -161,12 +185,17 @@
         self._idle: deque[ServerConnection] = deque()
         self.last_used = clock.monotonic()
 
-    def acquire(self, idempotent: bool) -> ServerConnection | None:
-        """Return an idle connection that is safe for the request, or None."""
+    def acquire(self, request_id: str, idempotent: bool) -> ServerConnection | None:
+        """Return an idle connection that is safe for the request, or None.
+
+        Connections that have carried a request with the same id are left for other requests.
+        """
         max_idle_seconds = IDLE_TIMEOUT_SECONDS if idempotent else NON_IDEMPOTENT_IDLE_SECONDS
         oldest = self._clock.monotonic() - max_idle_seconds
-        while self._idle:
-            connection = self._idle.pop()
+        for connection in reversed(tuple(self._idle)):
+            if not connection.may_carry(request_id):
+                continue
+            self._idle.remove(connection)
             if connection.idle_since >= oldest and connection.has_no_pending_data():
                 return connection
             connection.close()
@@ -182,7 +211,7 @@
 
     def release(self, connection: ServerConnection) -> None:
         """Return a connection to the pool; its last answer must have been read to its end."""
-        if len(self._idle) >= MAX_IDLE_CONNECTIONS:
+        if len(self._idle) >= MAX_IDLE_CONNECTIONS or connection.is_used_up:
             connection.close()
             return
         connection.idle_since = self._clock.monotonic()
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -221,7 +221,7 @@
         self._check_may_begin()
         connection = None
         if self._ways.may_reach(self._pool.address):
-            connection = self._pool.acquire(self._request.idempotent)
+            connection = self._pool.acquire(self._request.request_id, self._request.idempotent)
         if connection is None:
             connection = self._connect()
         self._socket = connection.sock
@@ -260,7 +260,7 @@
 
     def _exchange(self, connection: ServerConnection) -> BaseHTTPResponse:
         connection.timeout = self._remaining()
-        connection.may_have_sent = False
+        connection.begin_request(self._request.request_id)
         remaining_ms = int(self._remaining() * 1000.0)
         headers = {**self._request.headers, self._dialect.deadline: str(max(1, remaining_ms))}
         if self._request.body.is_large and self._request.body.length != 0:
@@ -310,8 +310,9 @@
         """Raise HTTPException for an answer without a checkable end or to another request.
 
         An answer that ends with the connection can't be distinguished from a cut-off one. A
-        duplicate answer to the connection's previous request may arrive just after the check for
-        pending data; where the server echoes the request id, it is detected here.
+        duplicate answer to an earlier request on the connection may arrive just after the check for
+        pending data; where the server echoes the request id, it is detected here. That request had
+        another id, since a connection carries each id only once.
         """
         if response.status < 200:
             raise HTTPException(f"an interim answer {response.status} in place of the final one")
