A rejection that names no request ends its connection

What callers saw: with a server that doesn't echo the request's id in its rejections, a late extra copy of one rejects the connection's next request, of another caller, which then runs all the same: 503, "not run".

Cause: an answer without an id is accepted, as servers need not send one, and then nothing tells a late copy from the answer itself.

Ruled out: closing after every answer without an id, which would end all reuse with servers that echo none.

Now a connection is closed after an answer that says "not run" (or 421, which says that another server has the address) and carries no id. Rejections that carry one keep their connection, as before.

Why it works: the copy of a false promise would have to arrive on the closed connection. Copies of other answers without ids may still reach the wrong caller (data-plane.md, "Not proved here").

Test: test_a_rejection_that_names_no_request_rejects_only_its_own failed before (503 for a request that ran). The test of reuse after a rejection uses a rejection with an id, as its connection must stay in use.

--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -29,6 +29,8 @@
 
 STREAM_CHUNK_BYTES: Final = 65_536
 MIN_ERROR_STATUS: Final = 400
+MISDIRECTED: Final = 421
+"""The server at the address is another one than the request expects."""
 
 
 @dataclass(frozen=True)
@@ -303,7 +305,7 @@
                 stream = self._stream(connection, response)
                 return UpstreamAnswer(response.status, headers, b"".join(parts), stream)
         self._check_end(response)
-        self._keep(connection)
+        self._keep(connection, response)
         return UpstreamAnswer(response.status, headers, b"".join(parts))
 
     def _check_answer(self, response: BaseHTTPResponse) -> None:
@@ -355,7 +357,7 @@
                 yield data
                 self._is_held_up = False
             self._check_end(response)
-            self._keep(connection)
+            self._keep(connection, response)
             done = True
         except (HTTPError, HTTPException, OSError, ValueError) as error:
             raise self._make_error(error, connection) from error
@@ -363,14 +365,23 @@
             if not done:
                 connection.close()
 
-    def _keep(self, connection: ServerConnection) -> None:
+    def _keep(self, connection: ServerConnection, response: BaseHTTPResponse) -> None:
         # http.client has already dropped the socket if the answer ends its connection.
         is_sent = self._sender is None or self._sender.is_whole
-        if connection.sock is not None and self._stopped is None and is_sent:
+        is_usable = connection.sock is not None and self._stopped is None and is_sent
+        if is_usable and not self._is_unnamed_rejection(response):
             self._release(connection)
         else:
             connection.close()
 
+    def _is_unnamed_rejection(self, response: BaseHTTPResponse) -> bool:
+        """Return whether an answer says `not run` without the request's id.
+
+        A late copy of it would pass for the rejection of the connection's next request.
+        """
+        is_rejection = self._dialect.not_run in response.headers or response.status == MISDIRECTED
+        return is_rejection and self._dialect.request_id not in response.headers
+
     def _release(self, connection: ServerConnection) -> None:
         """Return a direct connection to the pool; close one through another instance."""
         if connection.is_relayed:
--- a/packages/node/tests/test_late_answers.py
+++ b/packages/node/tests/test_late_answers.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest.mock import patch
 
-from entry_harness import PROFILE, SHED, EntryTestCase, Heard, answer
+from entry_harness import PROFILE, EntryTestCase, Heard, answer
 
 from persimmonusher_node import connections
 
@@ -12,9 +12,11 @@
 class CopyingServer:
     """Rejects some requests and runs the others; copies of rejections precede the next answer."""
 
-    def __init__(self, rejections: int) -> None:
+    def __init__(self, rejections: int, names_requests: bool = True) -> None:
         self.rejections = rejections
         """How many requests are still to be rejected."""
+        self._names_requests = names_requests
+        """Whether rejections carry the request's id."""
         self.ran: list[str] = []
         """Targets of the requests that ran."""
         self._copies: dict[socket.socket, Heard] = {}
@@ -32,8 +34,9 @@
         return answer(b"done", "200 OK", make_id_line(heard))(connection, heard)
 
     def _reject(self, connection: socket.socket, heard: Heard) -> bool:
-        lines = ("Persimmonusher-Not-Run: shed", make_id_line(heard))
-        return answer(b"", "503 Busy", *lines)(connection, heard)
+        id_lines = [make_id_line(heard)] if self._names_requests else []
+        rejection = answer(b"", "503 Busy", "Persimmonusher-Not-Run: shed", *id_lines)
+        return rejection(connection, heard)
 
 
 def make_id_line(heard: Heard) -> str:
@@ -75,11 +78,19 @@
 
     # Guards against a rejection that costs later requests their connection.
     def test_connections_stay_in_use_after_a_rejection(self) -> None:
-        self.servers[0].script[:] = [SHED]
+        self.servers[0].script[:] = [CopyingServer(rejections=1).act]
         for _ in range(10):
             self.assertEqual(self.call("POST").status, 200)
         self.assertEqual(self.servers[0].connections, 2)
 
+    # Guards against a rejection without an id that is taken for the answer to another request.
+    def test_a_rejection_that_names_no_request_rejects_only_its_own(self) -> None:
+        server = CopyingServer(rejections=2, names_requests=False)
+        self.servers[0].default = server.act
+        self.assertEqual(self.call("POST", "/1").status, 503)
+        self.assertEqual(self.call("POST", "/2").status, 200)
+        self.assertEqual(server.ran, ["/2"])
+
 
 class UsedUpConnectionsTest(EntryTestCase):
     server_names = ("s1",)
