--- a/packages/agreement/tests/test_membership_steps.py
+++ b/packages/agreement/tests/test_membership_steps.py
@@ -115,6 +115,19 @@
         answers = list_sends(self.receive(wrap(Ping(7), sender=3)), Ack)
         self.assertEqual(answers[0].envelope.updates[0], make_member(3, state=2))
 
+    # Guards against a late answer to one probe that counts for the next one.
+    def test_only_the_answer_to_the_running_probe_counts(self) -> None:
+        pings: list[Send] = []
+        while len({ping.envelope.body for ping in pings}) < 2:
+            self.now += LIMITS.probe_interval / 2
+            pings += list_sends(self.fleet.tick(self.now), Ping)
+        number = int(pings[-1].address.split(":")[0].split(".")[3])
+        for ping, counts in ((pings[0], False), (pings[-1], True)):
+            body = ping.envelope.body
+            assert isinstance(body, Ping)
+            self.receive(wrap(Ack(body.sequence, InstanceId(f"entry-{number}")), sender=number))
+            self.assertEqual(self.fleet.has_peer_contact, counts)
+
     def test_an_old_repair_is_answered_with_the_newer_record(self) -> None:
         stopped = replace(READY, sequence=9, state=ServerState.STOPPED)
         self.receive(wrap(Rumour(), stopped))
--- a/packages/node/tests/test_late_answers.py
+++ b/packages/node/tests/test_late_answers.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest.mock import patch
 
+import eventlet
 from entry_harness import PROFILE, EntryTestCase, Heard, answer
 
 from persimmonusher_node import connections
@@ -91,6 +92,18 @@
         self.assertEqual(self.call("POST", "/2").status, 200)
         self.assertEqual(server.ran, ["/2"])
 
+    # Guards against two requests in flight under one id that get each other's answer.
+    def test_requests_under_one_id_at_once_get_their_own_answers(self) -> None:
+        def echo(connection: socket.socket, heard: Heard) -> bool:
+            eventlet.sleep(0.05 if heard.target == "/1" else 0.02)
+            return answer(heard.target.encode(), "200 OK", make_id_line(heard))(connection, heard)
+
+        self.servers[0].default = echo
+        headers = {"X-Request-Id": "r1"}
+        targets = ("/1", "/2", "/3")
+        calls = [eventlet.spawn(self.call, "GET", each, headers=headers) for each in targets]
+        self.assertEqual([call.wait().body for call in calls], [b"/1", b"/2", b"/3"])
+
 
 class UsedUpConnectionsTest(EntryTestCase):
     server_names = ("s1",)
--- a/packages/node/tests/test_relays.py
+++ b/packages/node/tests/test_relays.py
@@ -20,6 +20,7 @@
 from persimmonusher_model.identifiers import FailureDomain  # noqa: E402
 from persimmonusher_node.bodies import Body  # noqa: E402
 from persimmonusher_node.clock import SystemClock  # noqa: E402
+from persimmonusher_node.connections import ServerConnection  # noqa: E402
 from persimmonusher_node.dialect import Dialect  # noqa: E402
 from persimmonusher_node.relay_listener import RelayListener  # noqa: E402
 from persimmonusher_node.relay_protocol import (  # noqa: E402
@@ -28,7 +29,7 @@
     parse_answer,
     parse_request,
 )
-from persimmonusher_node.relays import RelayDialer, read_head  # noqa: E402
+from persimmonusher_node.relays import RelayDialer, RelaySearch, read_head  # noqa: E402
 from persimmonusher_node.server_ways import ServerWays  # noqa: E402
 from persimmonusher_node.upstream import (  # noqa: E402
     AttemptError,
@@ -194,6 +195,27 @@
         self.assertEqual(self.run_attempt().body, b"ok")
         self.assertEqual(self.upstream.ways.lost_count, 1)
 
+    # Guards against a late copy of an answer that is given to the next attempt when relayed.
+    def test_each_relayed_attempt_has_a_connection_of_its_own(self) -> None:
+        self.server.default = send(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst", go_on=True)
+        self.assertEqual(self.run_attempt().body, b"first")
+        self.server.default = answer(b"second")
+        self.assertEqual(self.run_attempt().body, b"second")
+        self.assertEqual(self.server.connections, 2)
+        eventlet.sleep(0.05)
+        self.assertEqual(self.relay.connections, 0)
+
+    # Guards against a connection that comes after its search and serves a later request.
+    def test_a_connection_that_comes_too_late_is_closed(self) -> None:
+        search = RelaySearch(SystemClock(), 0.0)
+        search.wait_for_rest(asked=1)
+        host, _, port = self.server.address.rpartition(":")
+        late = ServerConnection(host, int(port), timeout=1.0)
+        late.connect()
+        search.add(late)
+        self.assertIsNone(search.connection)
+        self.assertIsNone(late.sock)
+
     # Guards against an answer that a reset cut off and that is taken for whole when relayed.
     def test_a_reset_by_the_server_arrives_as_one(self) -> None:
         def break_off(connection: socket.socket, heard: object) -> bool:
