--- a/packages/agreement/tests/test_log_script.py
+++ b/packages/agreement/tests/test_log_script.py
@@ -13,6 +13,8 @@
     LogMessage,
     Noop,
     Snapshot,
+    VoteReply,
+    VoteRequest,
     find_instance,
 )
 from persimmonusher_lab.log_cluster import LogCluster
@@ -69,6 +71,15 @@
                 return
         self.fail(f"{name} was not elected")
 
+    def collect_vote(self, name: str, voter: str) -> VoteReply:
+        """Make a keeper ask for votes in a new term; return the voter's, which isn't delivered."""
+        for _ in range(100):
+            self.bag.clear()
+            self.wait(name, 0.2)
+            if self.deliver({name, voter}, stop_after=VoteRequest) is not None:
+                break
+        return next(message for message in self.bag if isinstance(message, VoteReply))
+
     def test_an_entry_of_an_earlier_term_is_not_committed_by_counting(self) -> None:
         """A change reaches only its leader, which crashes; another keeper leads and crashes too.
 
@@ -186,6 +197,15 @@
         self.assertEqual((reply.success, reply.match), (True, last - 1))
         self.assertLess(old.replica.commit, last)
 
+    # Guards against a leader that was elected by a vote for an earlier term.
+    def test_a_late_vote_does_not_count_in_a_later_term(self) -> None:
+        late = self.collect_vote("k1", "k2")
+        current = self.collect_vote("k1", "k2")
+        self.assertGreater(current.term, late.term)
+        for vote, leads in ((late, False), (current, True)):
+            self.cluster.deliver(vote, "fleet1", self.now)
+            self.assertEqual(self.is_leader("k1"), leads)
+
     def test_messages_of_a_log_that_was_formed_and_lost_are_dropped(self) -> None:
         """A log is lost and formed anew, and a message of the first log arrives late.
 
--- a/packages/decisions/tests/test_traffic.py
+++ b/packages/decisions/tests/test_traffic.py
@@ -135,6 +135,17 @@
         self.assertEqual(traffic.finish(dispatch, GOOD, 0.2), ())
         self.assertEqual(traffic.describe(0.2)[0].outstanding, 0)
 
+    # Guards against the late end of a request that ends a resend under the same id.
+    def test_attempts_of_two_requests_under_one_id_end_by_themselves(self) -> None:
+        traffic = make_traffic(1)
+        first = dispatched(traffic.offer(make_request("r"), 0.0))
+        second = dispatched(traffic.offer(make_request("r", 0.1), 0.1))
+        outstanding = []
+        for dispatch in (first, first, second):
+            traffic.finish(dispatch, FAILED, 0.2)
+            outstanding.append(traffic.describe(0.2)[0].outstanding)
+        self.assertEqual(outstanding, [1, 1, 0])
+
 
 class SaturationTest(unittest.TestCase):
     """Guards against starvation when demand is three times the capacity.
