--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -29,6 +29,8 @@
 
 STREAM_CHUNK_BYTES: Final = 65_536
 MIN_ERROR_STATUS: Final = 400
+MISDIRECTED: Final = 421
+"""The server at the address is another one than the request expects."""
 
 
 @dataclass(frozen=True)
@@ -221,7 +223,7 @@
         self._check_may_begin()
         connection = None
         if self._ways.may_reach(self._pool.address):
-            connection = self._pool.acquire(self._request.idempotent)
+            connection = self._pool.acquire(self._request.request_id, self._request.idempotent)
         if connection is None:
             connection = self._connect()
         self._socket = connection.sock
@@ -260,7 +262,7 @@
 
     def _exchange(self, connection: ServerConnection) -> BaseHTTPResponse:
         connection.timeout = self._remaining()
-        connection.may_have_sent = False
+        connection.begin_request(self._request.request_id)
         remaining_ms = int(self._remaining() * 1000.0)
         headers = {**self._request.headers, self._dialect.deadline: str(max(1, remaining_ms))}
         if self._request.body.is_large and self._request.body.length != 0:
@@ -303,15 +305,16 @@
                 stream = self._stream(connection, response)
                 return UpstreamAnswer(response.status, headers, b"".join(parts), stream)
         self._check_end(response)
-        self._keep(connection)
+        self._keep(connection, response)
         return UpstreamAnswer(response.status, headers, b"".join(parts))
 
     def _check_answer(self, response: BaseHTTPResponse) -> None:
         """Raise HTTPException for an answer without a checkable end or to another request.
 
         An answer that ends with the connection can't be distinguished from a cut-off one. A
-        duplicate answer to the connection's previous request may arrive just after the check for
-        pending data; where the server echoes the request id, it is detected here.
+        duplicate answer to an earlier request on the connection may arrive just after the check for
+        pending data; where the server echoes the request id, it is detected here. That request had
+        another id, since a connection carries each id only once.
         """
         if response.status < 200:
             raise HTTPException(f"an interim answer {response.status} in place of the final one")
@@ -354,7 +357,7 @@
                 yield data
                 self._is_held_up = False
             self._check_end(response)
-            self._keep(connection)
+            self._keep(connection, response)
             done = True
         except (HTTPError, HTTPException, OSError, ValueError) as error:
             raise self._make_error(error, connection) from error
@@ -362,14 +365,23 @@
             if not done:
                 connection.close()
 
-    def _keep(self, connection: ServerConnection) -> None:
+    def _keep(self, connection: ServerConnection, response: BaseHTTPResponse) -> None:
         # http.client has already dropped the socket if the answer ends its connection.
         is_sent = self._sender is None or self._sender.is_whole
-        if connection.sock is not None and self._stopped is None and is_sent:
+        is_usable = connection.sock is not None and self._stopped is None and is_sent
+        if is_usable and not self._is_unnamed_rejection(response):
             self._release(connection)
         else:
             connection.close()
 
+    def _is_unnamed_rejection(self, response: BaseHTTPResponse) -> bool:
+        """Return whether an answer says `not run` without the request's id.
+
+        A late copy of it would pass for the rejection of the connection's next request.
+        """
+        is_rejection = self._dialect.not_run in response.headers or response.status == MISDIRECTED
+        return is_rejection and self._dialect.request_id not in response.headers
+
     def _release(self, connection: ServerConnection) -> None:
         """Return a direct connection to the pool; close one through another instance."""
         if connection.is_relayed:
