A copy that has not begun when its request is answered never begins

The connection stayed open and came back only when the caller sent more.

Cause: the copy of a hedged lookup was registered with its request by its own green thread. When the first answer was in the queue already, the request ended before that thread began, so cancelling the losers didn't find the copy. It began after the answer, and asked the caller's connection whether the caller had left. That took the next request's bytes out of the kernel while the connection's own green thread waited there for the socket to become readable, which it then never did. The copy also went to a server for nothing.

Now an attempt is prepared and registered before its green thread is spawned; preparing one sends nothing. The end of a request cancels what is left of its attempts, and no attempt may begin for a request that has ended, so nothing of it looks at the caller's connection. Besides, the reader takes nothing out of the kernel while a green thread waits for bytes, and then asks only whether the caller hung up: a waiting thread can't be robbed whoever asks.

The three tests in test_ended_requests.py and the two new ones in test_caller_reader.py failed before the change.

--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -98,7 +98,7 @@
             delay = run.live.traffic.hedge_delay(dispatch, started)
         try:
             if delay is None:
-                return self._make(run, dispatch)
+                return self._make(run, dispatch, self._prepare(run, dispatch))
             return self._race(run, dispatch, delay)
         finally:
             run.server_seconds += self._clock.monotonic() - started
@@ -158,8 +158,8 @@
             self._note_draining(dispatch.server)
         self._publish(live)
 
-    def _make(self, run: Run, dispatch: Dispatch) -> EndedAttempt:
-        started = self._clock.monotonic()
+    def _prepare(self, run: Run, dispatch: Dispatch) -> Attempt:
+        """Return an attempt that has not begun, and that the end of its request cancels."""
         request = make_upstream_request(run.call, run.request, dispatch.server, self._dialect)
         attempt = self._upstream.start_attempt(
             dispatch.server,
@@ -169,6 +169,10 @@
             lambda: run.live.traffic.may_send(dispatch, self._clock.monotonic()),
         )
         run.add_attempt(dispatch, attempt)
+        return attempt
+
+    def _make(self, run: Run, dispatch: Dispatch, attempt: Attempt) -> EndedAttempt:
+        started = self._clock.monotonic()
         outcome = Outcome(OutcomeKind.CANCELLED, 0.0)
         ended: EndedAttempt | None = None
         try:
@@ -239,9 +243,15 @@
         return ended
 
     def _spawn(self, run: Run, dispatch: Dispatch, results: Queue) -> None:
+        """Make an attempt in a green thread of its own.
+
+        It is registered here: the request may end before that thread begins.
+        """
+        attempt = self._prepare(run, dispatch)
+
         def make() -> None:
             try:
-                ended = self._make(run, dispatch)
+                ended = self._make(run, dispatch, attempt)
             except Exception:
                 # Without a result in the queue `_race` would wait for ever.
                 _log.exception("attempt failed", request_id=run.request.request_id)
--- a/packages/node/src/persimmonusher_node/caller_reader.py
+++ b/packages/node/src/persimmonusher_node/caller_reader.py
@@ -24,12 +24,17 @@
     Callers may send further requests before the first one is answered, and may leave meanwhile.
     The end of a connection is visible only after all earlier bytes are read; unless they are taken
     out of the kernel, the requests of a caller that left long ago would still be run.
+
+    A green thread that waits for bytes is woken only by bytes in the kernel, so none are taken out
+    while one waits.
     """
 
     def __init__(self, connection: socket.socket) -> None:
         self._connection = connection
         self._buffered = bytearray()
         self._ended = False
+        self._is_waiting = False
+        """Whether a green thread waits for bytes."""
         self.max_ahead_bytes = MAX_READ_AHEAD_BYTES
         """Most bytes read ahead; 0 while a body is sent on as it arrives."""
         self.is_shut = False
@@ -47,7 +52,13 @@
             buffer[: len(taken)] = taken
             del self._buffered[: len(taken)]
             return len(taken)
-        return 0 if self._ended else self._connection.recv_into(buffer)
+        if self._ended:
+            return 0
+        self._is_waiting = True
+        try:
+            return self._connection.recv_into(buffer)
+        finally:
+            self._is_waiting = False
 
     def shut_if_silent(self) -> None:
         """Shut down reading if no byte waits to be read, so that no request is cut in two."""
@@ -68,6 +79,8 @@
         """Return, without waiting, whether the caller has closed its connection."""
         if self.is_shut:
             return False
+        if self._is_waiting:
+            return self._is_hung_up()
         self._read_ahead()
         return self._ended or (len(self._buffered) >= self.max_ahead_bytes and self._is_hung_up())
 
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -187,6 +187,7 @@
 
     def _end(self, run: Run, answer: Answer | None) -> None:
         del self._runs[run.request.request_id]
+        run.end()
         run.live.in_flight -= 1
         code = AnswerCode.INTERNAL if answer is None else answer.code
         outcome = CallerOutcome.UNKNOWN if answer is None else answer.outcome
--- a/packages/node/src/persimmonusher_node/runs.py
+++ b/packages/node/src/persimmonusher_node/runs.py
@@ -46,13 +46,17 @@
         """Whether the end of a stop ended the request."""
         self.caller_left = False
         """Whether the caller was seen to have left."""
+        self.is_over = False
+        """Whether the request has ended: nothing begins for it any more."""
         self._release: Event | None = None
 
     def add_attempt(self, dispatch: Dispatch, attempt: Attempt) -> None:
-        """Register an attempt so that `stop` can cancel it."""
+        """Register an attempt so that `stop` and `end` can cancel it, also before it begins."""
         self._attempts[dispatch.attempt] = attempt
         if self.stopped is not None:
             attempt.cancel(self.stopped)
+        elif self.is_over:
+            attempt.cancel(OutcomeKind.CANCELLED)
 
     def remove_attempt(self, dispatch: Dispatch) -> None:
         """Remove an attempt that has ended."""
@@ -96,11 +100,21 @@
             self.release(None)
         self.cancel_attempts(kind)
 
+    def end(self) -> None:
+        """Record that the request has ended, and cancel the attempts that are left.
+
+        From here on the caller's connection belongs to the caller's next request.
+        """
+        self.is_over = True
+        self.cancel_attempts(OutcomeKind.CANCELLED)
+
     def may_begin(self, now: float) -> bool:
         """Return whether an attempt may begin now; stops the request where it may not.
 
         This checks the caller's connection itself, since the periodic check may be late.
         """
+        if self.is_over:
+            return False
         if now >= self.request.deadline:
             self.stop(OutcomeKind.TIMEOUT)
         elif not self.caller_left and self.call.has_caller_left():
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -255,7 +255,7 @@
         if self._stopped is OutcomeKind.TIMEOUT:
             message = "the deadline passed before the first byte"
             raise AttemptError(OutcomeKind.REFUSED, AnswerCode.DEADLINE, message, is_unsent=True)
-        message = "the caller left before the first byte"
+        message = "the request ended, or its caller left, before the first byte"
         raise AttemptError(OutcomeKind.CANCELLED, AnswerCode.CALLER_LEFT, message, is_unsent=True)
 
     def _exchange(self, connection: ServerConnection) -> BaseHTTPResponse:
--- a/packages/node/tests/test_caller_reader.py
+++ b/packages/node/tests/test_caller_reader.py
@@ -49,6 +49,26 @@
         self.assertLess(sent, MAX_READ_AHEAD_BYTES * 20)
         self.assertEqual(self.file.read(sent), b"x" * sent)
 
+    # Guards against a check of the caller that takes the bytes for which a green thread waits.
+    def test_a_green_thread_that_waits_for_bytes_gets_them(self) -> None:
+        reading = eventlet.spawn(self.file.readline)
+        self.addCleanup(reading.kill)
+        eventlet.sleep(0)
+        self.caller.sendall(b"next\n")
+        self.assertFalse(self.reader.has_caller_left())
+        with eventlet.Timeout(1.0):
+            self.assertEqual(reading.wait(), b"next\n")
+
+    # Guards against a departure that shows only to the green thread that waits for bytes.
+    def test_an_end_shows_while_a_green_thread_waits_for_bytes(self) -> None:
+        reading = eventlet.spawn(self.file.readline)
+        self.addCleanup(reading.kill)
+        eventlet.sleep(0)
+        self.caller.close()
+        self.assertTrue(self.reader.has_caller_left())
+        with eventlet.Timeout(1.0):
+            self.assertEqual(reading.wait(), b"")
+
     # Guards against a stop that takes the end that it made itself for the caller's departure.
     def test_an_end_made_on_this_side_is_not_taken_for_the_callers(self) -> None:
         plain = eventlet.patcher.original("socket")
--- /dev/null
+++ b/packages/node/tests/test_ended_requests.py
@@ -0,0 +1,239 @@
+"""Green threads of requests that have ended before these threads begin, without network."""
+
+from persimmonusher_node import loop
+
+loop.install()
+
+import unittest  # noqa: E402
+from collections.abc import Callable  # noqa: E402
+from types import SimpleNamespace  # noqa: E402
+from typing import Any, cast  # noqa: E402
+
+import eventlet  # noqa: E402
+from eventlet.event import Event  # noqa: E402
+
+from persimmonusher_decisions.server import BackendServer, ServerState  # noqa: E402
+from persimmonusher_decisions.work import (  # noqa: E402
+    Dispatch,
+    Outcome,
+    OutcomeKind,
+    Request,
+)
+from persimmonusher_model.identifiers import (  # noqa: E402
+    CallerId,
+    FailureDomain,
+    RequestId,
+    ServerId,
+    ServiceName,
+)
+from persimmonusher_node.attempts import Attempts  # noqa: E402
+from persimmonusher_node.bodies import Body  # noqa: E402
+from persimmonusher_node.calls import Call  # noqa: E402
+from persimmonusher_node.clock import SystemClock  # noqa: E402
+from persimmonusher_node.dialect import OWN_DIALECT  # noqa: E402
+from persimmonusher_node.records import RequestRecord  # noqa: E402
+from persimmonusher_node.runs import Run  # noqa: E402
+from persimmonusher_node.upstream import (  # noqa: E402
+    Attempt,
+    AttemptError,
+    UpstreamAnswer,
+    UpstreamRequest,
+)
+
+CLOCK = SystemClock()
+HEDGE_DELAY_SECONDS = 0.01
+
+
+def make_server(name: str) -> BackendServer:
+    return BackendServer(
+        ServerId(name),
+        ServiceName("entries"),
+        f"10.0.0.1:{len(name)}",
+        FailureDomain("north"),
+        4,
+        0,
+        1,
+        1,
+        ServerState.READY,
+    )
+
+
+class RecordingReader:
+    """A caller that stays connected; counts how often its connection is read ahead."""
+
+    def __init__(self) -> None:
+        self.checks = 0
+
+    def has_caller_left(self) -> bool:
+        self.checks += 1
+        return False
+
+
+class SimulatedPool:
+    """Idle connections of one server; the opening of one is the first effect of an attempt."""
+
+    address = "10.0.0.1:80"
+
+    def __init__(self) -> None:
+        self.acquired = 0
+
+    def acquire(self, idempotent: bool) -> Any:
+        self.acquired += 1
+        raise AssertionError("an attempt began after the end of its request")
+
+
+class SimulatedAttempt(Attempt):
+    """An attempt that answers as soon as `answered` is sent."""
+
+    def __init__(self, answered: Event, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self._answered = answered
+
+    def run(self) -> UpstreamAnswer:
+        self._answered.wait()
+        return UpstreamAnswer(200, (), b"ok")
+
+
+class SimulatedUpstream:
+    """Makes a first attempt that is answered on demand, and real ones after it."""
+
+    def __init__(self) -> None:
+        self.pool = SimulatedPool()
+        self.answered = Event()
+        self.is_first = True
+
+    def start_attempt(
+        self,
+        server: BackendServer,
+        request: UpstreamRequest,
+        deadline: float,
+        may_begin: Callable[[], bool],
+        may_send: Callable[[], bool],
+    ) -> Attempt:
+        ways = SimpleNamespace(may_reach=lambda address: True)
+        arguments = (
+            self.pool,
+            server,
+            request,
+            deadline,
+            CLOCK,
+            65_536,
+            OWN_DIALECT,
+            ways,
+            may_begin,
+            may_send,
+        )
+        is_first, self.is_first = self.is_first, False
+        if is_first:
+            return SimulatedAttempt(self.answered, *arguments)
+        return Attempt(*cast("Any", arguments))
+
+
+class SimulatedTraffic:
+    """Decisions that hedge each request; the first answer arrives as the copy is decided on."""
+
+    def __init__(self, answered: Event) -> None:
+        self._answered = answered
+        self.finished: list[tuple[int, OutcomeKind]] = []
+
+    def hedge_delay(self, dispatch: Dispatch, now: float) -> float:
+        return HEDGE_DELAY_SECONDS
+
+    def hedge(self, first: Dispatch, now: float) -> Dispatch:
+        self._answered.send()
+        eventlet.sleep(0)
+        return Dispatch(first.request, make_server("second"), 2, now)
+
+    def may_send(self, dispatch: Dispatch, now: float) -> bool:
+        return True
+
+    def apply_advice(self, dispatch: Dispatch, advice: Any, now: float) -> bool:
+        return False
+
+    def finish(self, dispatch: Dispatch, outcome: Outcome, now: float) -> tuple[()]:
+        self.finished.append((dispatch.attempt, outcome.kind))
+        return ()
+
+    def pop_notices(self) -> tuple[()]:
+        return ()
+
+
+class EndedRequestsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.upstream = SimulatedUpstream()
+        self.traffic = SimulatedTraffic(self.upstream.answered)
+        self.reader = RecordingReader()
+        self.attempts = Attempts(
+            cast("Any", self.upstream), CLOCK, lambda live, decision: None, lambda server: None
+        )
+        self.run_in_flight = self.make_run()
+        self.first = Dispatch(self.run_in_flight.request, make_server("first"), 1, 0.0)
+
+    def make_run(self) -> Run:
+        now = CLOCK.monotonic()
+        name, caller = RequestId("r1"), CallerId("c1")
+        call = Call(
+            name,
+            caller,
+            "lookup",
+            "GET",
+            "entries.example",
+            "/",
+            "/",
+            (),
+            now,
+            None,
+            None,
+            Body(),
+            cast("Any", self.reader),
+        )
+        request = Request(name, caller, "lookup", True, now, now + 5.0, "print")
+        record = RequestRecord(
+            name, "entries", caller, "lookup", "GET", "/", True, now, cast("Any", None)
+        )
+        live = SimpleNamespace(traffic=self.traffic, name="entries")
+        return Run(call, cast("Any", live), request, record)
+
+    # Guards against a copy that begins, and reads its caller's connection, after the answer.
+    def test_a_copy_that_has_not_begun_when_its_request_is_answered_never_begins(self) -> None:
+        ended = self.attempts.carry_out(self.run_in_flight, self.first)
+        self.assertEqual(ended.outcome.kind, OutcomeKind.SUCCESS)
+        checks = self.reader.checks
+        eventlet.sleep(0.01)
+        self.assertEqual((self.upstream.pool.acquired, self.reader.checks), (0, checks))
+        finished = [(1, OutcomeKind.SUCCESS), (2, OutcomeKind.CANCELLED)]
+        self.assertEqual(self.traffic.finished, finished)
+
+    # Guards against an attempt that begins after its request has ended, however it was started.
+    def test_no_attempt_begins_for_a_request_that_has_ended(self) -> None:
+        self.upstream.is_first = False
+        self.run_in_flight.end()
+        with self.assertRaises(AttemptError) as caught:
+            self.make_attempt().run()
+        self.assertIs(caught.exception.kind, OutcomeKind.CANCELLED)
+        self.assertEqual((self.upstream.pool.acquired, self.reader.checks), (0, 0))
+
+    # Guards against attempts that go on for a request that an error inside has ended.
+    def test_the_end_of_a_request_cancels_its_attempts(self) -> None:
+        self.upstream.is_first = False
+        attempt = self.make_attempt()
+        self.run_in_flight.add_attempt(self.first, attempt)
+        self.run_in_flight.end()
+        with self.assertRaises(AttemptError) as caught:
+            attempt.run()
+        self.assertIs(caught.exception.kind, OutcomeKind.CANCELLED)
+        self.assertEqual(self.upstream.pool.acquired, 0)
+
+    def make_attempt(self) -> Attempt:
+        request = UpstreamRequest("r1", "GET", "/", {}, Body(), True)
+        return self.upstream.start_attempt(
+            make_server("first"),
+            request,
+            CLOCK.monotonic() + 5.0,
+            lambda: self.run_in_flight.may_begin(CLOCK.monotonic()),
+            lambda: True,
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
