No further instance is asked once a relayed connection is found

Up to four instances are asked for a connection to a server, each in a green thread of its own. When the answer of an earlier one was in the queue already as the next thread was spawned, the search ended before that thread began. It still opened a connection to its instance, which opened one to the server; both were closed unused, and the outcome was recorded for the instance.

The thread now asks whether the search is over before its first effect. The test failed before.

--- a/packages/node/src/persimmonusher_node/relays.py
+++ b/packages/node/src/persimmonusher_node/relays.py
@@ -83,7 +83,9 @@
         raise RelayError(Verdict.UNKNOWN)
 
     def _try_for(self, search: "RelaySearch", peer: RelayPeer, server: BackendServer) -> None:
-        search.add(self._try(peer, server, TRY_SECONDS))
+        # An earlier instance may have answered before this green thread began.
+        if not search.is_over:
+            search.add(self._try(peer, server, TRY_SECONDS))
 
     def _try(
         self, peer: RelayPeer, server: BackendServer, seconds: float
--- a/packages/node/tests/test_ended_requests.py
+++ b/packages/node/tests/test_ended_requests.py
@@ -12,6 +12,7 @@
 import eventlet  # noqa: E402
 from eventlet.event import Event  # noqa: E402
 
+from persimmonusher_decisions.relay_choice import RelayPeer  # noqa: E402
 from persimmonusher_decisions.server import BackendServer, ServerState  # noqa: E402
 from persimmonusher_decisions.work import (  # noqa: E402
     Dispatch,
@@ -32,6 +33,8 @@
 from persimmonusher_node.clock import SystemClock  # noqa: E402
 from persimmonusher_node.dialect import OWN_DIALECT  # noqa: E402
 from persimmonusher_node.records import RequestRecord  # noqa: E402
+from persimmonusher_node.relay_protocol import RelayStatus  # noqa: E402
+from persimmonusher_node.relays import RelayDialer, RelaySearch  # noqa: E402
 from persimmonusher_node.runs import Run  # noqa: E402
 from persimmonusher_node.upstream import (  # noqa: E402
     Attempt,
@@ -42,6 +45,7 @@
 
 CLOCK = SystemClock()
 HEDGE_DELAY_SECONDS = 0.01
+PEER = RelayPeer("10.0.0.2:80", FailureDomain("north"))
 
 
 def make_server(name: str) -> BackendServer:
@@ -158,6 +162,20 @@
         return ()
 
 
+class RecordingDialer(RelayDialer):
+    """Records which instances are asked for a connection."""
+
+    asked: list[RelayPeer]
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.asked = []
+
+    def _try(self, peer: RelayPeer, server: BackendServer, seconds: float) -> RelayStatus:
+        self.asked.append(peer)
+        return RelayStatus.UNAVAILABLE
+
+
 class EndedRequestsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.upstream = SimulatedUpstream()
@@ -213,6 +231,15 @@
         self.assertIs(caught.exception.kind, OutcomeKind.CANCELLED)
         self.assertEqual((self.upstream.pool.acquired, self.reader.checks), (0, 0))
 
+    # Guards against other instances being asked for a connection that has been opened already.
+    def test_no_instance_is_asked_for_a_connection_after_the_end_of_its_search(self) -> None:
+        search = RelaySearch(CLOCK, 1.0)
+        dialer = RecordingDialer(cast("Any", None), "", CLOCK)
+        eventlet.spawn_n(dialer._try_for, search, PEER, make_server("first"))
+        search.is_over = True
+        eventlet.sleep(0)
+        self.assertEqual(dialer.asked, [])
+
     # Guards against attempts that go on for a request that an error inside has ended.
     def test_the_end_of_a_request_cancels_its_attempts(self) -> None:
         self.upstream.is_first = False
