A large body isn't sent for an attempt that was stopped before its sender began

A large body is sent by a green thread of its own, which begins a turn of the loop after the attempt's last check. An attempt that its deadline or its caller's leaving stopped in that turn went on to write to the shut socket. Nothing left, but the connection counts a byte as sent before it writes, so the caller was told `unknown` (504) for a request that certainly had not run, and it wasn't sent again.

The sender now makes the attempt's own check before its first byte, and the attempt ends as one that was not sent. The test failed before.

--- a/packages/node/src/persimmonusher_node/body_sending.py
+++ b/packages/node/src/persimmonusher_node/body_sending.py
@@ -1,7 +1,7 @@
 """Sends a request with its body while its answer is awaited."""
 
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from http.client import HTTPException
 from typing import Any
@@ -23,11 +23,19 @@
     or the last chunk.
     """
 
-    def __init__(self, connection: ServerConnection, body: Body, clock: Clock) -> None:
+    def __init__(
+        self,
+        connection: ServerConnection,
+        body: Body,
+        clock: Clock,
+        check_may_begin: Callable[[], None],
+    ) -> None:
         self._connection = connection
         self._socket: socket.socket = connection.sock
         self._body = body
         self._clock = clock
+        self._check_may_begin = check_may_begin
+        """Raises an exception, which `start` raises too, if nothing may be sent any more."""
         self._thread: GreenThread | None = None
         self._head_sent = Event()
         self._head_error: Exception | None = None
@@ -66,6 +74,12 @@
 
     def _send(self, method: str, target: str, headers: dict[str, str], chunked: bool) -> None:
         error: Exception | None = None
+        try:
+            self._check_may_begin()
+        except Exception as refusal:
+            self._head_error = refusal
+            self._head_sent.send()
+            return
         try:
             self._connection.request(
                 method,
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -280,7 +280,7 @@
     ) -> BaseHTTPResponse:
         """Send a large body until it ends or the answer begins; what is left is not sent."""
         body = self._request.body
-        self._sender = BodySender(connection, body, self._clock)
+        self._sender = BodySender(connection, body, self._clock, self._check_may_begin)
         try:
             self._sender.start(self._request.method, self._request.target, headers)
             response = connection.getresponse()
--- a/packages/node/tests/test_ended_requests.py
+++ b/packages/node/tests/test_ended_requests.py
@@ -29,6 +29,7 @@
 )
 from persimmonusher_node.attempts import Attempts  # noqa: E402
 from persimmonusher_node.bodies import Body  # noqa: E402
+from persimmonusher_node.body_memory import BodyMemory  # noqa: E402
 from persimmonusher_node.calls import Call  # noqa: E402
 from persimmonusher_node.clock import SystemClock  # noqa: E402
 from persimmonusher_node.dialect import OWN_DIALECT  # noqa: E402
@@ -176,6 +177,25 @@
         return RelayStatus.UNAVAILABLE
 
 
+class RecordingConnection:
+    """A connection to a server; its owner calls `on_start` just before a body's sender begins."""
+
+    def __init__(self) -> None:
+        self.on_start: Callable[[], None] = lambda: None
+        self.requests = 0
+        self.may_have_sent = False
+        self.timeout = 0.0
+
+    @property
+    def sock(self) -> None:
+        """The socket, which a sender takes before its green thread is spawned."""
+        eventlet.spawn_n(self.on_start)
+
+    def request(self, *arguments: Any, **options: Any) -> None:
+        self.requests += 1
+        raise ConnectionResetError("nothing should be sent")
+
+
 class EndedRequestsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.upstream = SimulatedUpstream()
@@ -224,7 +244,6 @@
 
     # Guards against an attempt that begins after its request has ended, however it was started.
     def test_no_attempt_begins_for_a_request_that_has_ended(self) -> None:
-        self.upstream.is_first = False
         self.run_in_flight.end()
         with self.assertRaises(AttemptError) as caught:
             self.make_attempt().run()
@@ -240,9 +259,20 @@
         eventlet.sleep(0)
         self.assertEqual(dialer.asked, [])
 
+    # Guards against a large body that is sent after its request was stopped, as one that may run.
+    def test_no_byte_of_a_large_body_is_sent_after_its_attempt_was_cancelled(self) -> None:
+        connection = RecordingConnection()
+        body = Body(share=BodyMemory(1 << 20).reserve())
+        body.kept = b"x"
+        request = UpstreamRequest("r1", "POST", "/", {}, body, False)
+        attempt = self.make_attempt(request)
+        connection.on_start = lambda: attempt.cancel(OutcomeKind.TIMEOUT)
+        with self.assertRaises(AttemptError) as caught:
+            attempt._exchange(cast("Any", connection))
+        self.assertEqual((connection.requests, caught.exception.is_unsent), (0, True))
+
     # Guards against attempts that go on for a request that an error inside has ended.
     def test_the_end_of_a_request_cancels_its_attempts(self) -> None:
-        self.upstream.is_first = False
         attempt = self.make_attempt()
         self.run_in_flight.add_attempt(self.first, attempt)
         self.run_in_flight.end()
@@ -251,8 +281,9 @@
         self.assertIs(caught.exception.kind, OutcomeKind.CANCELLED)
         self.assertEqual(self.upstream.pool.acquired, 0)
 
-    def make_attempt(self) -> Attempt:
-        request = UpstreamRequest("r1", "GET", "/", {}, Body(), True)
+    def make_attempt(self, request: UpstreamRequest | None = None) -> Attempt:
+        self.upstream.is_first = False
+        request = request or UpstreamRequest("r1", "GET", "/", {}, Body(), True)
         return self.upstream.start_attempt(
             make_server("first"),
             request,
