A stop leaves no connection to a server open, whichever thread opened it

A stop closed the pooled connections only. A probe of a lost way that had been spawned before it opened a connection after it, and so did the check of the way of a request without an answer, which runs after its caller was told. Connections of attempts that ended after the stop went back to pools that nothing used or closed any more. Servers saw new connections, and held open ones, of an instance that was leaving, until its process ended.

Closing the upstream now ends its pools, which close what is released to them later; probes that have not begun, or whose way was restored meanwhile, open nothing, and no way is checked any more. The four tests failed before.

--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -159,6 +159,7 @@
         self._port = int(port)
         self._clock = clock
         self._idle: deque[ServerConnection] = deque()
+        self._is_ended = False
         self.last_used = clock.monotonic()
 
     def acquire(self, idempotent: bool) -> ServerConnection | None:
@@ -182,7 +183,7 @@
 
     def release(self, connection: ServerConnection) -> None:
         """Return a connection to the pool; its last answer must have been read to its end."""
-        if len(self._idle) >= MAX_IDLE_CONNECTIONS:
+        if self._is_ended or len(self._idle) >= MAX_IDLE_CONNECTIONS:
             connection.close()
             return
         connection.idle_since = self._clock.monotonic()
@@ -202,6 +203,11 @@
         while self._idle and self._idle[0].idle_since < oldest:
             self._idle.popleft().close()
 
+    def end(self) -> None:
+        """Close all pooled connections, and each further one when it is released."""
+        self._is_ended = True
+        self.close()
+
     def close(self) -> None:
         """Close all pooled connections."""
         while self._idle:
--- a/packages/node/src/persimmonusher_node/server_ways.py
+++ b/packages/node/src/persimmonusher_node/server_ways.py
@@ -111,7 +111,16 @@
             if pool is not None:
                 spawn_n(self._probe, pool)
 
+    def close(self) -> None:
+        """End the probes, also those that have not begun."""
+        for pool in self._pools.values():
+            pool.end()
+        self._pools.clear()
+
     def _probe(self, pool: ServerPool) -> None:
+        if self._pools.get(pool.address) is not pool:
+            # The way was restored, or the ways were closed, before this green thread began.
+            return
         connection = self._open_directly(pool, CONNECT_TIMEOUT_SECONDS)
         if connection is None:
             self._ways.record_probe_failed(pool.address, self._clock.monotonic())
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -86,6 +86,7 @@
         self._dialect = dialect
         self._buffered_bytes = buffered_bytes
         self._pools: dict[str, ServerPool] = {}
+        self._is_closed = False
 
     def start_attempt(
         self,
@@ -120,6 +121,8 @@
         some tenths of a second where that fails. A request that was sent through another instance
         may have been lost there, unless the server isn't reached through any.
         """
+        if self._is_closed:
+            return False
         pool = self._find_pool(server)
         if is_relayed:
             return not self.ways.check_down(pool, server)
@@ -141,9 +144,11 @@
                 del self._pools[address]
 
     def close(self) -> None:
-        """Close all pooled connections."""
+        """Close all pooled connections, and open none any more to check or probe a way."""
+        self._is_closed = True
+        self.ways.close()
         for pool in self._pools.values():
-            pool.close()
+            pool.end()
         self._pools.clear()
 
 
--- a/packages/node/tests/test_ended_requests.py
+++ b/packages/node/tests/test_ended_requests.py
@@ -14,6 +14,7 @@
 
 from persimmonusher_decisions.relay_choice import RelayPeer  # noqa: E402
 from persimmonusher_decisions.server import BackendServer, ServerState  # noqa: E402
+from persimmonusher_decisions.ways import Verdict  # noqa: E402
 from persimmonusher_decisions.work import (  # noqa: E402
     Dispatch,
     Outcome,
@@ -32,6 +33,7 @@
 from persimmonusher_node.body_memory import BodyMemory  # noqa: E402
 from persimmonusher_node.calls import Call  # noqa: E402
 from persimmonusher_node.clock import SystemClock  # noqa: E402
+from persimmonusher_node.connections import ServerPool  # noqa: E402
 from persimmonusher_node.dialect import OWN_DIALECT  # noqa: E402
 from persimmonusher_node.records import RequestRecord  # noqa: E402
 from persimmonusher_node.relay_protocol import RelayStatus  # noqa: E402
@@ -40,6 +42,7 @@
 from persimmonusher_node.upstream import (  # noqa: E402
     Attempt,
     AttemptError,
+    Upstream,
     UpstreamAnswer,
     UpstreamRequest,
 )
@@ -53,7 +56,7 @@
     return BackendServer(
         ServerId(name),
         ServiceName("entries"),
-        f"10.0.0.1:{len(name)}",
+        "10.0.0.1:80",
         FailureDomain("north"),
         4,
         0,
@@ -196,6 +199,41 @@
         raise ConnectionResetError("nothing should be sent")
 
 
+class DueClock(SystemClock):
+    """A clock on which a second passes between two readings, so that every probe is due."""
+
+    def __init__(self) -> None:
+        self._now = 0.0
+
+    def monotonic(self) -> float:
+        self._now += 1.0
+        return self._now
+
+
+class OpenConnection:
+    """A connection to a server."""
+
+    is_closed = False
+    idle_since = 0.0
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+class ProbedPool(ServerPool):
+    """A pool whose connections open at once; `on_connect` is called meanwhile."""
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.opened: list[OpenConnection] = []
+        self.on_connect: Callable[[], None] = lambda: None
+
+    def connect(self, timeout: float) -> Any:
+        self.opened.append(OpenConnection())
+        self.on_connect()
+        return self.opened[-1]
+
+
 class EndedRequestsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.upstream = SimulatedUpstream()
@@ -271,6 +309,45 @@
             attempt._exchange(cast("Any", connection))
         self.assertEqual((connection.requests, caught.exception.is_unsent), (0, True))
 
+    # Guards against a probe that opens a connection after the stop of its instance.
+    def test_a_probe_that_has_not_begun_at_the_stop_opens_nothing(self) -> None:
+        upstream, pool = self.probe()
+        upstream.close()
+        eventlet.sleep(0)
+        self.assertEqual(pool.opened, [])
+
+    # Guards against a probe whose connection stays open after a stop that came meanwhile.
+    def test_a_connection_that_a_probe_opens_during_the_stop_is_closed(self) -> None:
+        upstream, pool = self.probe()
+        pool.on_connect = upstream.close
+        eventlet.sleep(0)
+        self.assertEqual([one.is_closed for one in pool.opened], [True])
+
+    # Guards against a connection that returns to a pool that nothing uses or closes any more.
+    def test_a_connection_released_after_the_stop_is_closed(self) -> None:
+        upstream, connection = Upstream(CLOCK, 65_536), OpenConnection()
+        pool = upstream._find_pool(make_server("first"))
+        upstream.close()
+        pool.release(cast("Any", connection))
+        self.assertTrue(connection.is_closed)
+
+    # Guards against the check of a lost answer that opens a connection after the stop.
+    def test_no_way_is_checked_after_the_stop(self) -> None:
+        upstream, checked = Upstream(CLOCK, 65_536), []
+        upstream.ways.check_cut = lambda *arguments: bool(  # type: ignore[method-assign]
+            checked.append(arguments)
+        )
+        upstream.close()
+        self.assertFalse(upstream.is_way_lost(make_server("first"), False, 0.0))
+        self.assertEqual(checked, [])
+
+    def probe(self) -> tuple[Upstream, "ProbedPool"]:
+        """Spawn a probe of a lost way, which has not begun on return."""
+        upstream, pool = Upstream(DueClock(), 65_536), ProbedPool("10.0.0.1:80", CLOCK)
+        upstream.ways._record_failed(pool, make_server("first"), Verdict.LOST)
+        upstream.ways.probe()
+        return upstream, pool
+
     # Guards against attempts that go on for a request that an error inside has ended.
     def test_the_end_of_a_request_cancels_its_attempts(self) -> None:
         attempt = self.make_attempt()
