Show that threads of answers and requests check for their owner's end

Tests without network of checks that hold already: an answer that is closed before its read-ahead thread begins is not read on, a connection isn't interrupted for an answer that has ended, and a request that was answered neither looks at its caller's connection nor lets an attempt begin. Each fails once its check is taken out (tried one by one: the kill and the flag of SpooledBody, the flag, the cancelling and the call of Run.end).

--- a/packages/node/tests/test_ended_requests.py
+++ b/packages/node/tests/test_ended_requests.py
@@ -4,8 +4,9 @@
 
 loop.install()
 
+import socket  # noqa: E402
 import unittest  # noqa: E402
-from collections.abc import Callable  # noqa: E402
+from collections.abc import Callable, Iterator  # noqa: E402
 from types import SimpleNamespace  # noqa: E402
 from typing import Any, cast  # noqa: E402
 
@@ -28,6 +29,8 @@
     ServerId,
     ServiceName,
 )
+from persimmonusher_model.profile import Profile  # noqa: E402
+from persimmonusher_node.answer_spool import SpooledBody  # noqa: E402
 from persimmonusher_node.attempts import Attempts  # noqa: E402
 from persimmonusher_node.bodies import Body  # noqa: E402
 from persimmonusher_node.body_memory import BodyMemory  # noqa: E402
@@ -35,7 +38,8 @@
 from persimmonusher_node.clock import SystemClock  # noqa: E402
 from persimmonusher_node.connections import ServerPool  # noqa: E402
 from persimmonusher_node.dialect import OWN_DIALECT  # noqa: E402
-from persimmonusher_node.records import RequestRecord  # noqa: E402
+from persimmonusher_node.forwarding import Forwarder  # noqa: E402
+from persimmonusher_node.records import RecordRing, RequestRecord  # noqa: E402
 from persimmonusher_node.relay_protocol import RelayStatus  # noqa: E402
 from persimmonusher_node.relays import RelayDialer, RelaySearch  # noqa: E402
 from persimmonusher_node.runs import Run  # noqa: E402
@@ -341,6 +345,35 @@
         self.assertFalse(upstream.is_way_lost(make_server("first"), False, 0.0))
         self.assertEqual(checked, [])
 
+    # Guards against a server's answer that is read on after its caller's request has ended.
+    def test_nothing_is_read_ahead_for_an_answer_that_has_ended(self) -> None:
+        rest = iter([b"more"])
+        body = self.spool(rest)
+        self.assertEqual(next(iter(body)), b"first")
+        body.close()
+        eventlet.sleep(0)
+        self.assertEqual(list(rest), [b"more"])
+
+    # Guards against ending a connection's next request for an answer that its caller didn't read.
+    def test_a_connection_is_not_interrupted_for_an_answer_that_has_ended(self) -> None:
+        body = self.spool(iter([b"more"]))
+        writing = iter(body)
+        next(writing)
+        body._abort()
+        body.close()
+        eventlet.sleep(0.01)
+
+    def spool(self, rest: Iterator[bytes]) -> SpooledBody:
+        share = BodyMemory(1 << 20).reserve()
+        assert share is not None
+        connection = socket.socket()
+        connection.close()
+        protocol = SimpleNamespace(connection=connection, cut_off=lambda: None)
+        nothing = lambda: None  # noqa: E731
+        return SpooledBody(
+            b"first", rest, cast("Any", protocol), share, CLOCK, 5.0, nothing, nothing
+        )
+
     def probe(self) -> tuple[Upstream, "ProbedPool"]:
         """Spawn a probe of a lost way, which has not begun on return."""
         upstream, pool = Upstream(DueClock(), 65_536), ProbedPool("10.0.0.1:80", CLOCK)
@@ -356,8 +389,28 @@
         with self.assertRaises(AttemptError) as caught:
             attempt.run()
         self.assertIs(caught.exception.kind, OutcomeKind.CANCELLED)
+        self.assertIs(attempt._stopped, OutcomeKind.CANCELLED)
         self.assertEqual(self.upstream.pool.acquired, 0)
 
+    # Guards against a request that was answered and still asks about its caller's connection.
+    def test_an_answered_request_never_looks_at_its_callers_connection_again(self) -> None:
+        services = SimpleNamespace(revision=lambda: 1, find_freshness=lambda: None)
+        observer = SimpleNamespace(observe=lambda finished: None)
+        forwarder = Forwarder(
+            cast("Any", services),
+            cast("Any", self.upstream),
+            RecordRing(),
+            cast("Any", observer),
+            CLOCK,
+            lambda server: None,
+        )
+        profile = Profile(deadline_ms=2_000)
+        live = SimpleNamespace(traffic=self.traffic, name="entries", profile=profile, in_flight=0)
+        run = forwarder._start(self.run_in_flight.call, cast("Any", live))
+        forwarder._end(run, None)
+        self.assertFalse(run.may_begin(CLOCK.monotonic()))
+        self.assertEqual(self.reader.checks, 0)
+
     def make_attempt(self, request: UpstreamRequest | None = None) -> Attempt:
         self.upstream.is_first = False
         request = request or UpstreamRequest("r1", "GET", "/", {}, Body(), True)
