--- a/packages/node/tests/test_ended_requests.py
+++ b/packages/node/tests/test_ended_requests.py
@@ -369,9 +369,8 @@
         connection = socket.socket()
         connection.close()
         protocol = SimpleNamespace(connection=connection, cut_off=lambda: None)
-        nothing = lambda: None  # noqa: E731
         return SpooledBody(
-            b"first", rest, cast("Any", protocol), share, CLOCK, 5.0, nothing, nothing
+            b"first", rest, cast("Any", protocol), share, CLOCK, 5.0, lambda: None, lambda: None
         )
 
     def probe(self) -> tuple[Upstream, "ProbedPool"]:
