--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -183,6 +183,7 @@
         self._port = int(port)
         self._clock = clock
         self._idle: deque[ServerConnection] = deque()
+        self._is_ended = False
         self.last_used = clock.monotonic()
 
     def acquire(self, request_id: str, idempotent: bool) -> ServerConnection | None:
@@ -211,7 +212,8 @@
 
     def release(self, connection: ServerConnection) -> None:
         """Return a connection to the pool; its last answer must have been read to its end."""
-        if len(self._idle) >= MAX_IDLE_CONNECTIONS or connection.is_used_up:
+        is_full = len(self._idle) >= MAX_IDLE_CONNECTIONS
+        if self._is_ended or is_full or connection.is_used_up:
             connection.close()
             return
         connection.idle_since = self._clock.monotonic()
@@ -231,6 +233,11 @@
         while self._idle and self._idle[0].idle_since < oldest:
             self._idle.popleft().close()
 
+    def end(self) -> None:
+        """Close all pooled connections, and each further one when it is released."""
+        self._is_ended = True
+        self.close()
+
     def close(self) -> None:
         """Close all pooled connections."""
         while self._idle:
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -88,6 +88,7 @@
         self._dialect = dialect
         self._buffered_bytes = buffered_bytes
         self._pools: dict[str, ServerPool] = {}
+        self._is_closed = False
 
     def start_attempt(
         self,
@@ -122,6 +123,8 @@
         some tenths of a second where that fails. A request that was sent through another instance
         may have been lost there, unless the server isn't reached through any.
         """
+        if self._is_closed:
+            return False
         pool = self._find_pool(server)
         if is_relayed:
             return not self.ways.check_down(pool, server)
@@ -143,9 +146,11 @@
                 del self._pools[address]
 
     def close(self) -> None:
-        """Close all pooled connections."""
+        """Close all pooled connections, and open none any more to check or probe a way."""
+        self._is_closed = True
+        self.ways.close()
         for pool in self._pools.values():
-            pool.close()
+            pool.end()
         self._pools.clear()
 
 
@@ -257,7 +262,7 @@
         if self._stopped is OutcomeKind.TIMEOUT:
             message = "the deadline passed before the first byte"
             raise AttemptError(OutcomeKind.REFUSED, AnswerCode.DEADLINE, message, is_unsent=True)
-        message = "the caller left before the first byte"
+        message = "the request ended, or its caller left, before the first byte"
         raise AttemptError(OutcomeKind.CANCELLED, AnswerCode.CALLER_LEFT, message, is_unsent=True)
 
     def _exchange(self, connection: ServerConnection) -> BaseHTTPResponse:
@@ -282,7 +287,7 @@
     ) -> BaseHTTPResponse:
         """Send a large body until it ends or the answer begins; what is left is not sent."""
         body = self._request.body
-        self._sender = BodySender(connection, body, self._clock)
+        self._sender = BodySender(connection, body, self._clock, self._check_may_begin)
         try:
             self._sender.start(self._request.method, self._request.target, headers)
             response = connection.getresponse()
