--- a/packages/node/tests/test_ended_requests.py
+++ b/packages/node/tests/test_ended_requests.py
@@ -43,6 +43,7 @@
 from persimmonusher_node.relay_protocol import RelayStatus  # noqa: E402
 from persimmonusher_node.relays import RelayDialer, RelaySearch  # noqa: E402
 from persimmonusher_node.runs import Run  # noqa: E402
+from persimmonusher_node.stop_progress import StopProgress  # noqa: E402
 from persimmonusher_node.upstream import (  # noqa: E402
     Attempt,
     AttemptError,
@@ -198,6 +199,9 @@
         """The socket, which a sender takes before its green thread is spawned."""
         eventlet.spawn_n(self.on_start)
 
+    def begin_request(self, request_id: str) -> None:
+        """Accept any request, as a new connection does."""
+
     def request(self, *arguments: Any, **options: Any) -> None:
         self.requests += 1
         raise ConnectionResetError("nothing should be sent")
@@ -272,7 +276,7 @@
             name, "entries", caller, "lookup", "GET", "/", True, now, cast("Any", None)
         )
         live = SimpleNamespace(traffic=self.traffic, name="entries")
-        return Run(call, cast("Any", live), request, record)
+        return Run(call, cast("Any", live), request, record, StopProgress(SystemClock()))
 
     # Guards against a copy that begins, and reads its caller's connection, after the answer.
     def test_a_copy_that_has_not_begun_when_its_request_is_answered_never_begins(self) -> None:
