--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -274,10 +274,10 @@
             code = AnswerCode.BODY_MEMORY
             raise RefusedCall(make_error(code, str(error), request_id)) from error
         except BodyError as error:
-            code = _BODY_CODES[error.problem]
             if error.problem is BodyProblem.BROKEN_OFF and environ[ENVIRON_KEY].reader.is_shut:
                 # The end that was read is this instance's own.
-                code = AnswerCode.STOPPING
+                raise RefusedCall(self._entry.refuse_unread(request_id)) from error
+            code = _BODY_CODES[error.problem]
             raise RefusedCall(make_error(code, str(error), request_id)) from error
 
 
--- a/packages/node/src/persimmonusher_node/entry.py
+++ b/packages/node/src/persimmonusher_node/entry.py
@@ -5,7 +5,7 @@
 from structlog import get_logger
 
 from persimmonusher_model.clock import Clock
-from persimmonusher_model.identifiers import Revision
+from persimmonusher_model.identifiers import RequestId, Revision
 from persimmonusher_model.organisations import Organisation, OrganisationBook, RequestQuota
 from persimmonusher_node.answers import Answer, AnswerCode, make_error
 from persimmonusher_node.calls import Call
@@ -59,6 +59,10 @@
         """Return whether a stop of this instance has begun."""
         return self._forwarder.stop.is_stopping
 
+    def refuse_unread(self, request_id: RequestId) -> Answer:
+        """Refuse a request whose rest a stop kept from arriving."""
+        return self._forwarder.refuse_unread(request_id)
+
     def find(self, host: str, path: str) -> RoutedService | None:
         """Return the service that a request is for and the rule of its route, or None."""
         return self._services.match(host, path)
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -12,6 +12,8 @@
 from dataclasses import replace
 from typing import Final
 
+from structlog import get_logger
+
 from persimmonusher_decisions.notices import Notice
 from persimmonusher_decisions.server import BackendServer
 from persimmonusher_decisions.work import (
@@ -38,13 +40,15 @@
 from persimmonusher_node.records import RecordRing, RequestRecord
 from persimmonusher_node.runs import Run
 from persimmonusher_node.services import LiveService, ServiceBook
-from persimmonusher_node.stop_progress import StopEffect, StopProgress
+from persimmonusher_node.stop_progress import STOP_STEP, StopEffect, StopProgress
 from persimmonusher_node.streams import AnswerStream
 from persimmonusher_node.upstream import AttemptError, Upstream
 
 STOPPING_RETRY_SECONDS: Final = 0.05
 """Retry-After of a request that a stop refuses: other instances can serve it at once."""
 
+_log = get_logger(__name__)
+
 
 class Forwarder:
     """Forwards each request in the green thread of its caller's connection."""
@@ -111,6 +115,20 @@
         self._end(run, answer)
         return answer
 
+    def refuse_unread(self, request_id: RequestId) -> Answer:
+        """Refuse a request whose rest a stop kept from arriving, and log it like any other."""
+        self.stop.count(StopEffect.REFUSED)
+        answer = self._make_stopping(request_id)
+        _log.info(
+            "request",
+            request_id=request_id,
+            status=answer.status,
+            result=f"{answer.outcome.value} ({AnswerCode.STOPPING.value})",
+            decision=STOP_STEP,
+            reason=f"unread, {self.stop.describe()}",
+        )
+        return answer
+
     def forward(self, call: Call, live: LiveService) -> Answer:
         """Return the answer to a request; blocks until there is one."""
         run = self._start(call, live)
@@ -275,12 +293,16 @@
 
     def _refuse_for_stop(self, run: Run) -> Answer:
         """Answer a request that a stop has no time for and that is at no server."""
+        outcome = CallerOutcome.UNKNOWN if run.may_have_run else None
+        return self._make_stopping(run.call.request_id, outcome)
+
+    def _make_stopping(self, request_id: RequestId, outcome: CallerOutcome | None = None) -> Answer:
         return make_error(
             AnswerCode.STOPPING,
             "this instance stops before the request could be answered",
-            run.call.request_id,
+            request_id,
             retry_after=STOPPING_RETRY_SECONDS,
-            outcome=CallerOutcome.UNKNOWN if run.may_have_run else None,
+            outcome=outcome,
             decimals=self._dialect.retry_after_decimals,
         )
 
--- a/packages/node/src/persimmonusher_node/shutdown.py
+++ b/packages/node/src/persimmonusher_node/shutdown.py
@@ -84,7 +84,7 @@
         self._clock = clock
 
     def run(self, signalled_at: float | None = None) -> bool:
-        """Carry out the stop; return True if no connection had to be cut off.
+        """Carry out the stop; return True if no connection, relayed or not, had to be cut off.
 
         `signalled_at` is the monotonic time from which the supervisor counts, by default now.
         """
@@ -100,22 +100,32 @@
         self._listener.stop_accepting()
         self._forwarder.stop.is_closed = True
         started = self._clock.monotonic()
-        is_idle = self._listener.wait_until_idle(lambda: self._is_overdue(started))
-        if not is_idle:
+        is_whole = self._listener.wait_until_idle(lambda: self._is_overdue(started))
+        aborted = relayed_cut = 0
+        if not is_whole:
             self._answer_overdue()
+            aborted = self._listener.connections
             self._listener.abort()
         if self._relay is not None:
-            self._relay.wait_until_idle(lambda: self._is_overdue(started))
-        self._log_effects(is_idle)
-        return is_idle
+            if not self._relay.wait_until_idle(lambda: self._is_overdue(started)):
+                is_whole = False
+            relayed_cut = self._relay.connections
+        self._log_effects(is_whole, aborted, relayed_cut)
+        return is_whole
 
-    def _log_effects(self, is_idle: bool) -> None:
+    def _log_effects(self, is_whole: bool, aborted: int, relayed_cut: int) -> None:
         """Log what the stop did to requests and connections, as a warning if it cut any off."""
         progress = self._forwarder.stop
-        counts = {effect.name.lower(): progress.counts[effect] for effect in StopEffect}
-        counts["unread"] = self._listener.unread_connections
-        write = _log.info if is_idle else _log.warning
-        write("stop-effects", **counts, cut_off_ids=progress.cut_off_ids, seconds=progress.seconds)
+        write = _log.info if is_whole else _log.warning
+        write(
+            "stop-effects",
+            **{effect.name.lower(): progress.counts[effect] for effect in StopEffect},
+            unread=self._listener.unread_connections,
+            aborted=aborted,
+            relayed_cut=relayed_cut,
+            cut_off_ids=progress.cut_off_ids,
+            seconds=round(progress.seconds, 3),
+        )
 
     def _answer_overdue(self) -> None:
         """Answer the requests that no server answered: a timeout says more than a reset."""
