--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -178,7 +178,7 @@
 
 
 class BusyProcessTest(StoppingEntryTestCase):
-    # Guards against a stop that outlasts the supervisor's patience as its process was busy before.
+    # Guards against a stop that ends after the supervisor kills the process, which was busy before.
     def test_a_stop_counts_its_time_from_the_signal(self) -> None:
         self.script(stall(10.0, answer(b"never")))
         signal_event = StopSignal(SystemClock())
