--- a/packages/ctl/tests/test_request_story.py
+++ b/packages/ctl/tests/test_request_story.py
@@ -58,7 +58,7 @@
 
 
 class RequestStoryTest(unittest.TestCase):
-    # Guards against an explanation that blames the server for a request that a stop cut off.
+    # Guards against an explanation by the server of a request that a stop cut off.
     def test_a_request_that_a_stop_cut_off_is_explained_by_the_stop(self) -> None:
         steps = [
             "0.0001 dispatch s1: attempt 1",
