Say what a stop does now in three comments

The module's and an effect's description, and the story above LastAnswerTest's test, described the stop before its close was announced as answers are written; the test has its one line now, and its checks are unchanged.

--- a/packages/node/src/persimmonusher_node/shutdown.py
+++ b/packages/node/src/persimmonusher_node/shutdown.py
@@ -1,8 +1,8 @@
 """Graceful stop: fail the health check, stop accepting, let requests in flight end, then exit.
 
-Every request in flight ends by itself at its own deadline, which is at most ten minutes. Any
-connections left after that belong to callers that neither send nor read; they are cut off after a
-grace period.
+Every request in flight ends by itself at its own deadline, which is at most ten minutes, or is
+answered as cut off where `stop_seconds` are over before. Any connections left after that belong to
+callers that neither send nor read, and are cut off.
 """
 
 import signal
--- a/packages/node/src/persimmonusher_node/stop_progress.py
+++ b/packages/node/src/persimmonusher_node/stop_progress.py
@@ -20,7 +20,7 @@
     ARRIVED = "arrived"
     """The request arrived after the signal and was accepted."""
     REFUSED = "refused"
-    """The request arrived after the signal and was refused for want of time."""
+    """The request was refused, not run, as too little time was left for it or for an attempt."""
     CUT_OFF = "cut-off"
     """The request had no answer at the end of the stop, and was ended."""
 
--- a/packages/node/tests/test_shutdown.py
+++ b/packages/node/tests/test_shutdown.py
@@ -334,13 +334,8 @@
 
 
 class LastAnswerTest(EntryTestCase):
+    # Guards against a connection that is answered late in a stop and prolongs it by staying open.
     def test_a_connection_that_is_answered_late_in_the_stop_is_not_kept(self) -> None:
-        """A request takes longer than the stop gives idle connections to send their last request.
-
-        The request was begun before the stop, so its answer promises to keep the connection open.
-        If nothing closed that idle connection, it would keep the process from exiting until the
-        whole grace period is over.
-        """
         self.script(stall(1.5, answer(b"lodged late")))
         connection = self.connect()
         slow = eventlet.spawn(self.call, "POST", body=b"slow", connection=connection)
