Promise no caller that a request did not run where its server didn't say so

What callers saw: a POST whose server answered 503 (or 408, 421, 429) without the header that says "not run" got that status. On the platform these statuses promise that the request never runs, and callers send it again.

Cause: a server's answer is passed on with its status, whether or not the status promises something to callers that the server didn't say.

Ruled out: treating such an answer as broken, which would close its connection and count against the server; changing it for idempotent requests, for which nothing is promised; changing it in our own dialect, where the outcome has a header of its own.

Now a dialect names the statuses that promise. One of them without the proof becomes 502 with outcome unknown, without the server's signature.

--- a/packages/node/src/persimmonusher_node/dialect.py
+++ b/packages/node/src/persimmonusher_node/dialect.py
@@ -36,6 +36,9 @@
     accepts_unframed: bool = False
     """Whether servers may send answers that end with their connection. A reset still shows that
     such an answer was cut off, but a server that dies between two writes can't be detected."""
+    promising_statuses: frozenset[int] = frozenset()
+    """Statuses by which callers are promised that a request did not run and never will. Where they
+    read the outcome from its own header, there are none."""
     refuses_encoded: bool = False
     """Whether answers with a content coding are refused as garbled; callers never ask for one."""
     retry_after_decimals: int = 0
--- a/packages/node/src/persimmonusher_node/exchange.py
+++ b/packages/node/src/persimmonusher_node/exchange.py
@@ -2,6 +2,7 @@
 
 import re
 from functools import lru_cache
+from http import HTTPStatus
 from typing import Final
 
 from persimmonusher_decisions.advice import ServerAdvice
@@ -121,17 +122,23 @@
     return float(match[0]) if match else None
 
 
-def translate_answer(answer: UpstreamAnswer, call: Call, dialect: Dialect = OWN_DIALECT) -> Answer:
-    """Make the answer for the caller from a backend server's, with the entry's own headers."""
-    headers = select_headers(answer.headers, list_own_answer_headers(dialect))
-    own = ((OUTCOME, CallerOutcome.RAN.value), (dialect.request_id, call.request_id))
-    return Answer(
-        answer.status,
-        (*headers, *own),
-        answer.body,
-        CallerOutcome.RAN,
-        stream=answer.stream,
-    )
+def translate_answer(
+    answer: UpstreamAnswer, call: Call, idempotent: bool, dialect: Dialect = OWN_DIALECT
+) -> Answer:
+    """Make the answer for the caller from a backend server's, with the entry's own headers.
+
+    A status that would promise the caller that a non-idempotent request did not run, though its
+    server did not say so, becomes 502.
+    """
+    dropped = list_own_answer_headers(dialect)
+    status, outcome = answer.status, CallerOutcome.RAN
+    if status in dialect.promising_statuses and not idempotent:
+        status, outcome = HTTPStatus.BAD_GATEWAY.value, CallerOutcome.UNKNOWN
+        # The signature is the server's word for the status that it gave.
+        dropped = dropped | {(dialect.signature or "").lower()}
+    headers = select_headers(answer.headers, dropped)
+    own = ((OUTCOME, outcome.value), (dialect.request_id, call.request_id))
+    return Answer(status, (*headers, *own), answer.body, outcome, stream=answer.stream)
 
 
 def find_header(headers: HeaderList, name: str) -> str | None:
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -260,7 +260,7 @@
             return make_error(
                 AnswerCode.OVERLOAD, message, run.call.request_id, outcome=known_outcome
             )
-        return translate_answer(result, run.call, self._dialect)
+        return translate_answer(result, run.call, run.request.idempotent, self._dialect)
 
     def _decide_again(self, run: Run, dispatch: Dispatch, outcome: Outcome) -> Decision | None:
         kind = outcome.kind
