Limit the head of a server's answer in total

What callers saw: nothing, until the entry ran out of memory and ended with all its requests.

Cause: http.client limits a header line to 64 KB and a head to 100 lines, so that it keeps up to 6.5 MB for each answer, and several times as much while it parses them. test_endless_answers sends short lines only.

Ruled out: a limit on lines of the whole answer, since chunk sizes are lines.

Now the lines of a head have at most 64 KB together, interim answers included. Longer ones fail the attempt as broken.

--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -3,7 +3,8 @@
 import io
 import socket
 from collections import deque
-from contextlib import suppress
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import Any, Final
 
@@ -34,6 +35,8 @@
 """Bytes that one green thread reads before the others run."""
 MAX_INTERIM_ANSWERS: Final = 16
 """Interim answers before the final one; a server needs one or two."""
+MAX_HEAD_BYTES: Final = 65_536
+"""Bytes of an answer's status line and headers, those of interim answers included."""
 
 
 class ResetAwareReader(io.RawIOBase):
@@ -86,13 +89,36 @@
 
     http.client treats the end of the connection as the end of the headers, and a cut-off chunk size
     as a shorter one: an answer cut there would look whole, without its last headers.
+
+    http.client limits the length of a line and the number of lines, which allows heads of megabytes.
+    So the lines of a head are also limited in total.
     """
 
+    def __init__(self, raw: io.RawIOBase) -> None:
+        super().__init__(raw)
+        self._head_bytes_left: int | None = None
+
+    @contextmanager
+    def limit_head(self, size: int) -> Iterator[None]:
+        """Let the lines that are read inside have at most `size` bytes together."""
+        self._head_bytes_left = size
+        try:
+            yield
+        finally:
+            self._head_bytes_left = None
+
     def readline(self, size: int | None = -1, /) -> bytes:
-        """Return a line with its line end; raise IncompleteRead if the connection ends first."""
+        """Return a line with its line end; raise IncompleteRead if the connection ends first.
+
+        Raises HTTPException where the head is longer than its limit.
+        """
         line = super().readline(size)
         if not line.endswith(b"\n"):
             raise IncompleteRead(line)
+        if self._head_bytes_left is not None:
+            self._head_bytes_left -= len(line)
+            if self._head_bytes_left < 0:
+                raise HTTPException(f"the head is longer than {MAX_HEAD_BYTES} bytes")
         return line
 
 
@@ -105,6 +131,11 @@
         self.fp = WholeLineReader(ResetAwareReader(connection, self.fp.detach()))
         self._status_lines = 0
 
+    def begin(self) -> None:
+        """Read the head of the answer; raise HTTPException if it has no end."""
+        with self.fp.limit_head(MAX_HEAD_BYTES):
+            super().begin()
+
     def _read_status(self) -> tuple[str, int, str]:
         """Read one status line; http.client reads interim answers without a limit."""
         self._status_lines += 1
