--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -90,8 +90,8 @@
     http.client treats the end of the connection as the end of the headers, and a cut-off chunk size
     as a shorter one: an answer cut there would look whole, without its last headers.
 
-    http.client limits the length of a line and the number of lines, which allows heads of megabytes.
-    So the lines of a head are also limited in total.
+    http.client limits the length and the number of lines, which allows heads of megabytes. So the
+    lines of a head are also limited in total.
     """
 
     def __init__(self, raw: io.RawIOBase) -> None:
