Bound what an entry holds of all its callers' bodies

What callers saw: an entry that ran out of memory ended with all its requests (the users' trial of clients that they don't control). 100 clients that send bodies of 4 MiB and stop just short of their end made it grow to 484 MB, in chunks of two bytes to 1,170 MB, with 400 KB each.

Cause: each body had a limit, all of them together had none. read_body kept the whole body (twice as it joined the parts), and eventlet's input a list of chunks, where a chunk of two bytes takes some forty; it also reads the lines between chunks without a limit, also when it discards what an application left unread, so that one client was enough. A sender of tiny chunks that is always ahead never let other green threads run. Heads, requests sent ahead and the kernel's receive buffers had no bound for all connections either.

Now a body above 64 KiB is sent on as it arrives on every route, within limits.large_body_bytes, which routes for large bodies had already; the rest takes its memory from limits.held_bytes (32 MiB). When either is used up, the body that has waited longest for its caller gives way (408, not run; 502 once a server has got a part), and without one the newest is refused (503, not run). All bodies are parsed by BodySource, with limits of its lines, and take turns; those whose framing is longer than their bytes share one turn. A head is refused as soon as it is too long, reading ahead has 8 MiB for a listener, and receive buffers have 64 KiB each.

--- a/packages/node/src/persimmonusher_node/announcements.py
+++ b/packages/node/src/persimmonusher_node/announcements.py
@@ -99,7 +99,12 @@
         if environ["REQUEST_METHOD"] != "POST":
             return HTTPStatus.METHOD_NOT_ALLOWED, _describe("bad-request", "announce by POST")
         try:
-            body = read_body(environ["wsgi.input"], MAX_ANNOUNCEMENT_BYTES, BODY_TIMEOUT_SECONDS)
+            body = read_body(
+                environ["wsgi.input"],
+                MAX_ANNOUNCEMENT_BYTES,
+                BODY_TIMEOUT_SECONDS,
+                environ[ENVIRON_KEY].waits,
+            )
         except BodyError as error:
             environ[ENVIRON_KEY].close_unread()
             return HTTPStatus.BAD_REQUEST, _describe("bad-request", str(error))
--- a/packages/node/src/persimmonusher_node/answer_writing.py
+++ b/packages/node/src/persimmonusher_node/answer_writing.py
@@ -11,14 +11,22 @@
 BODYLESS_STATUSES: Final = frozenset({204, 304})
 
 
+def do_nothing() -> None:
+    """End an answer for which nothing is held."""
+
+
 def write_answer(
-    answer: Answer, method: str, protocol: HttpProtocol, start_response: Callable[..., Any]
+    answer: Answer,
+    method: str,
+    protocol: HttpProtocol,
+    start_response: Callable[..., Any],
+    end: Callable[[], None] = do_nothing,
 ) -> Iterable[bytes]:
-    """Begin the answer and return its body, by the WSGI protocol."""
+    """Begin the answer and return its body, by the WSGI protocol; `end` is called after it."""
     bodyless = begin_answer(answer, method, start_response)
     if answer.stream is None:
-        return [b"" if bodyless else answer.body]
-    return StreamedBody(answer.body, answer.stream, protocol)
+        return WholeBody([b"" if bodyless else answer.body], end)
+    return StreamedBody(answer.body, answer.stream, protocol, end)
 
 
 def begin_answer(answer: Answer, method: str, start_response: Callable[..., Any]) -> bool:
@@ -32,16 +40,37 @@
     return bodyless
 
 
+class WholeBody(list[bytes]):
+    """The body of an answer that has been read whole."""
+
+    def __init__(self, parts: Iterable[bytes], end: Callable[[], None]) -> None:
+        super().__init__(parts)
+        self._end = end
+
+    def close(self) -> None:
+        """End the answer."""
+        self._end()
+
+
 class StreamedBody:
     """The body of a long answer; the connection is reset if the backend server's answer breaks."""
 
-    def __init__(self, first: bytes, rest: Iterator[bytes], protocol: HttpProtocol) -> None:
+    def __init__(
+        self,
+        first: bytes,
+        rest: Iterator[bytes],
+        protocol: HttpProtocol,
+        end: Callable[[], None] = do_nothing,
+    ) -> None:
         self._first = first
         self._rest = rest
         self._protocol = protocol
+        self._end = end
 
     def __iter__(self) -> Iterator[bytes]:
-        yield self._first
+        first, self._first = self._first, b""
+        yield first
+        del first
         try:
             yield from self._rest
         except Exception:
@@ -53,3 +82,4 @@
         close = getattr(self._rest, "close", None)
         if close is not None:
             close()
+        self._end()
--- a/packages/node/src/persimmonusher_node/bodies.py
+++ b/packages/node/src/persimmonusher_node/bodies.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterator
 from typing import Any, Final
 
-import eventlet
-
 from persimmonusher_node.body_errors import BodyError, BodyProblem
 from persimmonusher_node.body_memory import PIECE_BYTES, MemoryShare
-from persimmonusher_node.body_source import BodySource
+from persimmonusher_node.body_source import BodySource, always_take
+from persimmonusher_node.body_waits import BodyWaits
+from persimmonusher_node.held_memory import HeldShare
 
 KEPT_PIECE_BYTES: Final = 4_096
 """Size of the chunks in which kept bytes are sent: sending a chunk copies it."""
@@ -18,21 +18,27 @@
 class Body:
     """The bytes of a body that are kept and, where there are more, a reader for the rest.
 
-    `share` is the memory of a request on a route with large bodies, None for other requests.
+    `share` is the memory of a request with a large body, or on a route for such; `held` is that of
+    another request, for its whole body and its answer.
     """
 
     def __init__(
-        self, kept: bytes = b"", rest: BodySource | None = None, share: MemoryShare | None = None
+        self,
+        kept: bytes = b"",
+        rest: BodySource | None = None,
+        share: MemoryShare | None = None,
+        held: HeldShare | None = None,
     ) -> None:
         self.kept = kept
         self.rest = rest
         self.share = share
+        self.held = held
         self.can_send_again = True
         """Whether all that was read so far is still kept."""
 
     @property
     def is_large(self) -> bool:
-        """Return whether the request is on a route with large bodies."""
+        """Return whether the rest of the body, and of the answer, is sent on as it arrives."""
         return self.share is not None
 
     @property
@@ -66,38 +72,13 @@
         self.kept = b""
 
 
-def read_body(source: Any, limit: int, seconds: float) -> bytes:
+def read_body(
+    source: Any, limit: int, seconds: float, waits: BodyWaits, share: HeldShare | None = None
+) -> bytes:
     """Return the whole body from WSGI's input, at most `limit` bytes within `seconds`.
 
-    Raises BodyError where the body is larger, comes too late, breaks off or is framed wrongly.
+    Its memory is taken from `share`; without one, the limit must be small. Raises BodyError where
+    the body is larger, comes too late, breaks off or is framed wrongly, and NoBodyMemory.
     """
-    chunked = source.chunked_input
-    length = source.content_length or 0
-    if not chunked and not length:
-        return b""
-    if length > limit:
-        raise BodyError(BodyProblem.TOO_LARGE, f"the body is larger than {limit} bytes")
-    body = _read_in_time(source, limit + 1 if chunked else length, seconds)
-    if len(body) > limit:
-        raise BodyError(BodyProblem.TOO_LARGE, f"the body is larger than {limit} bytes")
-    if not chunked and len(body) < length:
-        message = f"the body broke off after {len(body)} of {length} bytes"
-        raise BodyError(BodyProblem.BROKEN_OFF, message)
-    return body
-
-
-def _read_in_time(source: Any, size: int, seconds: float) -> bytes:
-    timer = eventlet.Timeout(seconds)
-    try:
-        body: bytes = source.read(size)
-        return body
-    except eventlet.Timeout as error:
-        if error is not timer:
-            raise
-        message = f"the body did not arrive within {seconds:g} s"
-        raise BodyError(BodyProblem.TOO_SLOW, message) from error
-    except (OSError, ValueError) as error:
-        message = "the body broke off or is framed wrongly"
-        raise BodyError(BodyProblem.BROKEN_OFF, message) from error
-    finally:
-        timer.cancel()
+    take = always_take if share is None else share.take
+    return BodySource(source, limit, seconds, waits).read_first(limit + 1, take)
--- a/packages/node/src/persimmonusher_node/body_errors.py
+++ b/packages/node/src/persimmonusher_node/body_errors.py
@@ -11,6 +11,10 @@
     BROKEN_OFF = "broken-off"
 
 
+class NoBodyMemory(Exception):  # noqa: N818
+    """Raised when the memory for bodies is used up."""
+
+
 class BodyError(Exception):
     """A body that was not read whole; nothing of it may be used."""
 
--- a/packages/node/src/persimmonusher_node/body_memory.py
+++ b/packages/node/src/persimmonusher_node/body_memory.py
@@ -28,9 +28,14 @@
         """Return the bytes that are set aside for requests, used or not."""
         return self._shares * KEPT_BYTES + self._extra_bytes
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether the memory for one more request is left."""
+        return self.held_bytes + KEPT_BYTES <= self._total_bytes
+
     def reserve(self) -> "MemoryShare | None":
         """Set aside the memory for one request; return None if that would exceed the total."""
-        if self.held_bytes + KEPT_BYTES > self._total_bytes:
+        if not self.has_room:
             return None
         self._shares += 1
         return MemoryShare(self)
--- a/packages/node/src/persimmonusher_node/body_source.py
+++ b/packages/node/src/persimmonusher_node/body_source.py
@@ -1,32 +1,66 @@
 """Reads a request's body piece by piece from WSGI's input."""
 
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from io import BytesIO
 from typing import Any, Final
 
 import eventlet
+from eventlet import getcurrent
+from eventlet.hubs import get_hub
 
-from persimmonusher_node.body_errors import BodyError, BodyProblem
+from persimmonusher_node.body_errors import BodyError, BodyProblem, NoBodyMemory
+from persimmonusher_node.body_waits import BodyWaits, WaitingBody
 
 MAX_CHUNK_LINE_BYTES: Final = 4_096
 MAX_TRAILERS: Final = 64
+BYTES_PER_TURN: Final = 16_384
+"""Bytes, with their framing, that one green thread reads before the others run."""
 _CHUNK_SIZE: Final = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;.*)?\r?\n")
 
 
-class BodySource:
+def always_take(size: int) -> bool:
+    """Take memory without a bound, for bodies with a small limit."""
+    return True
+
+
+def never_arrived() -> bool:
+    """Tell of no bytes that could be read without waiting."""
+    return False
+
+
+class BodySource(WaitingBody):
     """One body with a length or in chunks, of at most `limit` bytes.
 
     Chunks are parsed here: eventlet's input takes the end of the connection for the end of the
-    trailers, so that a body that broke off there would look complete.
+    trailers, so that a body that broke off there would look complete, and reads lines of any
+    length. `has_arrived` tells whether more can be read without waiting.
     """
 
-    def __init__(self, source: Any, limit: int, seconds: float) -> None:
+    def __init__(
+        self,
+        source: Any,
+        limit: int,
+        seconds: float,
+        waits: BodyWaits,
+        has_arrived: Callable[[], bool] = never_arrived,
+    ) -> None:
         self._source = source
         self._limit = limit
         self._seconds = seconds
+        self._waits = waits
+        self._has_arrived = has_arrived
         self._chunk_left = 0
         self._size = 0
+        self._turn_size = 0
+        """Bytes of the body in this turn."""
+        self._turn_wire_bytes = 0
+        """The same with their framing."""
+        self._timer: eventlet.Timeout | None = None
+        self._thread: Any = None
+        self._is_given_up = False
+        self.progressed_at = waits.read_time()
         self.length: int | None = None if source.chunked_input else source.content_length or 0
         """Size of the whole body in bytes, None for chunks."""
         self.is_ended = self.length == 0
@@ -34,20 +68,49 @@
         if self.length is not None and self.length > limit:
             raise self._make_size_error()
 
-    def read_first(self, size: int) -> bytes:
-        """Return the first `size` bytes of the body, or all of a shorter one."""
-        parts = bytearray()
+    def read_first(self, size: int, take: Callable[[int], bool] = always_take) -> bytes:
+        """Return the first `size` bytes of the body, or all of a shorter one.
+
+        `take` is called for the memory of each piece; raises NoBodyMemory where it returns False.
+        """
+        # Its bytes can be returned without a copy.
+        parts = BytesIO()
         with self._bound_time():
-            while not self.is_ended and len(parts) < size:
-                parts += self._read_piece(size - len(parts))
-        return bytes(parts)
+            while not self.is_ended and parts.tell() < size:
+                piece = self._read_piece(size - parts.tell())
+                if not take(len(piece)):
+                    raise NoBodyMemory("the memory for bodies is used up")
+                parts.write(piece)
+        return parts.getvalue()
 
     def read(self, size: int) -> bytes:
         """Return the next bytes, at most `size`, as soon as some have arrived; empty at the end."""
         if self.is_ended:
             return b""
         with self._bound_time():
-            return self._read_piece(size)
+            piece = self._read_piece(size)
+            if self.length is not None or len(piece) == size or not self._has_arrived():
+                return piece
+            # The server need not get chunks as small as the caller's.
+            parts = bytearray(piece)
+            while not self.is_ended and len(parts) < size and self._has_arrived():
+                parts += self._read_piece(size - len(parts))
+        return bytes(parts)
+
+    def discard(self) -> None:
+        """Read the rest without keeping it; raise BodyError if that isn't possible."""
+        with self._bound_time():
+            while not self.is_ended:
+                self._read_piece(BYTES_PER_TURN)
+
+    def give_up(self) -> None:
+        """End a read that waits for the caller, as if its time were over."""
+        self._is_given_up = True
+        get_hub().schedule_call_global(0, self._end_wait, self._timer)
+
+    def _end_wait(self, timer: eventlet.Timeout) -> None:
+        if self._timer is timer:
+            self._thread.throw(timer)
 
     def _read_piece(self, size: int) -> bytes:
         source = self._source
@@ -63,10 +126,21 @@
         if self._size > self._limit:
             raise self._make_size_error()
         self.is_ended = self.is_ended or self._size == self.length
+        self._take_turn(len(piece))
         return piece
 
+    def _take_turn(self, size: int) -> None:
+        self.progressed_at = self._waits.read_time()
+        self._turn_size += size
+        if self._turn_wire_bytes < BYTES_PER_TURN:
+            return
+        is_wasteful = self._turn_size < self._turn_wire_bytes / 2
+        self._turn_size = self._turn_wire_bytes = 0
+        self._waits.take_turn(is_wasteful)
+
     def _read_some(self, size: int) -> bytes:
         piece: bytes = self._source.rfile.read1(size)
+        self._turn_wire_bytes += len(piece)
         if not piece:
             message = f"the body broke off after {self._size} bytes"
             raise BodyError(BodyProblem.BROKEN_OFF, message)
@@ -98,6 +172,7 @@
 
     def _read_line(self) -> bytes:
         line: bytes = self._source.rfile.readline(MAX_CHUNK_LINE_BYTES)
+        self._turn_wire_bytes += len(line)
         if not line.endswith(b"\n"):
             raise ValueError("a line of a chunk broke off or is too long")
         return line
@@ -105,16 +180,23 @@
     def _make_size_error(self) -> BodyError:
         return BodyError(BodyProblem.TOO_LARGE, f"the body is larger than {self._limit} bytes")
 
+    def _describe_timeout(self) -> str:
+        if self._is_given_up:
+            return "the body stopped arriving while memory was short"
+        return f"the body did not arrive within {self._seconds:g} s"
+
     @contextmanager
     def _bound_time(self) -> Iterator[None]:
-        timer = eventlet.Timeout(self._seconds)
+        timer = self._timer = eventlet.Timeout(self._seconds)
+        self._thread = getcurrent()
+        self.progressed_at = self._waits.read_time()
         try:
-            yield
+            with self._waits.include(self):
+                yield
         except eventlet.Timeout as error:
             if error is not timer:
                 raise
-            message = f"the body did not arrive within {self._seconds:g} s"
-            raise BodyError(BodyProblem.TOO_SLOW, message) from error
+            raise BodyError(BodyProblem.TOO_SLOW, self._describe_timeout()) from error
         except TimeoutError as error:
             message = "the caller sent nothing for too long"
             raise BodyError(BodyProblem.TOO_SLOW, message) from error
@@ -122,4 +204,5 @@
             message = "the body broke off or is framed wrongly"
             raise BodyError(BodyProblem.BROKEN_OFF, message) from error
         finally:
+            self._timer = None
             timer.cancel()
--- a/packages/node/src/persimmonusher_node/caller_reader.py
+++ b/packages/node/src/persimmonusher_node/caller_reader.py
@@ -1,9 +1,10 @@
 """Reads a caller's connection ahead while one of its requests is being answered."""
 
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from io import RawIOBase
+from time import monotonic
 from typing import Any, Final
 
 from eventlet.patcher import original
@@ -15,11 +16,30 @@
 The kernel buffers what a caller sends beyond it; while the kernel has room for that, a departure of
 the caller is still detected."""
 READ_CHUNK_BYTES: Final = 16_384
+TOTAL_AHEAD_BYTES: Final = 8_388_608
+"""Most bytes read ahead on all connections of a listener."""
 
 _select = original("select")
 """The unpatched module: eventlet's `select` has no `poll`."""
 
 
+class ReadAheadMemory:
+    """The bytes that are read ahead on all connections of a listener."""
+
+    def __init__(self, total_bytes: int = TOTAL_AHEAD_BYTES) -> None:
+        self._total_bytes = total_bytes
+        self._held_bytes = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether nothing more may be read ahead."""
+        return self._held_bytes >= self._total_bytes
+
+    def change(self, size: int) -> None:
+        """Add the bytes that were read, or remove those that were taken, as a negative number."""
+        self._held_bytes += size
+
+
 class CallerReader(RawIOBase):
     """The reading side of one caller's connection.
 
@@ -31,8 +51,16 @@
     while one waits.
     """
 
-    def __init__(self, connection: socket.socket) -> None:
+    def __init__(
+        self,
+        connection: socket.socket,
+        memory: ReadAheadMemory | None = None,
+        read_time: Callable[[], float] = monotonic,
+    ) -> None:
         self._connection = connection
+        self._memory = memory or ReadAheadMemory()
+        self._read_time = read_time
+        self._waiting_since = 0.0
         self._buffered = bytearray()
         self._ended = False
         self._may_wait = True
@@ -61,15 +89,27 @@
             taken = self._buffered[: len(buffer)]
             buffer[: len(taken)] = taken
             del self._buffered[: len(taken)]
+            self._memory.change(-len(taken))
             return len(taken)
         if self._ended:
             return 0
         self._is_waiting = True
+        self._waiting_since = self._read_time()
         try:
             return self._connection.recv_into(buffer)
         finally:
             self._is_waiting = False
 
+    def find_wait_seconds(self) -> float:
+        """Return how long a green thread has waited for bytes, 0 if none does."""
+        return self._read_time() - self._waiting_since if self._is_waiting else 0.0
+
+    def close(self) -> None:
+        """Free the bytes that were read ahead."""
+        self._memory.change(-len(self._buffered))
+        self._buffered.clear()
+        super().close()
+
     def shut_if_silent(self) -> None:
         """Shut down reading if no byte waits to be read, so that no request is cut in two."""
         if self._buffered or peek(self._connection) is Pending.BYTES:
@@ -97,7 +137,8 @@
         if self._is_waiting:
             return self._is_hung_up()
         self._read_ahead()
-        return self._ended or (len(self._buffered) >= self.max_ahead_bytes and self._is_hung_up())
+        is_full = len(self._buffered) >= self.max_ahead_bytes or self._memory.is_full
+        return self._ended or (is_full and self._is_hung_up())
 
     def _is_hung_up(self) -> bool:
         """Return whether the caller closed after bytes that the kernel still buffers."""
@@ -111,7 +152,11 @@
         eventlet's own `recv` waits whatever the flags; the socket below it does not.
         """
         raw_socket: socket.socket = getattr(self._connection, "fd", self._connection)
-        while not self._ended and len(self._buffered) < self.max_ahead_bytes:
+        while (
+            not self._ended
+            and len(self._buffered) < self.max_ahead_bytes
+            and not self._memory.is_full
+        ):
             try:
                 data = raw_socket.recv(READ_CHUNK_BYTES, socket.MSG_DONTWAIT)
             except BlockingIOError:
@@ -121,3 +166,4 @@
                 data = b""
             self._ended = not data
             self._buffered += data
+            self._memory.change(len(data))
--- a/packages/node/src/persimmonusher_node/callers.py
+++ b/packages/node/src/persimmonusher_node/callers.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Callable, Iterable
-from functools import lru_cache
+from functools import lru_cache, partial
 from itertools import count
 from typing import Any, Final
 from urllib.parse import unquote
@@ -15,13 +15,14 @@
 from persimmonusher_model.routing import RouteRule
 from persimmonusher_node.answer_writing import STATUS_LINES, begin_answer, write_answer
 from persimmonusher_node.answers import Answer, AnswerCode, make_error
-from persimmonusher_node.bodies import Body, BodyError, BodyProblem, read_body
+from persimmonusher_node.bodies import Body, BodyError, BodyProblem
+from persimmonusher_node.body_errors import NoBodyMemory
 from persimmonusher_node.calls import Call
 from persimmonusher_node.dialect import OWN_DIALECT, Dialect
 from persimmonusher_node.entry import Entry
 from persimmonusher_node.headers import HeaderList
 from persimmonusher_node.identification import Identity, identify
-from persimmonusher_node.large_bodies import LargeBodies, NoBodyMemory
+from persimmonusher_node.large_bodies import LargeBodies
 from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.logs import describe_freshness
 from persimmonusher_node.protocol import ENVIRON_KEY, HttpProtocol
@@ -50,7 +51,7 @@
     BodyProblem.BROKEN_OFF: AnswerCode.BODY_INCOMPLETE,
 }
 BODY_KEY: Final = "persimmonusher.body"
-"""Key in the WSGI environment of a large body, whose memory is freed after the answer."""
+"""Key in the WSGI environment of a body, whose memory is freed after the answer."""
 
 _log = get_logger(__name__)
 
@@ -71,7 +72,6 @@
         entry: Entry,
         instance_id: InstanceId,
         clock: Clock,
-        body_seconds: float,
         large_bodies: LargeBodies,
         dialect: Dialect = OWN_DIALECT,
     ) -> None:
@@ -80,7 +80,6 @@
         self._key = find_environ_key(dialect.key)
         self._entry = entry
         self._clock = clock
-        self._body_seconds = body_seconds
         self._large_bodies = large_bodies
         self._prefix = f"{instance_id}-{int(clock.wall().timestamp() * 1000):x}"
         self._sequence = count(1)
@@ -110,6 +109,9 @@
         method: str = environ["REQUEST_METHOD"]
         if body is None:
             return write_answer(answer, method, protocol, start_response)
+        if not body.is_large:
+            end = partial(self._large_bodies.end, body, protocol)
+            return write_answer(answer, method, protocol, start_response, end)
         if body.is_unread:
             protocol.close_unread()
         is_bodyless = begin_answer(answer, method, start_response)
@@ -257,7 +259,7 @@
     def _read_body(
         self, environ: dict[str, Any], routed: RoutedService, request_id: RequestId
     ) -> Body:
-        """Read the whole body, or the first part of a large one.
+        """Read the whole body, or the first part of a larger one.
 
         A request whose body or first part has not arrived is never dispatched. A request with a key
         is read whole, as its key is claimed for the whole body.
@@ -265,9 +267,12 @@
         limit = routed.live.profile.max_body_bytes
         is_large = routed.rule is not None and routed.rule.large_body
         try:
-            if not is_large or self._key in environ:
-                return Body(read_body(environ["wsgi.input"], limit, self._body_seconds))
-            body = self._large_bodies.read(environ, limit)
+            if self._key in environ:
+                body = self._large_bodies.read_whole(environ, limit)
+            elif is_large:
+                body = self._large_bodies.read(environ, limit)
+            else:
+                body = self._large_bodies.read_small(environ, limit)
             environ[BODY_KEY] = body
             return body
         except NoBodyMemory as error:
--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -128,12 +128,13 @@
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         connection = arguments[0]
-        self.fp = WholeLineReader(ResetAwareReader(connection, self.fp.detach()))
+        self._lines = WholeLineReader(ResetAwareReader(connection, self.fp.detach()))
+        self.fp = self._lines
         self._status_lines = 0
 
     def begin(self) -> None:
         """Read the head of the answer; raise HTTPException if it has no end."""
-        with self.fp.limit_head(MAX_HEAD_BYTES):
+        with self._lines.limit_head(MAX_HEAD_BYTES):
             super().begin()
 
     def _read_status(self) -> tuple[str, int, str]:
--- a/packages/node/src/persimmonusher_node/data_plane.py
+++ b/packages/node/src/persimmonusher_node/data_plane.py
@@ -73,11 +73,13 @@
         entry = Entry(self.services, self.forwarder, keyed, parts.quotas, clock, decimals)
         limits = settings.limits
         self.large_bodies = LargeBodies(
-            clock, limits.body_seconds, limits.large_body_bytes, limits.unread_seconds
-        )
-        self.application = CallersApplication(
-            entry, instance_id, clock, limits.body_seconds, self.large_bodies, dialect
+            clock,
+            limits.body_seconds,
+            limits.large_body_bytes,
+            limits.unread_seconds,
+            limits.held_bytes,
         )
+        self.application = CallersApplication(entry, instance_id, clock, self.large_bodies, dialect)
         self.count_relayed: Callable[[], int] = int
         """Returns the number of connections that are open for other instances."""
         self.read_fleet_loads: Callable[[], tuple[float, int]] = lambda: (0.0, 0)
@@ -152,4 +154,6 @@
             self.quota_calls,
             admitted_shares,
             {live.name: live.traffic.describe_retries(now) for live in self.services},
+            self.large_bodies.held.held_bytes,
+            self.large_bodies.waits.given_up,
         )
--- a/packages/node/src/persimmonusher_node/large_bodies.py
+++ b/packages/node/src/persimmonusher_node/large_bodies.py
@@ -10,9 +10,12 @@
 from persimmonusher_node.answers import Answer
 from persimmonusher_node.bodies import Body
 from persimmonusher_node.body_counts import LargeBodyCounts
-from persimmonusher_node.body_memory import KEPT_BYTES, TOTAL_BYTES, BodyMemory
+from persimmonusher_node.body_errors import NoBodyMemory
+from persimmonusher_node.body_memory import KEPT_BYTES, TOTAL_BYTES, BodyMemory, MemoryShare
 from persimmonusher_node.body_source import BodySource
+from persimmonusher_node.body_waits import BodyWaits
 from persimmonusher_node.caller_reader import MAX_READ_AHEAD_BYTES
+from persimmonusher_node.held_memory import DEFAULT_HELD_BYTES, HeldMemory
 from persimmonusher_node.line_budget import LineBudget
 from persimmonusher_node.protocol import ENVIRON_KEY, HttpProtocol
 
@@ -22,10 +25,6 @@
 _log = get_logger(__name__)
 
 
-class NoBodyMemory(Exception):  # noqa: N818
-    """Raised when the memory for large bodies is used up."""
-
-
 class LargeBodies:
     """Reads large bodies and writes the answers to their requests within a bound of memory."""
 
@@ -35,38 +34,95 @@
         body_seconds: float,
         total_bytes: int = TOTAL_BYTES,
         unread_seconds: float = UNREAD_SECONDS,
+        held_bytes: int = DEFAULT_HELD_BYTES,
     ) -> None:
         self._clock = clock
         self._body_seconds = body_seconds
         self._unread_seconds = unread_seconds
         self._lines = LineBudget(clock)
+        self.waits = BodyWaits(clock)
         self.memory = BodyMemory(total_bytes)
+        self.held = HeldMemory(self.waits, held_bytes)
         self.counts = LargeBodyCounts()
 
     def read(self, environ: dict[str, Any], limit: int) -> Body:
-        """Return the body with its first part read.
+        """Return the body of a request on a route for large bodies, with its first part read.
 
         Raises NoBodyMemory at once if no memory is left, and BodyError if the first part does not
         arrive. Otherwise `end` must follow.
         """
-        share = self.memory.reserve()
-        if share is None:
-            self._report_refused()
-            raise NoBodyMemory("the memory for large bodies is used up")
-        # What the caller sends stays in the kernel until it can be sent on.
-        environ[ENVIRON_KEY].reader.max_ahead_bytes = 0
+        share = self._reserve()
         body = Body(share=share)
         try:
-            source = BodySource(environ["wsgi.input"], limit, self._body_seconds)
+            # What the caller sends stays in the kernel until it can be sent on.
+            environ[ENVIRON_KEY].reader.max_ahead_bytes = 0
+            source = self._make_source(environ, limit)
             body.kept = source.read_first(KEPT_BYTES)
         except BaseException:
             self.end(body, environ[ENVIRON_KEY])
             raise
+        self._add_rest(body, source)
+        return body
+
+    def read_whole(self, environ: dict[str, Any], limit: int) -> Body:
+        """Return a body that is read whole; raises and needs `end` as `read` does."""
+        return self._read_held(environ, limit, limit + 1)
+
+    def read_small(self, environ: dict[str, Any], limit: int) -> Body:
+        """Return a whole body of up to KEPT_BYTES; of a larger one, the first part is read.
+
+        Raises and needs `end` as `read` does.
+        """
+        body = self._read_held(environ, limit, KEPT_BYTES)
+        if body.rest is None:
+            return body
+        protocol = environ[ENVIRON_KEY]
+        try:
+            body.share = self._reserve()
+        except NoBodyMemory:
+            self.end(body, protocol)
+            raise
+        assert body.held is not None
+        body.held.release()
+        protocol.reader.max_ahead_bytes = 0
+        self.counts.sent_on += 1
+        return body
+
+    def _read_held(self, environ: dict[str, Any], limit: int, size: int) -> Body:
+        body = Body(held=self.held.open_share())
+        assert body.held is not None
+        try:
+            source = self._make_source(environ, limit)
+            body.kept = source.read_first(size, body.held.take)
+        except BaseException as error:
+            body.held.release()
+            if isinstance(error, NoBodyMemory):
+                self._report_refused()
+            raise
         if not source.is_ended:
             body.rest = source
-            self.counts.sent_on += 1
         return body
 
+    def _make_source(self, environ: dict[str, Any], limit: int) -> BodySource:
+        protocol: HttpProtocol = environ[ENVIRON_KEY]
+        seconds = self._body_seconds
+        has_arrived = protocol.has_read_ahead
+        return BodySource(environ["wsgi.input"], limit, seconds, self.waits, has_arrived)
+
+    def _reserve(self) -> MemoryShare:
+        """Return the memory of a large body; bodies that stopped arriving give way."""
+        if self.waits.make_room(lambda: self.memory.has_room):
+            share = self.memory.reserve()
+            if share is not None:
+                return share
+        self._report_refused()
+        raise NoBodyMemory("the memory for large bodies is used up")
+
+    def _add_rest(self, body: Body, source: BodySource) -> None:
+        if not source.is_ended:
+            body.rest = source
+            self.counts.sent_on += 1
+
     def write(
         self, answer: Answer, body: Body, is_bodyless: bool, protocol: HttpProtocol, request_id: str
     ) -> Iterable[bytes]:
@@ -108,6 +164,8 @@
     def end(self, body: Body, protocol: HttpProtocol) -> None:
         """Free the memory of a request."""
         body.drop_kept()
+        if body.held is not None:
+            body.held.release()
         if body.share is not None:
             body.share.release()
         protocol.reader.max_ahead_bytes = MAX_READ_AHEAD_BYTES
--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -15,7 +15,9 @@
 from eventlet.greenthread import GreenThread
 from eventlet.wsgi import STATE_IDLE, STATE_REQUEST, Server
 
-from persimmonusher_node.caller_reader import CallerReader
+from persimmonusher_node.body_waits import BodyWaits
+from persimmonusher_node.caller_reader import CallerReader, ReadAheadMemory
+from persimmonusher_node.clock import SystemClock
 from persimmonusher_node.connection_filter import drop_new_connections
 from persimmonusher_node.protocol import ENVIRON_KEY, LAST_REQUEST_SECONDS, HttpProtocol
 from persimmonusher_node.sockets import RESET_ON_CLOSE
@@ -26,6 +28,9 @@
 ACCEPT_PAUSE_SECONDS: Final = 0.05
 """Pause after a failed accept, for example without free file descriptors, to avoid a busy loop."""
 STOP_POLL_SECONDS: Final = 0.02
+RECEIVE_BUFFER_BYTES: Final = 65_536
+"""Of each connection, in the kernel, which doubles it. By itself the kernel lets it grow to
+megabytes, and those of stalled connections are never read."""
 HANDSHAKE_WAIT_SECONDS: Final = 0.05
 """Time for pending handshakes to reach the accept queue: some round trips to the balancer that
 opens them."""
@@ -64,6 +69,7 @@
     limits: ListenerLimits
     draining: bool = False
     """Whether answers announce the close of their connections."""
+    waits: BodyWaits
     closed: bool = False
     """Whether the listening socket is closed, or about to be."""
     unread_connections: int = 0
@@ -82,9 +88,12 @@
         address: str,
         application: WsgiApplication,
         limits: ListenerLimits | None = None,
+        waits: BodyWaits | None = None,
     ) -> None:
         self._limits = limits or ListenerLimits()
         self._socket = bind(address)
+        self._waits = waits or BodyWaits(SystemClock())
+        self._ahead = ReadAheadMemory()
         self._connections: dict[int, list[Any]] = {}
         self._thread: GreenThread | None = None
         self._server = LimitedServer(
@@ -99,6 +108,7 @@
         )
         self._server.capitalize_response_headers = False
         self._server.limits = self._limits
+        self._server.waits = self._waits
 
     @property
     def port(self) -> int:
@@ -194,7 +204,8 @@
             return
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.settimeout(self._limits.write_seconds)
-        state = [peer, connection, STATE_IDLE, CallerReader(connection)]
+        reader = CallerReader(connection, self._ahead, self._waits.read_time)
+        state = [peer, connection, STATE_IDLE, reader]
         self._connections[id(state)] = state
         eventlet.spawn_n(self._serve, state)
 
@@ -210,6 +221,7 @@
             return
         finally:
             del self._connections[id(state)]
+            state[3].close()
             state[1].close()
 
 
@@ -231,6 +243,9 @@
     host, _, port = address.rpartition(":")
     listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    with suppress(OSError):
+        # Accepted connections inherit it.
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     try:
         listening.bind((host, int(port)))
     except OSError as error:
--- a/packages/node/src/persimmonusher_node/metrics.py
+++ b/packages/node/src/persimmonusher_node/metrics.py
@@ -72,6 +72,8 @@
     admitted_share: dict[ServiceName, float] = field(default_factory=dict)
     """Only services with `urgent_first`."""
     retries: Mapping[ServiceName, RetryStatus] = field(default_factory=dict)
+    request_bytes_held: int = 0
+    bodies_given_up: int = 0
 
 
 class MetricsSource(ABC):
@@ -119,6 +121,11 @@
             "Request bodies that were sent on as they arrived.",
             registry=registry,
         )
+        self._bodies_given_up = Counter(
+            "persimmonusher_bodies_given_up_total",
+            "Bodies that stopped arriving and were given up to make room for others.",
+            registry=registry,
+        )
         self._bodies_refused = Counter(
             "persimmonusher_bodies_refused_total",
             "Requests refused because the memory for large bodies was used up.",
@@ -197,6 +204,7 @@
             self._gauges[name].set({}, getattr(gauges, name))
         self._bodies_sent_on.set({}, gauges.body_counts.sent_on)
         self._bodies_refused.set({}, gauges.body_counts.refused)
+        self._bodies_given_up.set({}, gauges.bodies_given_up)
         self._answers_unread.set({}, gauges.body_counts.answers_unread)
         for counter, counts in (
             (self._openings, gauges.openings),
@@ -244,7 +252,8 @@
     "expected_work_seconds": "Expected time that a server works on a request.",
     "ways_lost": "Backend servers that only other instances reach.",
     "connections_relayed": "Connections to backend servers that are open for other instances.",
-    "body_bytes_held": "Memory set aside for requests on routes with large bodies.",
+    "body_bytes_held": "Memory set aside for requests with large bodies.",
+    "request_bytes_held": "Memory taken for all other bodies and answers.",
 }
 _PLAIN_GAUGES: Final = (
     "in_flight",
@@ -256,6 +265,7 @@
     "ways_lost",
     "connections_relayed",
     "body_bytes_held",
+    "request_bytes_held",
     "configuration_age_seconds",
     "fleet_loads_age_seconds",
     "fleet_loads_servers",
--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -4,6 +4,7 @@
 import re
 import socket
 from contextlib import suppress
+from functools import partial
 from http import HTTPStatus
 from http.client import HTTPMessage
 from io import BufferedReader
@@ -12,6 +13,9 @@
 import eventlet
 from eventlet import wsgi
 
+from persimmonusher_node.body_errors import BodyError
+from persimmonusher_node.body_source import BodySource
+from persimmonusher_node.body_waits import BodyWaits
 from persimmonusher_node.caller_reader import CallerReader
 from persimmonusher_node.sockets import RESET_ON_CLOSE
 
@@ -19,6 +23,8 @@
 """Key in the WSGI environment of the connection's `HttpProtocol`."""
 LAST_REQUEST_SECONDS: Final = 1.0
 """How long a connection may take to send one more request while the listener stops."""
+UNCOUNTED_HEAD_BYTES: Final = 4_096
+"""Room for the blanks in a head that `measure_head` doesn't count."""
 LINGER_BYTES: Final = 262_144
 LINGER_SECONDS: Final = 1.0
 _ERROR_KINDS: Final = {
@@ -50,16 +56,27 @@
         return "text"
 
 
+class LongHead(Exception):  # noqa: N818
+    """Raised when the headers have too many bytes."""
+
+
 class HeadLines:
-    """The lines of a head; the standard parser takes the end of a connection for the head's end."""
+    """The lines of a head, of at most `limit` bytes.
 
-    def __init__(self, lines: Any) -> None:
+    The standard parser takes the end of a connection for the head's end, and keeps all lines.
+    """
+
+    def __init__(self, lines: Any, limit: int) -> None:
         self._lines = lines
+        self._left = limit
         self._last = b""
 
     def readline(self, size: int = -1) -> bytes:
-        """Read one line."""
+        """Read one line; raise LongHead beyond the limit."""
         line: bytes = self._lines.readline(size)
+        self._left -= len(line)
+        if self._left < 0:
+            raise LongHead
         self._last = line
         return line
 
@@ -91,6 +108,12 @@
         self.reader: CallerReader = self.conn_state[3]
         self.rfile = BufferedReader(self.reader)
 
+    @property
+    def waits(self) -> BodyWaits:
+        """Return the bodies that are being read at the listener."""
+        waits: BodyWaits = self.server.waits
+        return waits
+
     def handle_one_request(self) -> None:
         """Wait for a request, limit the time for its head, and answer it."""
         head = self._wait_for_bytes()
@@ -104,6 +127,8 @@
             super().handle_one_request()
         except SlowHead:
             self.send_error(HTTPStatus.REQUEST_TIMEOUT, "the request's head took too long")
+        except LongHead:
+            self._refuse_long_head()
         finally:
             self._stop_head_timer()
 
@@ -113,8 +138,19 @@
         self.has_had_request = True
         environ: dict[str, Any] = super().get_environ()
         environ[ENVIRON_KEY] = self
+        source = environ["eventlet.input"]
+        source.discard = partial(self._discard_body, source)
         return environ
 
+    def _discard_body(self, source: wsgi.Input) -> None:
+        """Read what an application left of a body, or close the connection if that is much."""
+        if source.chunked_input and source.chunk_length == 0:
+            return
+        try:
+            BodySource(source, LINGER_BYTES, LINGER_SECONDS, self.waits).discard()
+        except BodyError:
+            self.close_unread()
+
     def announce_close(self) -> None:
         """Close the connection after this answer if the listener stops; call it before the head.
 
@@ -123,13 +159,13 @@
         """
         if not self.server.draining or self.close_connection:
             return
-        if self.server.closed or not self._has_read_ahead():
+        if self.server.closed or not self.has_read_ahead():
             self.close_connection = 1
             self.closes_after_answer = True
 
     def parse_request(self) -> bool:
         """Parse the head; refuse one that is cut, too long, malformed or ambiguously framed."""
-        lines = HeadLines(self.rfile)
+        lines = HeadLines(self.rfile, self.server.limits.head_bytes + UNCOUNTED_HEAD_BYTES)
         self.rfile = lines  # type: ignore[assignment]
         if not super().parse_request():
             return False
@@ -137,9 +173,7 @@
             self.send_error(HTTPStatus.BAD_REQUEST, "the request's head broke off")
             return False
         if measure_head(self.requestline, self.headers) > self.server.limits.head_bytes:
-            self.send_error(
-                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the request's head is too long"
-            )
+            self._refuse_long_head()
             return False
         problem = find_line_problem(self.command, self.path) or find_framing_problem(self.headers)
         if problem is None:
@@ -147,6 +181,10 @@
         self.send_error(HTTPStatus.BAD_REQUEST, problem)
         return False
 
+    def _refuse_long_head(self) -> None:
+        status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        self.send_error(status, "the request's head is too long")
+
     def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
         """Answer a request that could not be read, as JSON, and close the connection."""
         self.close_connection = 1
@@ -198,7 +236,7 @@
             self.closes_after_answer and not self.reader.has_caller_left()
         ):
             left = self._linger()
-            if self.closes_after_answer and (left < LINGER_BYTES or self._has_read_ahead()):
+            if self.closes_after_answer and (left < LINGER_BYTES or self.has_read_ahead()):
                 self.server.unread_connections += 1
         super().finish()
 
@@ -215,7 +253,7 @@
             return left
         return left
 
-    def _has_read_ahead(self) -> bool:
+    def has_read_ahead(self) -> bool:
         """Return, without waiting, whether bytes of a further request have arrived."""
         with self.reader.without_waiting():
             return bool(self.rfile.peek(1))
--- a/packages/node/src/persimmonusher_node/settings.py
+++ b/packages/node/src/persimmonusher_node/settings.py
@@ -70,6 +70,12 @@
     large_body_bytes: int = Field(default=33_554_432, ge=65_536, le=1_073_741_824)
     """Memory for bodies and answers of all requests on routes with large bodies; a request beyond
     it is answered with 503."""
+    document_memory_bytes: int = Field(default=134_217_728, ge=1_048_576, le=17_179_869_184)
+    """Memory that a routing document may take at a keeper while it is checked, as estimated from
+    its text: some 1,500 bytes for each route. A document beyond it is refused."""
+    held_bytes: int = Field(default=33_554_432, ge=1_048_576, le=1_073_741_824)
+    """Memory for all other bodies and answers; a body beyond it is answered with 503, an answer
+    beyond it is streamed. Bodies that have stopped arriving give way first."""
     unread_seconds: float = Field(default=5.0, gt=0, le=600)
     """How long a caller on such a route may read nothing of an answer that exceeds its memory."""
 
