Bound what an entry holds of all its servers' answers

What callers saw: as before, an entry that ran out of memory. Faulty servers that send bodies without end to 100 callers that read nothing made it grow to 171 to 197 MB; the smallest machine has 200.

Cause: an answer is held until it is whole or has buffered_answer_bytes (1 MiB), so that a broken one can be tried again, and nothing bounded all of them.

Now each piece takes its memory from limits.held_bytes, of which answers get half. Without it, the rest of the answer is streamed, and its caller's pace holds the server back.

Ruled out: a smaller buffer for each answer, which gives up further attempts also where there is room.

--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -303,16 +303,31 @@
         headers = tuple(response.headers.items())
         parts: list[bytes] = []
         size = 0
-        while data := response.read(self._buffered_bytes - size, decode_content=False):
-            parts.append(data)
-            size += len(data)
-            if size >= self._buffered_bytes:
-                stream = self._stream(connection, response)
-                return UpstreamAnswer(response.status, headers, b"".join(parts), stream)
-        self._check_end(response)
-        self._keep(connection, response)
+        is_whole = False
+        try:
+            while data := response.read(self._find_piece_bytes(size), decode_content=False):
+                parts.append(data)
+                if not self._may_hold(len(data)) or size + len(data) >= self._buffered_bytes:
+                    is_whole = True
+                    stream = self._stream(connection, response)
+                    return UpstreamAnswer(response.status, headers, b"".join(parts), stream)
+                size += len(data)
+            self._check_end(response)
+            self._keep(connection, response)
+            is_whole = True
+        finally:
+            if not is_whole and self._request.body.held is not None:
+                self._request.body.held.give_back(size)
         return UpstreamAnswer(response.status, headers, b"".join(parts))
 
+    def _find_piece_bytes(self, size: int) -> int:
+        return min(self._chunk_bytes, self._buffered_bytes - size)
+
+    def _may_hold(self, size: int) -> bool:
+        """Take memory for a further piece of the answer; without it, the rest is streamed."""
+        held = self._request.body.held
+        return held is None or held.take_for_answer(size)
+
     def _check_answer(self, response: BaseHTTPResponse) -> None:
         """Raise HTTPException for an answer without a checkable end or to another request.
 
