Refuse documents that would take too much memory once parsed

What operators saw: a keeper that ran out of memory. A document of 40 MiB of empty objects, a legal size, made it grow to 1,165 MB; its machine has 296.

Cause: the limit counts the bytes of the text. Parsed values take up to 27 times as many, and text with one character beyond the basic plane four times.

Ruled out: a smaller limit of the text, which real documents would meet first.

--- a/packages/model/src/persimmonusher_model/errors.py
+++ b/packages/model/src/persimmonusher_model/errors.py
@@ -24,6 +24,7 @@
     STORAGE_FULL = "storage-full"
     UNAVAILABLE = "unavailable"
     BAD_REQUEST = "bad-request"
+    TOO_LARGE = "too-large"
     INTERNAL = "internal"
 
 
--- a/packages/node/src/persimmonusher_node/tiers/keeper_control.py
+++ b/packages/node/src/persimmonusher_node/tiers/keeper_control.py
@@ -28,6 +28,7 @@
 )
 from persimmonusher_model.errors import ErrorCode, Finding, UsherError
 from persimmonusher_model.identifiers import Revision, ServiceName
+from persimmonusher_model.json_size import estimate_parsed_bytes
 from persimmonusher_model.rendezvous import rank
 from persimmonusher_model.routing import DocumentCodec
 from persimmonusher_node.configuration_client import ConfigurationClient
@@ -108,6 +109,11 @@
 
     def replace_document(self, content: bytes) -> None:
         """Check a document of any version, and put it in force unless one as high already is."""
+        needed = estimate_parsed_bytes(content)
+        allowed = self._settings.limits.document_memory_bytes
+        if needed > allowed:
+            message = f"the document would take {needed} bytes of memory, {allowed} are allowed"
+            raise UsherError(ErrorCode.TOO_LARGE, message)
         version = self._codec.parse(content).version
         live = self._view.find_record(DOCUMENT_KEY)
         if live is not None and read_version(live.body) >= version:
