Close the most silent connection where there are too many

What callers saw: 503 for as long as a crowd keeps all connections of an entry open without sending anything: an idle connection lasts for up to a minute.

Cause: beyond the limit of connections, the newest one was refused, whatever the others did.

Now a new connection replaces the one that has waited longest for its caller, idle or midway in a request, if it has for a second or longer.

Ruled out: closing those only that are idle between two requests, as crowds stop midway.

--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -31,6 +31,8 @@
 RECEIVE_BUFFER_BYTES: Final = 65_536
 """Of each connection, in the kernel, which doubles it. By itself the kernel lets it grow to
 megabytes, and those of stalled connections are never read."""
+MIN_SILENCE_SECONDS: Final = 1.0
+"""A connection that sends nothing for this long may be closed where there are too many."""
 HANDSHAKE_WAIT_SECONDS: Final = 0.05
 """Time for pending handshakes to reach the accept queue: some round trips to the balancer that
 opens them."""
@@ -199,7 +201,7 @@
             self._add_connection(GreenSocket(connection), peer)
 
     def _add_connection(self, connection: socket.socket, peer: Any) -> None:
-        if len(self._connections) >= self._limits.connections:
+        if len(self._connections) >= self._limits.connections and not self._close_silent():
             refuse(connection)
             return
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -209,6 +211,19 @@
         self._connections[id(state)] = state
         eventlet.spawn_n(self._serve, state)
 
+    def _close_silent(self) -> bool:
+        """Close the connection that has waited longest for its caller, if one has for some time.
+
+        Guards against callers that open all connections and send nothing, or stop midway.
+        """
+        states = self._connections.values()
+        state = max(states, key=lambda one: one[3].find_wait_seconds(), default=None)
+        if state is None or state[3].find_wait_seconds() < MIN_SILENCE_SECONDS:
+            return False
+        shut(state[1])
+        eventlet.sleep(0)
+        return True
+
     def _shut_idle(self) -> None:
         for state in list(self._connections.values()):
             if state[2] == STATE_IDLE:
--- a/packages/node/tests/test_held_bodies.py
+++ b/packages/node/tests/test_held_bodies.py
@@ -12,7 +12,7 @@
 from persimmonusher_node.callers import HEALTH_PATH
 from persimmonusher_node.clock import SystemClock
 from persimmonusher_node.held_memory import HeldMemory
-from persimmonusher_node.listener import ListenerLimits
+from persimmonusher_node.listener import MIN_SILENCE_SECONDS, ListenerLimits
 from persimmonusher_node.settings import Limits
 
 MIB = 1_048_576
@@ -116,6 +116,16 @@
 
 
 class SilentConnectionsTest(HeldBodiesTestCase):
+    # Guards against connections that send nothing and keep all others out.
+    def test_a_connection_beyond_the_limit_replaces_a_silent_one(self) -> None:
+        silent = [self.connect() for _ in range(self.limits.connections)]
+        for connection in silent:
+            connection.connect()
+        self.assertEqual(self.call().status, 503)
+        eventlet.sleep(MIN_SILENCE_SECONDS + 0.1)
+        self.assertEqual(self.call().status, 200)
+        self.assertEqual(self.call(connection=silent[-1]).status, 200)
+
     # Guards against a head that is kept until its end however long it is.
     def test_a_head_beyond_its_limit_is_refused_before_its_end(self) -> None:
         self.listener.replace_limits(ListenerLimits(head_bytes=16_384))
