Turns of bodies in tiny chunks follow the time that they take

Cause: a turn of 16 KiB is 2,700 chunks of one byte, which took longer than the fixed time that the turn was given, so that such bodies took all of it.

Now a turn ends after 2 KiB of framing, too, and bodies whose framing is longer than their bytes wait for three times as long as their turn took, all of them together.

--- a/packages/node/src/persimmonusher_node/body_source.py
+++ b/packages/node/src/persimmonusher_node/body_source.py
@@ -16,7 +16,9 @@
 MAX_CHUNK_LINE_BYTES: Final = 4_096
 MAX_TRAILERS: Final = 64
 BYTES_PER_TURN: Final = 16_384
-"""Bytes, with their framing, that one green thread reads before the others run."""
+"""Bytes that one green thread reads before the others run."""
+FRAMING_PER_TURN: Final = 2_048
+"""The same of bytes between chunks, which cost more to read."""
 _CHUNK_SIZE: Final = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;.*)?\r?\n")
 
 
@@ -55,8 +57,9 @@
         self._size = 0
         self._turn_size = 0
         """Bytes of the body in this turn."""
-        self._turn_wire_bytes = 0
-        """The same with their framing."""
+        self._turn_framing = 0
+        """Bytes between chunks in this turn."""
+        self._turn_began_at = waits.read_time()
         self._timer: eventlet.Timeout | None = None
         self._thread: Any = None
         self._is_given_up = False
@@ -132,15 +135,15 @@
     def _take_turn(self, size: int) -> None:
         self.progressed_at = self._waits.read_time()
         self._turn_size += size
-        if self._turn_wire_bytes < BYTES_PER_TURN:
+        if self._turn_size < BYTES_PER_TURN and self._turn_framing < FRAMING_PER_TURN:
             return
-        is_wasteful = self._turn_size < self._turn_wire_bytes / 2
-        self._turn_size = self._turn_wire_bytes = 0
-        self._waits.take_turn(is_wasteful)
+        is_wasteful = self._turn_size < self._turn_framing
+        self._turn_size = self._turn_framing = 0
+        self._waits.take_turn(is_wasteful, self.progressed_at - self._turn_began_at)
+        self._turn_began_at = self._waits.read_time()
 
     def _read_some(self, size: int) -> bytes:
         piece: bytes = self._source.rfile.read1(size)
-        self._turn_wire_bytes += len(piece)
         if not piece:
             message = f"the body broke off after {self._size} bytes"
             raise BodyError(BodyProblem.BROKEN_OFF, message)
@@ -172,7 +175,7 @@
 
     def _read_line(self) -> bytes:
         line: bytes = self._source.rfile.readline(MAX_CHUNK_LINE_BYTES)
-        self._turn_wire_bytes += len(line)
+        self._turn_framing += len(line)
         if not line.endswith(b"\n"):
             raise ValueError("a line of a chunk broke off or is too long")
         return line
@@ -189,7 +192,7 @@
     def _bound_time(self) -> Iterator[None]:
         timer = self._timer = eventlet.Timeout(self._seconds)
         self._thread = getcurrent()
-        self.progressed_at = self._waits.read_time()
+        self.progressed_at = self._turn_began_at = self._waits.read_time()
         try:
             with self._waits.include(self):
                 yield
--- a/packages/node/src/persimmonusher_node/body_waits.py
+++ b/packages/node/src/persimmonusher_node/body_waits.py
@@ -16,9 +16,10 @@
 ROOM_POLL_SECONDS: Final = 0.005
 """A body that is given up frees its memory at once, unless a server has got a part of it: then the
 attempt ends first."""
-WASTEFUL_TURN_SECONDS: Final = 0.012
-"""Least time between two turns of bodies whose framing is longer than their bytes. A turn takes
-about a quarter of it, so that other work goes on."""
+WASTEFUL_PART: Final = 0.25
+"""Part of the time that bodies whose framing is longer than their bytes may take, all together."""
+MAX_TURN_SECONDS: Final = 0.05
+"""A turn that seems to have been longer has waited for its caller."""
 
 
 class WaitingBody(ABC):
@@ -81,11 +82,15 @@
         stalest.give_up()
         return True
 
-    def take_turn(self, is_wasteful: bool) -> None:
-        """Let other green threads run; all wasteful bodies together get one turn at a time."""
+    def take_turn(self, is_wasteful: bool, turn_seconds: float) -> None:
+        """Let other green threads run; all wasteful bodies together get one turn at a time.
+
+        `turn_seconds` is how long the turn that ends here has taken.
+        """
         if not is_wasteful:
             sleep(0)
             return
         now = self._clock.monotonic()
-        self._next_turn = max(now, self._next_turn) + WASTEFUL_TURN_SECONDS
+        turn_seconds = min(turn_seconds, MAX_TURN_SECONDS)
+        self._next_turn = max(now, self._next_turn) + turn_seconds / WASTEFUL_PART
         sleep(self._next_turn - now)
