--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,9 +1,13 @@
 #!/bin/sh
 # Put the libraries that run, and the compiled sources, under target/.
 set -eu
-if [ ! target/deps -nt deploy/requirements.txt ]; then
+# Libraries may have compiled parts, and a folder may have been copied from another machine.
+built_for=$(python3 -c 'import platform, sys; print(sys.implementation.cache_tag, platform.machine())')
+if [ ! target/deps -nt deploy/requirements.txt ] ||
+    [ "$(cat target/deps/.built-for 2>/dev/null)" != "$built_for" ]; then
     rm -rf target/deps
     python3 -m pip install --quiet --require-hashes --target target/deps -r deploy/requirements.txt
+    echo "$built_for" >target/deps/.built-for
     touch target/deps
 fi
 rm -rf target/app
