Close also connections whose bytes take long to read, where there are too many

Cause: such bodies wait for their turn, not for their caller, so that no connection counted as silent; the kernel still had bytes of callers that had closed, and each took its turns to the end.

Now a wait for a turn counts like a wait for the caller, a body whose caller has left ends at its next turn, and a connection that is closed to make room no longer counts.

--- a/packages/node/src/persimmonusher_node/body_source.py
+++ b/packages/node/src/persimmonusher_node/body_source.py
@@ -12,11 +12,14 @@
 
 from persimmonusher_node.body_errors import BodyError, BodyProblem, NoBodyMemory
 from persimmonusher_node.body_waits import BodyWaits, WaitingBody
+from persimmonusher_node.caller_reader import CallerReader
 
 MAX_CHUNK_LINE_BYTES: Final = 4_096
 MAX_TRAILERS: Final = 64
 BYTES_PER_TURN: Final = 16_384
 """Bytes that one green thread reads before the others run."""
+MAX_READ_BYTES: Final = 8_192
+"""Bytes that are read at once. Their memory is set aside while a read waits."""
 FRAMING_PER_TURN: Final = 2_048
 """The same of bytes between chunks, which cost more to read."""
 _CHUNK_SIZE: Final = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;.*)?\r?\n")
@@ -27,8 +30,8 @@
     return True
 
 
-def never_arrived() -> bool:
-    """Tell of no bytes that could be read without waiting."""
+def never() -> bool:
+    """Return False, where nothing is known about the caller's connection."""
     return False
 
 
@@ -37,7 +40,8 @@
 
     Chunks are parsed here: eventlet's input takes the end of the connection for the end of the
     trailers, so that a body that broke off there would look complete, and reads lines of any
-    length. `has_arrived` tells whether more can be read without waiting.
+    length. `has_arrived` tells whether more can be read without waiting; `reader` is that of the
+    caller's connection, where it may be closed to make room for others.
     """
 
     def __init__(
@@ -46,13 +50,15 @@
         limit: int,
         seconds: float,
         waits: BodyWaits,
-        has_arrived: Callable[[], bool] = never_arrived,
+        has_arrived: Callable[[], bool] = never,
+        reader: CallerReader | None = None,
     ) -> None:
         self._source = source
         self._limit = limit
         self._seconds = seconds
         self._waits = waits
         self._has_arrived = has_arrived
+        self._reader = reader
         self._chunk_left = 0
         self._size = 0
         self._turn_size = 0
@@ -139,11 +145,22 @@
             return
         is_wasteful = self._turn_size < self._turn_framing
         self._turn_size = self._turn_framing = 0
-        self._waits.take_turn(is_wasteful, self.progressed_at - self._turn_began_at)
+        turn_seconds = self.progressed_at - self._turn_began_at
+        if is_wasteful and self._reader is not None:
+            self._take_wasteful_turn(turn_seconds, self._reader)
+        else:
+            self._waits.take_turn(is_wasteful, turn_seconds)
         self._turn_began_at = self._waits.read_time()
 
+    def _take_wasteful_turn(self, turn_seconds: float, reader: CallerReader) -> None:
+        with reader.held_back():
+            self._waits.take_turn(True, turn_seconds)
+        if reader.is_hung_up():
+            # Reading what was sent before the end could take long.
+            raise BodyError(BodyProblem.BROKEN_OFF, f"the body broke off after {self._size} bytes")
+
     def _read_some(self, size: int) -> bytes:
-        piece: bytes = self._source.rfile.read1(size)
+        piece: bytes = self._source.rfile.read1(min(size, MAX_READ_BYTES))
         if not piece:
             message = f"the body broke off after {self._size} bytes"
             raise BodyError(BodyProblem.BROKEN_OFF, message)
--- a/packages/node/src/persimmonusher_node/caller_reader.py
+++ b/packages/node/src/persimmonusher_node/caller_reader.py
@@ -60,7 +60,7 @@
         self._connection = connection
         self._memory = memory or ReadAheadMemory()
         self._read_time = read_time
-        self._waiting_since = 0.0
+        self._waiting_since: float | None = None
         self._buffered = bytearray()
         self._ended = False
         self._may_wait = True
@@ -94,15 +94,24 @@
         if self._ended:
             return 0
         self._is_waiting = True
-        self._waiting_since = self._read_time()
         try:
-            return self._connection.recv_into(buffer)
+            with self.held_back():
+                return self._connection.recv_into(buffer)
         finally:
             self._is_waiting = False
 
+    @contextmanager
+    def held_back(self) -> Iterator[None]:
+        """Count the time of a wait for the caller, or one that the caller has caused."""
+        self._waiting_since = self._read_time()
+        try:
+            yield
+        finally:
+            self._waiting_since = None
+
     def find_wait_seconds(self) -> float:
-        """Return how long a green thread has waited for bytes, 0 if none does."""
-        return self._read_time() - self._waiting_since if self._is_waiting else 0.0
+        """Return how long the connection's green thread has waited, 0 if it doesn't wait."""
+        return 0.0 if self._waiting_since is None else self._read_time() - self._waiting_since
 
     def close(self) -> None:
         """Free the bytes that were read ahead."""
@@ -135,12 +144,12 @@
         if self.is_shut:
             return False
         if self._is_waiting:
-            return self._is_hung_up()
+            return self.is_hung_up()
         self._read_ahead()
         is_full = len(self._buffered) >= self.max_ahead_bytes or self._memory.is_full
-        return self._ended or (is_full and self._is_hung_up())
+        return self._ended or (is_full and self.is_hung_up())
 
-    def _is_hung_up(self) -> bool:
+    def is_hung_up(self) -> bool:
         """Return whether the caller closed after bytes that the kernel still buffers."""
         poll = _select.poll()
         poll.register(self._connection.fileno(), _select.POLLRDHUP)
--- a/packages/node/src/persimmonusher_node/large_bodies.py
+++ b/packages/node/src/persimmonusher_node/large_bodies.py
@@ -105,9 +105,14 @@
 
     def _make_source(self, environ: dict[str, Any], limit: int) -> BodySource:
         protocol: HttpProtocol = environ[ENVIRON_KEY]
-        seconds = self._body_seconds
-        has_arrived = protocol.has_read_ahead
-        return BodySource(environ["wsgi.input"], limit, seconds, self.waits, has_arrived)
+        return BodySource(
+            environ["wsgi.input"],
+            limit,
+            self._body_seconds,
+            self.waits,
+            protocol.has_read_ahead,
+            protocol.reader,
+        )
 
     def _reserve(self) -> MemoryShare:
         """Return the memory of a large body; bodies that stopped arriving give way."""
--- a/packages/node/src/persimmonusher_node/listener.py
+++ b/packages/node/src/persimmonusher_node/listener.py
@@ -214,14 +214,16 @@
     def _close_silent(self) -> bool:
         """Close the connection that has waited longest for its caller, if one has for some time.
 
-        Guards against callers that open all connections and send nothing, or stop midway.
+        Guards against callers that open all connections and send nothing, stop midway, or send what
+        takes long to read.
         """
         states = self._connections.values()
         state = max(states, key=lambda one: one[3].find_wait_seconds(), default=None)
         if state is None or state[3].find_wait_seconds() < MIN_SILENCE_SECONDS:
             return False
+        # Its green thread may take a while to notice.
+        del self._connections[id(state)]
         shut(state[1])
-        eventlet.sleep(0)
         return True
 
     def _shut_idle(self) -> None:
@@ -235,7 +237,7 @@
         except OSError:
             return
         finally:
-            del self._connections[id(state)]
+            self._connections.pop(id(state), None)
             state[3].close()
             state[1].close()
 
