Lower the limit of connections to what the machine's memory holds

What callers would see: an entry of a machine of 200 MB that runs out of memory under 3,000 connections, each with a head or the first part of a body.

Cause: a connection costs some 48 KB in the process and more in the kernel, and the limit of the settings (3,000) follows the descriptors only.

Now memory_mb, from the platform's settings, lowers limits.connections to what fits beside the memory for bodies: 700 for 200 MB, 3,000 from 430 MB on. Beyond it silent connections give way. The write buffer of a connection has 4 KB in place of 16.

Ruled out: a smaller default limit, which machines with more memory don't need.

--- a/packages/node/src/persimmonusher_node/protocol.py
+++ b/packages/node/src/persimmonusher_node/protocol.py
@@ -27,6 +27,10 @@
 """Room for the blanks in a head that `measure_head` doesn't count."""
 LINGER_BYTES: Final = 262_144
 LINGER_SECONDS: Final = 1.0
+WRITE_BUFFER_BYTES: Final = 4_096
+"""Set aside for each connection; the body of a longer answer is written without a copy."""
+_discarded: Final = bytearray(65_536)
+"""Where bytes go that nobody reads, for all connections."""
 _ERROR_KINDS: Final = {
     HTTPStatus.REQUEST_TIMEOUT: "slow-request",
     HTTPStatus.SERVICE_UNAVAILABLE: "stopping",
@@ -90,6 +94,7 @@
     """One connection from a caller."""
 
     MessageClass = HeadMessage
+    wbufsize = WRITE_BUFFER_BYTES
     rfile: BufferedReader
 
     _head_timer: eventlet.Timeout | None = None
@@ -247,8 +252,8 @@
             self.wfile.flush()
             self.connection.shutdown(socket.SHUT_WR)
             with eventlet.Timeout(LINGER_SECONDS, False):
-                while left > 0 and (data := self.connection.recv(65_536)):
-                    left -= len(data)
+                while left > 0 and (size := self.connection.recv_into(_discarded)):
+                    left -= size
         except OSError:
             return left
         return left
--- a/packages/node/src/persimmonusher_node/settings.py
+++ b/packages/node/src/persimmonusher_node/settings.py
@@ -182,6 +182,9 @@
     stop_delay_seconds: float = Field(default=1.0, ge=0, le=600)
     """Time between the health path's first 503 and the close of the listener, so that the load
     balancer notices: at least two of its check intervals."""
+    memory_mb: float | None = Field(default=None, gt=0, le=1_000_000)
+    """Memory of the process's machine in megabytes, where it is known; `limits.connections` is
+    lowered to what fits into it."""
     limits: Limits = Limits()
     claims: ClaimSettings = ClaimSettings()
 
--- a/packages/node/src/persimmonusher_node/settings_bounds.py
+++ b/packages/node/src/persimmonusher_node/settings_bounds.py
@@ -3,11 +3,18 @@
 from typing import Any, Final
 
 from persimmonusher_decisions.quota_shares import QuotaTerms
-from persimmonusher_node.settings import Bounds, Listeners, Settings
+from persimmonusher_node.settings import Bounds, Limits, Listeners, Settings
 
 EXIT_RESERVE_SECONDS: Final = 0.8
 """Time reserved for the process to exit after the last answer of a stop, so that it ends before
 the supervisor kills it: callers learn more from a reset than from a peer that vanished."""
+MEGABYTE: Final = 1_000_000
+PROGRAM_BYTES: Final = 64_000_000
+"""Memory of an entry without requests."""
+CONNECTION_BYTES: Final = 98_304
+"""Memory of a connection with a head of 16 KB, a third of it in the kernel."""
+MIN_CONNECTIONS: Final = 256
+"""Least number of connections, however small the memory."""
 MIN_STOP_FRACTION: Final = 0.5
 """Least fraction of the time until the kill that a stop gets, for when that time is very short."""
 MAX_RETRY_BUDGET_PERCENT: Final = 50
@@ -32,12 +39,24 @@
     derived = {
         name: value for name, value in derived.items() if name not in settings.model_fields_set
     }
+    derived["limits"] = _fit_into_memory(settings)
     if settings.relay_port_offset is not None and not settings.listen.relay:
         derived["listen"] = _add_relay(settings.listen, settings.relay_port_offset)
     derived["default_profile"] = {**_bound_retries(settings), **settings.default_profile}
     return settings.model_copy(update=derived)
 
 
+def _fit_into_memory(settings: Settings) -> Limits:
+    """Return the limits with as many connections as fit beside the memory for bodies."""
+    limits = settings.limits
+    if settings.memory_mb is None:
+        return limits
+    bodies = limits.large_body_bytes + limits.held_bytes
+    left = settings.memory_mb * MEGABYTE - PROGRAM_BYTES - bodies
+    fitting = max(MIN_CONNECTIONS, int(left / CONNECTION_BYTES))
+    return limits.model_copy(update={"connections": min(limits.connections, fitting)})
+
+
 def _add_relay(listen: Listeners, port_offset: int) -> Listeners:
     host, _, port = listen.peers.rpartition(":")
     if not host:
