A refusal that is streamed is taken for a refusal

What callers would see: 500 for a request that no server ran, where a server refuses it with a body and the answer isn't held whole: with a body above 1 MiB before, and since also where the memory is used up, or where the request's own body is large.

Cause: whether an answer is streamed was looked at before whether it is passed on. A refusal is not: the entry answers in its own words, or tries another server.

Now the rest of such an answer is discarded and the attempt ends as any other. A large body's answer is held by that body's own memory again.

--- a/packages/node/src/persimmonusher_node/attempts.py
+++ b/packages/node/src/persimmonusher_node/attempts.py
@@ -122,6 +122,12 @@
         else:
             self.finish(run, ended.dispatch, outcome)
 
+    def discard_stream(self, run: Run, ended: EndedAttempt) -> None:
+        """Finish an attempt whose long answer is not passed on, as it is a refusal."""
+        assert isinstance(ended.result, UpstreamAnswer)
+        close_stream(ended.result)
+        self.finish_stream(run, ended, None)
+
     def settle(self, live: LiveService, dispatch: Dispatch, outcome: Outcome) -> None:
         """Report an outcome to the service's traffic and deliver the decisions that it releases."""
         for released in live.traffic.finish(dispatch, outcome, self._clock.monotonic()):
--- a/packages/node/src/persimmonusher_node/forwarding.py
+++ b/packages/node/src/persimmonusher_node/forwarding.py
@@ -225,7 +225,9 @@
         ended = self._attempts.carry_out(run, dispatch)
         answer = self._make_answer(run, ended.result)
         if ended.is_streaming:
-            return self._stream(run, ended, answer), None
+            if answer.stream is not None:
+                return self._stream(run, ended, answer), None
+            self._attempts.discard_stream(run, ended)
         next_decision = self._decide_again(run, ended.dispatch, ended.outcome)
         if run.is_cut_off and answer.outcome is CallerOutcome.NOT_RUN:
             return self._refuse_for_stop(run), None
--- a/packages/node/src/persimmonusher_node/large_bodies.py
+++ b/packages/node/src/persimmonusher_node/large_bodies.py
@@ -1,4 +1,4 @@
-"""Requests on routes with large bodies, from reading the first part to the end of the answer."""
+"""Bodies of requests, from reading their first part to the end of the answer."""
 
 from collections.abc import Iterable
 from typing import Any, Final
@@ -26,7 +26,11 @@
 
 
 class LargeBodies:
-    """Reads large bodies and writes the answers to their requests within a bound of memory."""
+    """Reads bodies, and writes the answers to requests with large ones, within bounds of memory.
+
+    A body is large if it has more than KEPT_BYTES, or if its route expects large ones: `memory` is
+    theirs. All others are held whole, in `held`, which has their answers too.
+    """
 
     def __init__(
         self,
@@ -84,6 +88,7 @@
             raise
         assert body.held is not None
         body.held.release()
+        body.held = None
         protocol.reader.max_ahead_bytes = 0
         self.counts.sent_on += 1
         return body
--- a/packages/node/tests/test_held_bodies.py
+++ b/packages/node/tests/test_held_bodies.py
@@ -4,7 +4,7 @@
 import unittest
 
 import eventlet
-from entry_harness import HOST, PROFILE, SHED, EntryTestCase
+from entry_harness import HOST, PROFILE, SHED, EntryTestCase, answer
 from large_body_harness import make_chunk, read_reply
 
 from persimmonusher_node.body_source import MAX_CHUNK_LINE_BYTES
@@ -63,6 +63,26 @@
         refused = self.call("POST", body=BODY)
         self.assertEqual((refused.status, refused.outcome, self.ran), (503, "not-run", []))
 
+    # Guards against a refusal with a long body that is taken for an answer to pass on.
+    def test_a_refusal_that_is_not_held_whole_goes_to_another_server(self) -> None:
+        shed = answer(b"x" * 100_000, "503 Busy", "Persimmonusher-Not-Run: shed")
+        memory = self.plane.large_bodies.held
+        memory.held_bytes += MIB // 2
+        for method in ("POST", "GET"):
+            with self.subTest(method):
+                self.servers[0].script[:] = self.servers[1].script[:] = [shed]
+                refused = self.call(method)
+                self.assertEqual((refused.status, refused.outcome), (503, "not-run"))
+                self.assertEqual([server.script for server in self.servers], [[], []])
+        memory.held_bytes -= MIB // 2
+        self.assertEqual(self.plane.forwarder.in_flight, 0)
+
+    # Guards against the same for a body that isn't sent again.
+    def test_a_refusal_with_a_body_refuses_a_large_body(self) -> None:
+        self.script(answer(b"busy", "503 Busy", "Persimmonusher-Not-Run: shed"))
+        refused = self.call("POST", body=BODY)
+        self.assertEqual((refused.status, refused.outcome), (503, "not-run"))
+
     # Guards against callers that stop midway and keep the memory from all others.
     def test_bodies_that_stop_arriving_give_way(self) -> None:
         for sent, count in ((KEPT - 1, 16), (KEPT + 1, 4)):
