--- a/packages/node/src/persimmonusher_node/exchange.py
+++ b/packages/node/src/persimmonusher_node/exchange.py
@@ -134,7 +134,7 @@
     status, outcome = answer.status, CallerOutcome.RAN
     if status in dialect.promising_statuses and not idempotent:
         status, outcome = HTTPStatus.BAD_GATEWAY.value, CallerOutcome.UNKNOWN
-        # The signature is the server's word for the status that it gave.
+        # The signature covers the status that the server gave.
         dropped = dropped | {(dialect.signature or "").lower()}
     headers = select_headers(answer.headers, dropped)
     own = ((OUTCOME, outcome.value), (dialect.request_id, call.request_id))
