--- a/packages/node/src/persimmonusher_node/body_source.py
+++ b/packages/node/src/persimmonusher_node/body_source.py
@@ -16,12 +16,12 @@
 
 MAX_CHUNK_LINE_BYTES: Final = 4_096
 MAX_TRAILERS: Final = 64
-BYTES_PER_TURN: Final = 16_384
-"""Bytes that one green thread reads before the others run."""
 MAX_READ_BYTES: Final = 8_192
 """Bytes that are read at once. Their memory is set aside while a read waits."""
-FRAMING_PER_TURN: Final = 2_048
-"""The same of bytes between chunks, which cost more to read."""
+BYTES_PER_TURN: Final = 16_384
+"""Bytes of a body that one green thread reads before the others run."""
+FRAMING_BYTES_PER_TURN: Final = 2_048
+"""Bytes between chunks, which take longer to read, before the others run."""
 _CHUNK_SIZE: Final = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;.*)?\r?\n")
 
 
@@ -141,7 +141,7 @@
     def _take_turn(self, size: int) -> None:
         self.progressed_at = self._waits.read_time()
         self._turn_size += size
-        if self._turn_size < BYTES_PER_TURN and self._turn_framing < FRAMING_PER_TURN:
+        if self._turn_size < BYTES_PER_TURN and self._turn_framing < FRAMING_BYTES_PER_TURN:
             return
         is_wasteful = self._turn_size < self._turn_framing
         self._turn_size = self._turn_framing = 0
