Move the reading of answers into a module of its own

The classes that read a backend server's answer are about to check its bytes; connections.py keeps what concerns connections and pools. No change in behaviour: the moved lines are the same.

--- /dev/null
+++ b/packages/node/src/persimmonusher_node/answer_reader.py
@@ -0,0 +1,124 @@
+"""Reads backend servers' answers, and fails on what is not the whole of one."""
+
+import io
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http.client import HTTPException, HTTPResponse, IncompleteRead
+from typing import Any, Final
+
+from eventlet import sleep
+from eventlet.hubs import trampoline
+
+BYTES_PER_TURN: Final = 16_384
+"""Bytes that one green thread reads before the others run."""
+MAX_INTERIM_ANSWERS: Final = 16
+"""Interim answers before the final one; a server needs one or two."""
+MAX_HEAD_BYTES: Final = 65_536
+"""Bytes of an answer's status line and headers, those of interim answers included."""
+
+
+class ResetAwareReader(io.RawIOBase):
+    """Reads from the socket below eventlet's, which reports a reset as a normal end of stream.
+
+    Guards against a server that crashes in the middle of an answer that ends with its connection:
+    only the reset shows that such an answer is not whole.
+
+    A green thread that always finds bytes to read never waits, and would block all others for as
+    long as a server goes on sending. So the other threads run after every BYTES_PER_TURN.
+    """
+
+    def __init__(self, connection: Any, owner: io.RawIOBase) -> None:
+        self._raw_socket: socket.socket = connection.fd
+        self._timeout: float | None = connection.gettimeout()
+        self._owner = owner
+        """The file object that keeps the socket open until it is closed."""
+        self._read_at_once = 0
+        """Bytes read since the last wait."""
+
+    def readable(self) -> bool:
+        """Return True; io.RawIOBase's default is False."""
+        return True
+
+    def readinto(self, buffer: Any, /) -> int:
+        """Read the available bytes, waiting for the first one; raise OSError on a reset."""
+        if self._read_at_once >= BYTES_PER_TURN:
+            self._read_at_once = 0
+            sleep(0)
+        while True:
+            try:
+                count = self._raw_socket.recv_into(buffer)
+                self._read_at_once += count
+                return count
+            except BlockingIOError:
+                self._read_at_once = 0
+                trampoline(
+                    self._raw_socket, read=True, timeout=self._timeout, timeout_exc=TimeoutError
+                )
+
+    def close(self) -> None:
+        """Close the owning file object too."""
+        if not self.closed:
+            self._owner.close()
+        super().close()
+
+
+class WholeLineReader(io.BufferedReader):
+    """Reads only complete lines, and fails on a partial one.
+
+    http.client treats the end of the connection as the end of the headers, and a cut-off chunk size
+    as a shorter one: an answer cut there would look whole, without its last headers.
+
+    http.client limits the length and the number of lines, which allows heads of megabytes. So the
+    lines of a head are also limited in total.
+    """
+
+    def __init__(self, raw: io.RawIOBase) -> None:
+        super().__init__(raw)
+        self._head_bytes_left: int | None = None
+
+    @contextmanager
+    def limit_head(self, size: int) -> Iterator[None]:
+        """Let the lines that are read inside have at most `size` bytes together."""
+        self._head_bytes_left = size
+        try:
+            yield
+        finally:
+            self._head_bytes_left = None
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return a line with its line end; raise IncompleteRead if the connection ends first.
+
+        Raises HTTPException where the head is longer than its limit.
+        """
+        line = super().readline(size)
+        if not line.endswith(b"\n"):
+            raise IncompleteRead(line)
+        if self._head_bytes_left is not None:
+            self._head_bytes_left -= len(line)
+            if self._head_bytes_left < 0:
+                raise HTTPException(f"the head is longer than {MAX_HEAD_BYTES} bytes")
+        return line
+
+
+class WholeResponse(HTTPResponse):
+    """An answer whose reading fails on a partial line or a reset of the connection."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        connection = arguments[0]
+        self._lines = WholeLineReader(ResetAwareReader(connection, self.fp.detach()))
+        self.fp = self._lines
+        self._status_lines = 0
+
+    def begin(self) -> None:
+        """Read the head of the answer; raise HTTPException if it has no end."""
+        with self._lines.limit_head(MAX_HEAD_BYTES):
+            super().begin()
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read one status line; http.client reads interim answers without a limit."""
+        self._status_lines += 1
+        if self._status_lines > MAX_INTERIM_ANSWERS:
+            raise HTTPException(f"more than {MAX_INTERIM_ANSWERS} interim answers")
+        return super()._read_status()  # type: ignore[misc, no-any-return]
--- a/packages/node/tests/test_answer_heads.py
+++ b/packages/node/tests/test_answer_heads.py
@@ -4,7 +4,7 @@
 
 from entry_harness import EntryTestCase, answer, send
 
-from persimmonusher_node.connections import MAX_HEAD_BYTES
+from persimmonusher_node.answer_reader import MAX_HEAD_BYTES
 
 LINE = "X-More: " + "x" * 6_000
 INTERIM = f"HTTP/1.1 102 Wait\r\n{LINE}\r\n\r\n".encode()
