A reset that only the write of a body meets breaks the answer

What callers saw: a part of an answer as the whole of it. A server answers an upload at once with a 200 that has no length, sends a part and resets the connection while the upload is still being written.

Cause: the kernel reports a reset once, to whichever call comes first, and an ordinary end from then on. While an upload is written, that call may be the write; BodySender dropped its error, since the server may have answered before it closed. The reader then found the part and an end, and an answer without a length ends with its connection. ResetAwareReader guards the reading side only. The same class: the end that was read may be this instance's own, where the caller's body breaks off and the connection is shut down for that.

Now a connection notes a write that failed, except for one after the server's own close (EPIPE), where reads still find the server's end. An answer that ends with its connection is whole only if no write has lost that end and this instance has not ended it. An instance that relays such a connection passes the reset on already: asyncio gives a write's error to the reader too.

--- a/packages/node/src/persimmonusher_node/connections.py
+++ b/packages/node/src/persimmonusher_node/connections.py
@@ -38,6 +38,9 @@
     """Whether it leads through another instance, which may stop: it serves one request only."""
     may_have_sent: bool = False
     """Whether a byte of the current request may have been sent."""
+    has_lost_end: bool = False
+    """Whether a failed write has consumed the error of the connection, which is reported only once:
+    reads then find an ordinary end."""
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
@@ -62,9 +65,16 @@
         return len(self._request_ids) >= MAX_REQUESTS
 
     def send(self, data: Any) -> None:
-        """Write to the socket; sets `may_have_sent` first."""
+        """Write to the socket; sets `may_have_sent` first, and `has_lost_end` if that fails."""
         self.may_have_sent = True
-        super().send(data)
+        try:
+            super().send(data)
+        except BrokenPipeError:
+            # The server had already closed in good order, which reads still find.
+            raise
+        except OSError:
+            self.has_lost_end = True
+            raise
 
     def abort(self) -> None:
         """Reset the connection, so that a cancelled request is not delivered later.
--- a/packages/node/src/persimmonusher_node/upstream.py
+++ b/packages/node/src/persimmonusher_node/upstream.py
@@ -314,7 +314,7 @@
                     stream = self._stream(connection, response)
                     return UpstreamAnswer(response.status, headers, b"".join(parts), stream)
                 size += len(data)
-            self._check_end(response)
+            self._check_end(connection, response)
             self._keep(connection, response)
             is_whole = True
         finally:
@@ -347,9 +347,16 @@
             return self._check_origin(response)
         raise HTTPException("the answer has neither Content-Length nor chunks")
 
-    def _check_end(self, response: BaseHTTPResponse) -> None:
-        """Raise HTTPException if an answer that ends with its connection was cut off here."""
-        if self._stopped is not None and not self._is_framed(response):
+    def _check_end(self, connection: ServerConnection, response: BaseHTTPResponse) -> None:
+        """Raise HTTPException if an answer that ends with its connection may have been cut off.
+
+        Its end is that of the connection, which must not be the work of this instance, nor what is
+        left of a reset that was reported to a write.
+        """
+        if self._is_framed(response):
+            return
+        is_body_broken = self._sender is not None and self._sender.body_error is not None
+        if self._stopped is not None or is_body_broken or connection.has_lost_end:
             raise HTTPException("the answer was cut off before its end")
 
     @staticmethod
@@ -378,7 +385,7 @@
                 self._is_held_up = self._request.body.is_large
                 yield data
                 self._is_held_up = False
-            self._check_end(response)
+            self._check_end(connection, response)
             self._keep(connection, response)
             done = True
         except (HTTPError, HTTPException, OSError, ValueError) as error:
--- a/packages/node/tests/test_relays.py
+++ b/packages/node/tests/test_relays.py
@@ -31,6 +31,7 @@
 )
 from persimmonusher_node.relays import RelayDialer, RelaySearch, read_head  # noqa: E402
 from persimmonusher_node.server_ways import ServerWays  # noqa: E402
+from persimmonusher_node.sockets import RESET_ON_CLOSE  # noqa: E402
 from persimmonusher_node.upstream import (  # noqa: E402
     AttemptError,
     Upstream,
@@ -164,6 +165,27 @@
         with eventlet.Timeout(SOON_SECONDS):
             self.assertEqual(ended.wait(), b"")
 
+    # Guards against a reset by the server that only the pump towards it meets, passed on as an end.
+    def test_a_reset_that_a_write_meets_arrives_as_one(self) -> None:
+        listening = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listening.close)
+        address = f"127.0.0.1:{listening.getsockname()[1]}"
+        self.registered.add(address)
+        connection = self.ask(make_request(address, SERVICE, TOKEN))
+        read_head(connection)
+        server, _ = listening.accept()
+        connection.sendall(b"first")
+        self.assertEqual(server.recv(5), b"first")
+        server.sendall(b"HTTP/1.1 200 OK\r\n\r\npart")
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        server.close()
+        connection.sendall(b"second")
+        eventlet.sleep(0.1)
+        below: socket.socket = connection.fd  # type: ignore[attr-defined]
+        with self.assertRaises(ConnectionResetError):
+            while below.recv(1_000):
+                pass
+
 
 class RelayedAttemptTest(RelayTestCase):
     """Attempts of an instance whose own connections to the server are refused."""
