Check each line of an answer's head before it is parsed

What callers saw: an answer of a worker in trouble whose head held a line that is no field, or a field's name with a blank or a control byte, as a complete answer: with that line passed on, without the fields behind it, or with a body that was not the worker's, as its length was among what was lost.

Cause: http.client reads heads with the parser of e-mail. It takes the first line that is no field for the end of the head and keeps the rest as text that nobody reads, drops lines that begin with "From ", joins folded lines, splits a line at a bare CR, and takes any byte in a value. On a platform whose servers may answer without a length, an answer that lost its length ends with its connection.

Two of the legal answers failed too: with a blank behind "chunked" the chunks' framing was passed on as the body. test_relays, "a spoilt head is refused": the same through another instance.

Now http_syntax checks the bytes of each line as it arrived: a token as name directly before its colon, a value without control bytes, CRLF at the end. What it refuses is no answer: 502 with outcome unknown, or another attempt where the request may be repeated, and a broken answer against the server's standing. The parser behind it sees checked lines only, without blanks at their ends. One place covers pooled and relayed connections, plain and large bodies, and interim answers.

--- a/packages/node/src/persimmonusher_node/answer_reader.py
+++ b/packages/node/src/persimmonusher_node/answer_reader.py
@@ -10,6 +10,10 @@
 from eventlet import sleep
 from eventlet.hubs import trampoline
 
+from persimmonusher_node.http_syntax import (
+    HeadLines,
+)
+
 BYTES_PER_TURN: Final = 16_384
 """Bytes that one green thread reads before the others run."""
 MAX_INTERIM_ANSWERS: Final = 16
@@ -69,36 +73,32 @@
     http.client treats the end of the connection as the end of the headers, and a cut-off chunk size
     as a shorter one: an answer cut there would look whole, without its last headers.
 
-    http.client limits the length and the number of lines, which allows heads of megabytes. So the
-    lines of a head are also limited in total.
+    The lines of a head are checked before http.client, which limits the length and the number of
+    lines, but not their bytes in total, parses them.
     """
 
     def __init__(self, raw: io.RawIOBase) -> None:
         super().__init__(raw)
-        self._head_bytes_left: int | None = None
+        self._head: HeadLines | None = None
 
     @contextmanager
-    def limit_head(self, size: int) -> Iterator[None]:
-        """Let the lines that are read inside have at most `size` bytes together."""
-        self._head_bytes_left = size
+    def check_head(self, head: HeadLines) -> Iterator[None]:
+        """Let `head` check the lines that are read inside."""
+        self._head = head
         try:
             yield
         finally:
-            self._head_bytes_left = None
+            self._head = None
 
     def readline(self, size: int | None = -1, /) -> bytes:
         """Return a line with its line end; raise IncompleteRead if the connection ends first.
 
-        Raises HTTPException where the head is longer than its limit.
+        Raises MalformedMessage for a line that may not stand in a head.
         """
         line = super().readline(size)
         if not line.endswith(b"\n"):
             raise IncompleteRead(line)
-        if self._head_bytes_left is not None:
-            self._head_bytes_left -= len(line)
-            if self._head_bytes_left < 0:
-                raise HTTPException(f"the head is longer than {MAX_HEAD_BYTES} bytes")
-        return line
+        return line if self._head is None else self._head.check(line)
 
 
 class WholeResponse(HTTPResponse):
@@ -112,8 +112,8 @@
         self._status_lines = 0
 
     def begin(self) -> None:
-        """Read the head of the answer; raise HTTPException if it has no end."""
-        with self._lines.limit_head(MAX_HEAD_BYTES):
+        """Read the head of the answer; raise HTTPException if it is malformed or has no end."""
+        with self._lines.check_head(HeadLines(MAX_HEAD_BYTES)):
             super().begin()
 
     def _read_status(self) -> tuple[str, int, str]:
--- /dev/null
+++ b/packages/node/src/persimmonusher_node/http_syntax.py
@@ -0,0 +1,48 @@
+"""The syntax of HTTP/1.1 messages (RFC 9112), checked on the bytes that arrived; no I/O.
+
+The standard library's client parses heads leniently: it takes the first line that is no field for
+the end of the head and drops the rest, and splits lines at a bare CR. So each line is checked
+before that parser sees it.
+"""
+
+import re
+from http.client import HTTPException
+from typing import Final
+
+_TEXT: Final = rb"[\t -~\x80-\xff]*"
+_FIELD_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r\n")
+_BLANKS: Final = (b" ", b"\t")
+LINE_END: Final = b"\r\n"
+
+
+class MalformedMessage(HTTPException):  # noqa: N818
+    """Raised for bytes that HTTP/1.1 doesn't allow; the message says where they are."""
+
+
+class HeadLines:
+    """Checks the lines of an answer's head, and of the interim answers before it.
+
+    They may have `max_bytes` bytes together.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._bytes_left = max_bytes
+        self._line_number = 0
+        self._is_status_next = True
+
+    def check(self, line: bytes) -> bytes:
+        """Return the next line, without blanks before its line end; raise MalformedMessage."""
+        self._line_number += 1
+        self._bytes_left -= len(line)
+        if self._bytes_left < 0:
+            raise MalformedMessage(f"the head is longer than {self._max_bytes} bytes")
+        if self._is_status_next:
+            self._is_status_next = False
+        elif line == LINE_END:
+            self._is_status_next = True
+        elif _FIELD_LINE.fullmatch(line) is None:
+            raise MalformedMessage(f"line {self._line_number} of the head is no header field")
+        if line[-3:-2] in _BLANKS:
+            return line[:-2].rstrip(b" \t") + LINE_END
+        return line
--- /dev/null
+++ b/packages/node/tests/test_broken_answers.py
@@ -0,0 +1,138 @@
+"""Answers that are no HTTP/1.1, on each way by which answers are read, and legal ones."""
+
+import unittest
+
+from entry_harness import PROFILE, Behaviour, CallerAnswer, EntryTestCase, send
+from large_body_harness import LargeBodyTestCase, Upload
+
+from persimmonusher_node.dialect import Dialect
+
+DIALECT = Dialect(accepts_unframed=True, signature="X-Response-Signature")
+SIGNED = b"X-Response-Signature: s"
+LENGTH = b"Content-Length: 2"
+CHUNKED = b"Transfer-Encoding: chunked"
+NO_FIELDS = (b"no field", b"From a", b": no name", b" folded", b"\tfolded", b"\r", b"\x00")
+SPOILT_NAMES = (
+    *(b"X%cName: a" % byte for byte in b" \t\r\x00\x01\x1f\x7f\x80\xff(/@"),
+    b"X-Name : a",
+    b" X-Name: a",
+)
+SPOILT_VALUES = (b"X-Name: a\rX-Next: b", b"X-Name: a\x00b", b"X-Name: \x1b", b"X-Name: a\nb")
+LEGAL = {
+    "length": (b"HTTP/1.1 200 OK", (SIGNED, LENGTH), b"ok"),
+    "no reason": (b"HTTP/1.1 200 ", (SIGNED, LENGTH), b"ok"),
+    "nothing behind the status": (b"HTTP/1.1 200", (SIGNED, LENGTH), b"ok"),
+    "no length": (b"HTTP/1.1 200 OK", (SIGNED,), b"ok"),
+    "HTTP/1.0": (b"HTTP/1.0 200 OK", (SIGNED,), b"ok"),
+    "HTTP/1.0 with a length": (b"HTTP/1.0 200 OK", (SIGNED, LENGTH), b"ok"),
+    "chunks": (b"HTTP/1.1 200 OK", (SIGNED, CHUNKED), b"1\r\no\r\n01;a=b\r\nk\r\n0\r\n\r\n"),
+    "trailers": (b"HTTP/1.1 200 OK", (SIGNED, CHUNKED), b"2 \r\nok\r\n0;x\r\nX-T: a\r\n\r\n"),
+    "blanks": (b"HTTP/1.1 200 OK", (SIGNED, b"content-length:\t02 ", b"X-E:", b"X-C: :;"), b"ok"),
+    "other bytes": (b"HTTP/1.1 200 \xe9", (SIGNED, LENGTH, b"X-B: \xe9\t\xff"), b"ok"),
+    "coding's case": (
+        b"HTTP/1.1 200 OK",
+        (SIGNED, b"TRANSFER-ENCODING:Chunked\t"),
+        b"2\r\nok\r\n0\r\n\r\n",
+    ),
+}
+LEGAL_INTERIM = (b"100 Continue",)
+
+
+def make_head(status_line: bytes, *lines: bytes) -> bytes:
+    return b"\r\n".join((status_line, *lines, b"", b""))
+
+
+def list_spoilt_heads() -> dict[str, bytes]:
+    """Return heads of a body of two bytes by what is wrong with them."""
+    ok = b"HTTP/1.1 200 OK"
+    heads = {}
+    for line in (*NO_FIELDS, *SPOILT_NAMES, *SPOILT_VALUES):
+        heads[f"{line!r} first"] = make_head(ok, line, SIGNED, LENGTH)
+        heads[f"{line!r} last"] = make_head(ok, SIGNED, LENGTH, line)
+    heads["line feeds only"] = make_head(ok, SIGNED, LENGTH).replace(b"\r\n", b"\n")
+    return heads
+
+
+SPOILT_HEADS = list_spoilt_heads()
+
+
+class BrokenAnswerTestCase(EntryTestCase):
+    server_names = ("s1",)
+    profile = PROFILE.model_copy(update={"max_retries": 0, "retry_budget_percent": 0})
+    dialect = DIALECT
+
+    def exchange(self, behaviour: Behaviour) -> CallerAnswer:
+        """Return the answer to a request to which a server behaves like this."""
+        self.requests = getattr(self, "requests", 0) + 1
+        self.script(behaviour)
+        return self.call("POST", f"/{self.requests}", connection=self.connect())
+
+    def check_broken(self, raw: bytes) -> None:
+        answer = self.exchange(send(raw))
+        self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
+        self.assertNotIn("x-response-signature", answer.headers)
+
+
+class BrokenAnswersTest(BrokenAnswerTestCase):
+    # Guards against answers whose head leaves open where their body ends, or holds no fields.
+    def test_a_spoilt_head_is_no_answer(self) -> None:
+        for name, head in SPOILT_HEADS.items():
+            with self.subTest(name):
+                self.check_broken(head + b"ok")
+
+    # Guards against spoilt heads that pass where they stand before the final answer's.
+    def test_a_spoilt_interim_head_is_no_answer(self) -> None:
+        final = make_head(b"HTTP/1.1 200 OK", SIGNED, LENGTH) + b"ok"
+        for line in (*NO_FIELDS, *SPOILT_NAMES, *SPOILT_VALUES):
+            with self.subTest(line):
+                self.check_broken(make_head(b"HTTP/1.1 102 Wait", line) + final)
+        self.check_broken(make_head(b"HTTP/1.1 101 Switching", b"Upgrade: x") + final)
+
+
+class RepeatedAfterBrokenAnswersTest(EntryTestCase):
+    dialect = DIALECT
+
+    # Guards against lookups that fail though another server would answer them.
+    def test_a_lookup_is_sent_to_another_server(self) -> None:
+        for name in (f"{NO_FIELDS[0]!r} last", f"{SPOILT_NAMES[0]!r} last"):
+            bad, good = self.servers
+            bad.default = send(SPOILT_HEADS[name] + b"ok")
+            good.default = send(make_head(b"HTTP/1.1 200 OK", SIGNED, LENGTH) + b"ok")
+            for number in range(4):
+                self.assertEqual(self.call(target=f"/{number}").body, b"ok")
+        self.assertTrue(bad.ran)
+
+
+class BrokenAnswersToUploadsTest(LargeBodyTestCase):
+    server_names = ("s1",)
+    dialect = DIALECT
+
+    # Guards against spoilt heads that pass where the body is sent on as it arrives.
+    def test_a_spoilt_head_is_no_answer(self) -> None:
+        for name, head in SPOILT_HEADS.items():
+            with self.subTest(name):
+
+                def answer_all(upload: Upload, raw: bytes = head + b"ok") -> None:
+                    upload.read(lambda one: bool(one.head) and one.is_complete)
+                    upload.connection.sendall(raw)
+
+                self.set_act(answer_all)
+                answer = self.upload(self.open(100_000), b"x" * 100_000)
+                self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
+                self.assertNotIn("x-response-signature", answer.headers)
+
+
+class LegalAnswersTest(BrokenAnswerTestCase):
+    # Guards against legal answers that are refused along with spoilt ones.
+    def test_legal_answers_are_served(self) -> None:
+        for name, (status_line, lines, body) in LEGAL.items():
+            for interim in (b"", *LEGAL_INTERIM):
+                with self.subTest(name, interim=interim):
+                    before = make_head(b"HTTP/1.1 " + interim) if interim else b""
+                    answer = self.exchange(send(before + make_head(status_line, *lines) + body))
+                    self.assertEqual((answer.status, answer.body), (200, b"ok"))
+                    self.assertEqual(answer.headers["x-response-signature"], "s")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/node/tests/test_relays.py
+++ b/packages/node/tests/test_relays.py
@@ -254,6 +254,13 @@
         self.server.default = send(b"HTTP/1.1 200 OK\r\n\r\nwhole")
         self.assertEqual(self.run_attempt().body, b"whole")
 
+    # Guards against spoilt heads that pass where the connection leads through another instance.
+    def test_a_spoilt_head_is_refused(self) -> None:
+        self.server.default = send(b"HTTP/1.1 200 OK\r\nno field\r\nContent-Length: 9\r\n\r\npart")
+        with self.assertRaises(AttemptError) as raised:
+            self.run_attempt()
+        self.assertIs(raised.exception.kind, OutcomeKind.BROKEN)
+
     # Guards against an answer without a length that ends with the instance that relays it.
     def test_the_end_of_the_other_instance_is_not_the_end_of_the_answer(self) -> None:
         def begin(connection: socket.socket, heard: object) -> bool:
