An answer tells in exactly one way where its body ends, or is broken

What callers saw: an answer whose head was spoilt where it tells the length of the body as a complete answer, with a body that was not the worker's.

Cause: http.client takes a Content-Length that it can't read, or a coding other than "chunked", for none at all, and reads the value with int(), which takes signs and underscores. On a platform whose servers may answer without a length, such an answer then ends with its connection, and chunk framing became a part of the body. Of two lengths, the first was used.

Now an answer with more than one Content-Length or Transfer-Encoding field, with a length that is no decimal number, or with another coding than "chunked", also in HTTP/1.0, is broken. RFC 9112, 6.3, allows a client to take equal lengths for one; a server that repeats itself there is in trouble, so they are refused.

--- a/packages/node/src/persimmonusher_node/answer_reader.py
+++ b/packages/node/src/persimmonusher_node/answer_reader.py
@@ -12,6 +12,7 @@
 
 from persimmonusher_node.http_syntax import (
     HeadLines,
+    check_framing,
 )
 
 BYTES_PER_TURN: Final = 16_384
@@ -115,6 +116,9 @@
         """Read the head of the answer; raise HTTPException if it is malformed or has no end."""
         with self._lines.check_head(HeadLines(MAX_HEAD_BYTES)):
             super().begin()
+        lengths = self.headers.get_all("content-length", [])
+        codings = self.headers.get_all("transfer-encoding", [])
+        check_framing(self.version, lengths, codings)
 
     def _read_status(self) -> tuple[str, int, str]:
         """Read one status line; http.client reads interim answers without a limit."""
--- a/packages/node/src/persimmonusher_node/http_syntax.py
+++ b/packages/node/src/persimmonusher_node/http_syntax.py
@@ -6,11 +6,13 @@
 """
 
 import re
+from collections.abc import Sequence
 from http.client import HTTPException
 from typing import Final
 
 _TEXT: Final = rb"[\t -~\x80-\xff]*"
 _FIELD_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r\n")
+_LENGTH: Final = re.compile(r"[0-9]{1,18}", re.ASCII)
 _BLANKS: Final = (b" ", b"\t")
 LINE_END: Final = b"\r\n"
 
@@ -46,3 +48,20 @@
         if line[-3:-2] in _BLANKS:
             return line[:-2].rstrip(b" \t") + LINE_END
         return line
+
+
+def check_framing(version: int, lengths: Sequence[str], codings: Sequence[str]) -> None:
+    """Raise MalformedMessage unless a head tells in exactly one way where the body ends.
+
+    `version` is 10 or 11; `lengths` and `codings` are the values of all Content-Length and
+    Transfer-Encoding fields, without blanks around them. Without any, the body ends with the
+    connection.
+    """
+    if len(lengths) + len(codings) > 1:
+        raise MalformedMessage("the head tells the length of the body more than once")
+    for length in lengths:
+        if _LENGTH.fullmatch(length) is None:
+            raise MalformedMessage("Content-Length is no decimal number")
+    for coding in codings:
+        if version < 11 or coding.lower() != "chunked":
+            raise MalformedMessage("Transfer-Encoding is not just chunked, or not of HTTP/1.1")
--- a/packages/node/tests/test_broken_answers.py
+++ b/packages/node/tests/test_broken_answers.py
@@ -11,6 +11,19 @@
 SIGNED = b"X-Response-Signature: s"
 LENGTH = b"Content-Length: 2"
 CHUNKED = b"Transfer-Encoding: chunked"
+SPOILT_LENGTHS = (
+    *(b"Content-Length:" + value for value in (b"", b" 2x", b" +2", b" -2", b" 0x2", b" 0_2")),
+    b"Content-Length: 2, 2",
+    b"Content-Length: 2\r\nContent-Length: 2",
+    b"Content-Length: 2\r\nContent-Length: 3",
+    b"Content-Length: 2\r\nTransfer-Encoding: chunked",
+    b"Content-Length 2",
+    b"Content-Le\xeegth: 2",
+    b"Transfer-Encoding: chunke",
+    b"Transfer-Encoding: gzip, chunked",
+    b"Transfer-Encoding: chunked, chunked",
+    b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+)
 NO_FIELDS = (b"no field", b"From a", b": no name", b" folded", b"\tfolded", b"\r", b"\x00")
 SPOILT_NAMES = (
     *(b"X%cName: a" % byte for byte in b" \t\r\x00\x01\x1f\x7f\x80\xff(/@"),
@@ -45,10 +58,11 @@
 def list_spoilt_heads() -> dict[str, bytes]:
     """Return heads of a body of two bytes by what is wrong with them."""
     ok = b"HTTP/1.1 200 OK"
-    heads = {}
+    heads = {repr(line): make_head(ok, SIGNED, line) for line in SPOILT_LENGTHS}
     for line in (*NO_FIELDS, *SPOILT_NAMES, *SPOILT_VALUES):
         heads[f"{line!r} first"] = make_head(ok, line, SIGNED, LENGTH)
         heads[f"{line!r} last"] = make_head(ok, SIGNED, LENGTH, line)
+    heads["HTTP/1.0 in chunks"] = make_head(b"HTTP/1.0 200 OK", SIGNED, CHUNKED)
     heads["line feeds only"] = make_head(ok, SIGNED, LENGTH).replace(b"\r\n", b"\n")
     return heads
 
@@ -94,7 +108,7 @@
 
     # Guards against lookups that fail though another server would answer them.
     def test_a_lookup_is_sent_to_another_server(self) -> None:
-        for name in (f"{NO_FIELDS[0]!r} last", f"{SPOILT_NAMES[0]!r} last"):
+        for name in (repr(SPOILT_LENGTHS[1]), repr(SPOILT_LENGTHS[10])):
             bad, good = self.servers
             bad.default = send(SPOILT_HEADS[name] + b"ok")
             good.default = send(make_head(b"HTTP/1.1 200 OK", SIGNED, LENGTH) + b"ok")
