Take only status lines that HTTP/1.1 knows

What callers could see: status 0200 or 2_00 as 200, statuses of 600 and above passed on, and answers of other versions, or with a control byte in the reason, as answers.

Cause: http.client reads the status with int(), which takes zeros and underscores, and compares only the first letters of the version.

RFC 9110, 15, has statuses of 600 and above as invalid.

--- a/packages/node/src/persimmonusher_node/http_syntax.py
+++ b/packages/node/src/persimmonusher_node/http_syntax.py
@@ -12,6 +12,7 @@
 
 _TEXT: Final = rb"[\t -~\x80-\xff]*"
 _FIELD_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r\n")
+_STATUS_LINE: Final = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}( " + _TEXT + rb")?\r\n")
 _LENGTH: Final = re.compile(r"[0-9]{1,18}", re.ASCII)
 _BLANKS: Final = (b" ", b"\t")
 LINE_END: Final = b"\r\n"
@@ -41,6 +42,8 @@
             raise MalformedMessage(f"the head is longer than {self._max_bytes} bytes")
         if self._is_status_next:
             self._is_status_next = False
+            if _STATUS_LINE.fullmatch(line) is None:
+                raise MalformedMessage(f"line {self._line_number} of the head is no status line")
         elif line == LINE_END:
             self._is_status_next = True
         elif _FIELD_LINE.fullmatch(line) is None:
--- a/packages/node/tests/test_broken_answers.py
+++ b/packages/node/tests/test_broken_answers.py
@@ -31,6 +31,13 @@
     b" X-Name: a",
 )
 SPOILT_VALUES = (b"X-Name: a\rX-Next: b", b"X-Name: a\x00b", b"X-Name: \x1b", b"X-Name: a\nb")
+SPOILT_STATUS_LINES = (
+    *(b"HTTP/1.1 %s OK" % status for status in (b"0200", b"2_0", b"+20", b"20", b"2000", b"2x0")),
+    *(b"HTTP/1.1 %s OK" % status for status in (b"099", b"600", b"999", b"\xb2\xb0\xb0")),
+    *(version + b" 200 OK" for version in (b"HTTP/1.x", b"HTTP/2", b"HTTP/1.1 ", b"XHTTP/1.1")),
+    b"HTTP/1.1 200 O\rK",
+    b"HTTP/1.1\t200 OK",
+)
 LEGAL = {
     "length": (b"HTTP/1.1 200 OK", (SIGNED, LENGTH), b"ok"),
     "no reason": (b"HTTP/1.1 200 ", (SIGNED, LENGTH), b"ok"),
@@ -62,6 +69,8 @@
     for line in (*NO_FIELDS, *SPOILT_NAMES, *SPOILT_VALUES):
         heads[f"{line!r} first"] = make_head(ok, line, SIGNED, LENGTH)
         heads[f"{line!r} last"] = make_head(ok, SIGNED, LENGTH, line)
+    for line in SPOILT_STATUS_LINES:
+        heads[repr(line)] = make_head(line, SIGNED, LENGTH)
     heads["HTTP/1.0 in chunks"] = make_head(b"HTTP/1.0 200 OK", SIGNED, CHUNKED)
     heads["line feeds only"] = make_head(ok, SIGNED, LENGTH).replace(b"\r\n", b"\n")
     return heads
@@ -100,8 +109,19 @@
         for line in (*NO_FIELDS, *SPOILT_NAMES, *SPOILT_VALUES):
             with self.subTest(line):
                 self.check_broken(make_head(b"HTTP/1.1 102 Wait", line) + final)
+        for line in SPOILT_STATUS_LINES:
+            with self.subTest(line):
+                self.check_broken(make_head(line.replace(b"200", b"102")) + final)
         self.check_broken(make_head(b"HTTP/1.1 101 Switching", b"Upgrade: x") + final)
 
+    # Guards against a status that means nothing and reaches callers.
+    def test_status_000_is_no_answer(self) -> None:
+        for method in ("POST", "GET", "HEAD"):
+            self.script(send(make_head(b"HTTP/1.1 000 OK", SIGNED, LENGTH) + b"ok"))
+            answer = self.call(method, "/000")
+            self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
+            self.assertNotIn("x-response-signature", answer.headers)
+
 
 class RepeatedAfterBrokenAnswersTest(EntryTestCase):
     dialect = DIALECT
