Chunks and trailers that are spoilt break their answer

What callers could see: a body with bytes missing or added, as a complete answer.

Cause: http.client reads the size of a chunk with int(), which takes signs, "0x", underscores and blanks, skips two bytes of any kind behind a chunk, and reads trailers up to an empty line without looking at them. So a spoilt head's lines passed as trailers.

Now the line before a chunk, the end of a chunk and the lines of trailers are checked as a head's are; a streamed answer is cut off. Trailers together may be as long as a head.

--- a/packages/node/src/persimmonusher_node/answer_reader.py
+++ b/packages/node/src/persimmonusher_node/answer_reader.py
@@ -11,8 +11,11 @@
 from eventlet.hubs import trampoline
 
 from persimmonusher_node.http_syntax import (
+    LINE_END,
     HeadLines,
+    MalformedMessage,
     check_framing,
+    parse_chunk_size,
 )
 
 BYTES_PER_TURN: Final = 16_384
@@ -21,6 +24,8 @@
 """Interim answers before the final one; a server needs one or two."""
 MAX_HEAD_BYTES: Final = 65_536
 """Bytes of an answer's status line and headers, those of interim answers included."""
+MAX_CHUNK_LINE_BYTES: Final = 65_536
+"""Bytes of the line before a chunk, with its extensions."""
 
 
 class ResetAwareReader(io.RawIOBase):
@@ -126,3 +131,18 @@
         if self._status_lines > MAX_INTERIM_ANSWERS:
             raise HTTPException(f"more than {MAX_INTERIM_ANSWERS} interim answers")
         return super()._read_status()  # type: ignore[misc, no-any-return]
+
+    def _read_next_chunk_size(self) -> int:
+        return parse_chunk_size(self._lines.readline(MAX_CHUNK_LINE_BYTES))
+
+    def _get_chunk_left(self) -> int | None:
+        """Return what is left of a chunk; http.client skips two bytes of any kind after it."""
+        if self.chunk_left == 0:
+            if self._lines.read(len(LINE_END)) != LINE_END:
+                raise MalformedMessage("a chunk is longer than its size")
+            self.chunk_left = None
+        return super()._get_chunk_left()  # type: ignore[misc, no-any-return]
+
+    def _read_and_discard_trailer(self) -> None:
+        with self._lines.check_head(HeadLines(MAX_HEAD_BYTES, has_status_line=False)):
+            super()._read_and_discard_trailer()  # type: ignore[misc]
--- a/packages/node/tests/test_broken_answers.py
+++ b/packages/node/tests/test_broken_answers.py
@@ -1,16 +1,20 @@
 """Answers that are no HTTP/1.1, on each way by which answers are read, and legal ones."""
 
 import unittest
+from http.client import HTTPException
 
 from entry_harness import PROFILE, Behaviour, CallerAnswer, EntryTestCase, send
 from large_body_harness import LargeBodyTestCase, Upload
 
 from persimmonusher_node.dialect import Dialect
+from persimmonusher_node.settings import Limits
 
 DIALECT = Dialect(accepts_unframed=True, signature="X-Response-Signature")
 SIGNED = b"X-Response-Signature: s"
 LENGTH = b"Content-Length: 2"
 CHUNKED = b"Transfer-Encoding: chunked"
+LONG = b"x" * 300_000
+BUFFERED_BYTES = 100_000
 SPOILT_LENGTHS = (
     *(b"Content-Length:" + value for value in (b"", b" 2x", b" +2", b" -2", b" 0x2", b" 0_2")),
     b"Content-Length: 2, 2",
@@ -38,6 +42,14 @@
     b"HTTP/1.1 200 O\rK",
     b"HTTP/1.1\t200 OK",
 )
+SPOILT_CHUNKS = (
+    *(b"%s\r\nok\r\n0\r\n\r\n" % size for size in (b"+2", b"0x2", b" 2", b"2_", b"", b"2 x", b"g")),
+    b"2\r\nokxx0\r\n\r\n",
+    b"2\r\nok\n\n0\r\n\r\n",
+    b"2\nok\r\n0\r\n\r\n",
+    b"2;a\rb\r\nok\r\n0\r\n\r\n",
+    *(b"2\r\nok\r\n0\r\n%s\r\n\r\n" % line for line in (*NO_FIELDS, *SPOILT_NAMES)),
+)
 LEGAL = {
     "length": (b"HTTP/1.1 200 OK", (SIGNED, LENGTH), b"ok"),
     "no reason": (b"HTTP/1.1 200 ", (SIGNED, LENGTH), b"ok"),
@@ -82,6 +94,7 @@
 class BrokenAnswerTestCase(EntryTestCase):
     server_names = ("s1",)
     profile = PROFILE.model_copy(update={"max_retries": 0, "retry_budget_percent": 0})
+    limits = Limits(buffered_answer_bytes=BUFFERED_BYTES)
     dialect = DIALECT
 
     def exchange(self, behaviour: Behaviour) -> CallerAnswer:
@@ -122,6 +135,19 @@
             self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
             self.assertNotIn("x-response-signature", answer.headers)
 
+    # Guards against chunks and trailers that are spoilt and taken for the end of a body.
+    def test_spoilt_chunks_are_no_answer(self) -> None:
+        for chunks in SPOILT_CHUNKS:
+            with self.subTest(chunks):
+                self.check_broken(make_head(b"HTTP/1.1 200 OK", SIGNED, CHUNKED) + chunks)
+
+    # Guards against the same behind the part of a body that is sent on as it arrives.
+    def test_spoilt_chunks_end_a_streamed_answer_early(self) -> None:
+        head = make_head(b"HTTP/1.1 200 OK", SIGNED, CHUNKED) + b"%x\r\n%s\r\n" % (len(LONG), LONG)
+        for chunks in SPOILT_CHUNKS:
+            with self.subTest(chunks), self.assertRaises((HTTPException, OSError)):
+                self.exchange(send(head + chunks))
+
 
 class RepeatedAfterBrokenAnswersTest(EntryTestCase):
     dialect = DIALECT
