Serve answers behind any interim answer, and those that have no body

What callers saw: 502 for a legal answer behind an interim one with another status than 100, such as 103 Early Hints, and 504 at the deadline for a 304 with the Transfer-Encoding that its 200 would have had.

Cause: http.client skips interim answers with status 100 only, and waits for chunks where the status allows no body.

All interim answers but 101 are skipped now, with their heads checked, and up to the limits of their number and bytes that were there.

--- a/packages/node/src/persimmonusher_node/answer_reader.py
+++ b/packages/node/src/persimmonusher_node/answer_reader.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
+from http import HTTPStatus
 from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import Any, Final
 
@@ -115,7 +116,6 @@
         connection = arguments[0]
         self._lines = WholeLineReader(ResetAwareReader(connection, self.fp.detach()))
         self.fp = self._lines
-        self._status_lines = 0
 
     def begin(self) -> None:
         """Read the head of the answer; raise HTTPException if it is malformed or has no end."""
@@ -124,13 +124,22 @@
         lengths = self.headers.get_all("content-length", [])
         codings = self.headers.get_all("transfer-encoding", [])
         check_framing(self.version, lengths, codings)
+        if self.length == 0:
+            # http.client would wait for chunks also where the status allows no body.
+            self.chunked = False
 
     def _read_status(self) -> tuple[str, int, str]:
-        """Read one status line; http.client reads interim answers without a limit."""
-        self._status_lines += 1
-        if self._status_lines > MAX_INTERIM_ANSWERS:
-            raise HTTPException(f"more than {MAX_INTERIM_ANSWERS} interim answers")
-        return super()._read_status()  # type: ignore[misc, no-any-return]
+        """Read the status line of the final answer, and skip the interim answers before it.
+
+        http.client skips only those with status 100, and any number of them.
+        """
+        for _ in range(MAX_INTERIM_ANSWERS):
+            status_line = super()._read_status()  # type: ignore[misc]
+            if not is_interim(status_line[1]):
+                return status_line  # type: ignore[no-any-return]
+            while self._lines.readline(MAX_HEAD_BYTES) != LINE_END:
+                pass
+        raise HTTPException(f"more than {MAX_INTERIM_ANSWERS} interim answers")
 
     def _read_next_chunk_size(self) -> int:
         return parse_chunk_size(self._lines.readline(MAX_CHUNK_LINE_BYTES))
@@ -146,3 +155,8 @@
     def _read_and_discard_trailer(self) -> None:
         with self._lines.check_head(HeadLines(MAX_HEAD_BYTES, has_status_line=False)):
             super()._read_and_discard_trailer()  # type: ignore[misc]
+
+
+def is_interim(status: int) -> bool:
+    """Return whether a final answer follows; after a switch of protocols, none does."""
+    return 100 <= status < 200 and status != HTTPStatus.SWITCHING_PROTOCOLS
--- a/packages/node/tests/test_broken_answers.py
+++ b/packages/node/tests/test_broken_answers.py
@@ -67,7 +67,7 @@
         b"2\r\nok\r\n0\r\n\r\n",
     ),
 }
-LEGAL_INTERIM = (b"100 Continue",)
+LEGAL_INTERIM = (b"100 Continue", b"102 Processing", b"103 Early Hints\r\nLink: </s>", b"199 X")
 
 
 def make_head(status_line: bytes, *lines: bytes) -> bytes:
@@ -193,6 +193,17 @@
                     self.assertEqual((answer.status, answer.body), (200, b"ok"))
                     self.assertEqual(answer.headers["x-response-signature"], "s")
 
+    # Guards against answers without a body that are waited for until the deadline.
+    def test_answers_without_a_body_are_served(self) -> None:
+        for method, status in (("HEAD", 200), ("GET", 304), ("POST", 204), ("GET", 204)):
+            for line in (b"X-Name: a", b"Content-Length: 7", CHUNKED):
+                if status == 204 and line is CHUNKED:
+                    continue
+                with self.subTest(method, status=status, line=line):
+                    self.script(send(make_head(b"HTTP/1.1 %d X" % status, SIGNED, line), True))
+                    answer = self.call(method, f"/{method}{status}")
+                    self.assertEqual((answer.status, answer.body), (status, b""))
+
 
 if __name__ == "__main__":
     unittest.main()
