--- a/packages/node/src/persimmonusher_node/answer_reader.py
+++ b/packages/node/src/persimmonusher_node/answer_reader.py
@@ -1,9 +1,8 @@
 """Reads backend servers' answers, and fails on what is not the whole of one."""
 
 import io
+import re
 import socket
-from collections.abc import Iterator
-from contextlib import contextmanager
 from http import HTTPStatus
 from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import Any, Final
@@ -13,8 +12,9 @@
 
 from persimmonusher_node.http_syntax import (
     LINE_END,
-    HeadLines,
     MalformedMessage,
+    check_answer_head,
+    check_fields,
     check_framing,
     parse_chunk_size,
 )
@@ -27,6 +27,8 @@
 """Bytes of an answer's status line and headers, those of interim answers included."""
 MAX_CHUNK_LINE_BYTES: Final = 65_536
 """Bytes of the line before a chunk, with its extensions."""
+EMPTY_LINES: Final = (LINE_END, b"\n")
+BLANKS_AT_END: Final = re.compile(rb"[ \t]+\r\n")
 
 
 class ResetAwareReader(io.RawIOBase):
@@ -79,37 +81,35 @@
 
     http.client treats the end of the connection as the end of the headers, and a cut-off chunk size
     as a shorter one: an answer cut there would look whole, without its last headers.
-
-    The lines of a head are checked before http.client, which limits the length and the number of
-    lines, but not their bytes in total, parses them.
     """
 
-    def __init__(self, raw: io.RawIOBase) -> None:
-        super().__init__(raw)
-        self._head: HeadLines | None = None
-
-    @contextmanager
-    def check_head(self, head: HeadLines) -> Iterator[None]:
-        """Let `head` check the lines that are read inside."""
-        self._head = head
-        try:
-            yield
-        finally:
-            self._head = None
-
     def readline(self, size: int | None = -1, /) -> bytes:
-        """Return a line with its line end; raise IncompleteRead if the connection ends first.
-
-        Raises MalformedMessage for a line that may not stand in a head.
-        """
+        """Return a line with its line end; raise IncompleteRead if the connection ends first."""
         line = super().readline(size)
         if not line.endswith(b"\n"):
             raise IncompleteRead(line)
-        return line if self._head is None else self._head.check(line)
+        return line
+
+    def read_block(self, max_bytes: int) -> list[bytes]:
+        """Return the lines up to an empty one; raise HTTPException if they are longer.
+
+        http.client limits the length and the number of lines, which allows heads of megabytes.
+        """
+        lines: list[bytes] = []
+        bytes_left = max_bytes
+        while not lines or lines[-1] not in EMPTY_LINES:
+            line = super().readline(bytes_left)
+            bytes_left -= len(line)
+            if not line.endswith(b"\n"):
+                if bytes_left == 0:
+                    raise HTTPException(f"more than {max_bytes} bytes without an empty line")
+                raise IncompleteRead(line)
+            lines.append(line)
+        return lines
 
 
 class WholeResponse(HTTPResponse):
-    """An answer whose reading fails on a partial line or a reset of the connection."""
+    """An answer whose reading fails on what is malformed, a partial line or a reset."""
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
@@ -119,8 +119,11 @@
 
     def begin(self) -> None:
         """Read the head of the answer; raise HTTPException if it is malformed or has no end."""
-        with self._lines.check_head(HeadLines(MAX_HEAD_BYTES)):
+        self.fp = io.BytesIO(self._read_head())  # type: ignore[assignment]
+        try:
             super().begin()
+        finally:
+            self.fp = self._lines
         lengths = self.headers.get_all("content-length", [])
         codings = self.headers.get_all("transfer-encoding", [])
         check_framing(self.version, lengths, codings)
@@ -128,17 +131,19 @@
             # http.client would wait for chunks also where the status allows no body.
             self.chunked = False
 
-    def _read_status(self) -> tuple[str, int, str]:
-        """Read the status line of the final answer, and skip the interim answers before it.
+    def _read_head(self) -> bytes:
+        """Read the head of the final answer, and skip those of the interim answers before it.
 
         http.client skips only those with status 100, and any number of them.
         """
+        bytes_left = MAX_HEAD_BYTES
         for _ in range(MAX_INTERIM_ANSWERS):
-            status_line = super()._read_status()  # type: ignore[misc]
-            if not is_interim(status_line[1]):
-                return status_line  # type: ignore[no-any-return]
-            while self._lines.readline(MAX_HEAD_BYTES) != LINE_END:
-                pass
+            lines = self._lines.read_block(bytes_left)
+            status = check_answer_head(lines)
+            head = b"".join(lines)
+            if not is_interim(status):
+                return strip_values(head)
+            bytes_left -= len(head)
         raise HTTPException(f"more than {MAX_INTERIM_ANSWERS} interim answers")
 
     def _read_next_chunk_size(self) -> int:
@@ -153,8 +158,14 @@
         return super()._get_chunk_left()  # type: ignore[misc, no-any-return]
 
     def _read_and_discard_trailer(self) -> None:
-        with self._lines.check_head(HeadLines(MAX_HEAD_BYTES, has_status_line=False)):
-            super()._read_and_discard_trailer()  # type: ignore[misc]
+        check_fields("trailers", self._lines.read_block(MAX_HEAD_BYTES))
+
+
+def strip_values(head: bytes) -> bytes:
+    """Return a head without blanks behind its values, with which http.client compares them."""
+    if b" \r\n" in head or b"\t\r\n" in head:
+        return BLANKS_AT_END.sub(LINE_END, head)
+    return head
 
 
 def is_interim(status: int) -> bool:
--- a/packages/node/src/persimmonusher_node/http_syntax.py
+++ b/packages/node/src/persimmonusher_node/http_syntax.py
@@ -1,8 +1,8 @@
 """The syntax of HTTP/1.1 messages (RFC 9112), checked on the bytes that arrived; no I/O.
 
 The standard library's client parses heads leniently: it takes the first line that is no field for
-the end of the head and drops the rest, and splits lines at a bare CR. So each line is checked
-before that parser sees it.
+the end of the head and drops the rest, and splits lines at a bare CR. So the lines of a head are
+checked before that parser sees them.
 """
 
 import re
@@ -10,49 +10,40 @@
 from http.client import HTTPException
 from typing import Final
 
+LINE_END: Final = b"\r\n"
 _TEXT: Final = rb"[\t -~\x80-\xff]*"
-_FIELD_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r\n")
-_STATUS_LINE: Final = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}( " + _TEXT + rb")?\r\n")
-_CHUNK_LINE: Final = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;" + _TEXT + rb")?\r\n")
+_FIELD_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + LINE_END)
+_STATUS_LINE: Final = re.compile(rb"HTTP/1\.[0-9] ([1-5][0-9]{2})( " + _TEXT + rb")?" + LINE_END)
+_CHUNK_LINE: Final = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;" + _TEXT + rb")?" + LINE_END)
 _LENGTH: Final = re.compile(r"[0-9]{1,18}", re.ASCII)
-_BLANKS: Final = (b" ", b"\t")
-LINE_END: Final = b"\r\n"
 
 
 class MalformedMessage(HTTPException):  # noqa: N818
     """Raised for bytes that HTTP/1.1 doesn't allow; the message says where they are."""
 
 
-class HeadLines:
-    """Checks the lines of an answer's head, and of the interim answers before it.
+def check_answer_head(lines: Sequence[bytes]) -> int:
+    """Return the status of an answer's head; raise MalformedMessage.
 
-    They may have `max_bytes` bytes together. Trailers have no status line.
+    `lines` are all its lines as they arrived, from the status line to the empty line.
     """
+    match = _STATUS_LINE.fullmatch(lines[0])
+    if match is None:
+        raise MalformedMessage("the first line is no status line")
+    check_fields("head", lines, 1)
+    return int(match[1])
 
-    def __init__(self, max_bytes: int, has_status_line: bool = True) -> None:
-        self._max_bytes = max_bytes
-        self._bytes_left = max_bytes
-        self._line_number = 0
-        self._has_status_line = has_status_line
-        self._is_status_next = has_status_line
-
-    def check(self, line: bytes) -> bytes:
-        """Return the next line, without blanks before its line end; raise MalformedMessage."""
-        self._line_number += 1
-        self._bytes_left -= len(line)
-        if self._bytes_left < 0:
-            raise MalformedMessage(f"the head is longer than {self._max_bytes} bytes")
-        if self._is_status_next:
-            self._is_status_next = False
-            if _STATUS_LINE.fullmatch(line) is None:
-                raise MalformedMessage(f"line {self._line_number} of the head is no status line")
-        elif line == LINE_END:
-            self._is_status_next = self._has_status_line
-        elif _FIELD_LINE.fullmatch(line) is None:
-            raise MalformedMessage(f"line {self._line_number} of the head is no header field")
-        if line[-3:-2] in _BLANKS:
-            return line[:-2].rstrip(b" \t") + LINE_END
-        return line
+
+def check_fields(part: str, lines: Sequence[bytes], start: int = 0) -> None:
+    """Raise MalformedMessage unless the lines from `start` on are fields and an empty line.
+
+    `part` is what they belong to, for the message.
+    """
+    for number in range(start, len(lines) - 1):
+        if _FIELD_LINE.fullmatch(lines[number]) is None:
+            raise MalformedMessage(f"line {number + 1} of the {part} is no field")
+    if lines[-1] != LINE_END:
+        raise MalformedMessage(f"the {part} has no end")
 
 
 def check_framing(version: int, lengths: Sequence[str], codings: Sequence[str]) -> None:
