--- a/packages/node/tests/test_broken_answers.py
+++ b/packages/node/tests/test_broken_answers.py
@@ -9,8 +9,8 @@
 from persimmonusher_node.dialect import Dialect
 from persimmonusher_node.settings import Limits
 
-DIALECT = Dialect(accepts_unframed=True, signature="X-Response-Signature")
-SIGNED = b"X-Response-Signature: s"
+DIALECT = Dialect(accepts_unframed=True, signature="X-Signature")
+SIGNED = b"X-Signature: s"
 LENGTH = b"Content-Length: 2"
 CHUNKED = b"Transfer-Encoding: chunked"
 LONG = b"x" * 300_000
@@ -106,7 +106,7 @@
     def check_broken(self, raw: bytes) -> None:
         answer = self.exchange(send(raw))
         self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
-        self.assertNotIn("x-response-signature", answer.headers)
+        self.assertNotIn("x-signature", answer.headers)
 
 
 class BrokenAnswersTest(BrokenAnswerTestCase):
@@ -133,7 +133,7 @@
             self.script(send(make_head(b"HTTP/1.1 000 OK", SIGNED, LENGTH) + b"ok"))
             answer = self.call(method, "/000")
             self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
-            self.assertNotIn("x-response-signature", answer.headers)
+            self.assertNotIn("x-signature", answer.headers)
 
     # Guards against chunks and trailers that are spoilt and taken for the end of a body.
     def test_spoilt_chunks_are_no_answer(self) -> None:
@@ -179,7 +179,7 @@
                 self.set_act(answer_all)
                 answer = self.upload(self.open(100_000), b"x" * 100_000)
                 self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
-                self.assertNotIn("x-response-signature", answer.headers)
+                self.assertNotIn("x-signature", answer.headers)
 
 
 class LegalAnswersTest(BrokenAnswerTestCase):
@@ -191,7 +191,7 @@
                     before = make_head(b"HTTP/1.1 " + interim) if interim else b""
                     answer = self.exchange(send(before + make_head(status_line, *lines) + body))
                     self.assertEqual((answer.status, answer.body), (200, b"ok"))
-                    self.assertEqual(answer.headers["x-response-signature"], "s")
+                    self.assertEqual(answer.headers["x-signature"], "s")
 
     # Guards against answers without a body that are waited for until the deadline.
     def test_answers_without_a_body_are_served(self) -> None:
--- a/packages/node/tests/test_early_answers.py
+++ b/packages/node/tests/test_early_answers.py
@@ -32,7 +32,7 @@
 PIECE = b"x" * 1_000
 LINES = b"".join(b"X-Line-%d: %s\r\n" % (number, b"x" * 6_000) for number in range(7))
 """So long that the reader of the head lets the writer of the body run in between."""
-HEAD = b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n" + LINES + b"\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\nX-Signature: s\r\n" + LINES + b"\r\n"
 STREAMED_FROM = 16_384
 """Least `buffered_answer_bytes`; a longer answer is passed on as it arrives."""
 SEND_BUFFER_BYTES = 1_048_576
@@ -61,7 +61,7 @@
 class EarlyAnswersTest(LargeBodyTestCase):
     server_names = ("s1",)
     profile = PROFILE.model_copy(update={"max_body_bytes": 1_000_000, "max_retries": 0})
-    dialect = Dialect(accepts_unframed=True, signature="X-Response-Signature")
+    dialect = Dialect(accepts_unframed=True, signature="X-Signature")
     parts = (b"", b"part")
 
     def exchange(self, part: bytes, finish: Finish, chunked: bool) -> CallerAnswer:
@@ -87,7 +87,7 @@
                 with self.subTest(part[:4], chunked=chunked):
                     answer = self.exchange(part, reset, chunked)
                     self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
-                    self.assertNotIn("x-response-signature", answer.headers)
+                    self.assertNotIn("x-signature", answer.headers)
 
     # Guards against an end of the answer that is this instance's own, as the caller has left.
     def test_a_body_that_breaks_off_breaks_the_answer(self) -> None:
